--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -84,6 +84,11 @@
         """Return ``host:port`` for callers."""
         return f"{LOCALHOST}:{self.caller_port}"
 
+    @property
+    def settings_path(self) -> Path:
+        """Return the path of the settings file."""
+        return self._folder / f"{self.name}.toml"
+
     @property
     def log_path(self) -> Path:
         """Return the path of this life's log."""
@@ -92,9 +97,8 @@
     def start(self) -> None:
         """Start a life."""
         self._lives += 1
-        path = self._folder / f"{self.name}.toml"
-        path.write_text(self._settings(self))
-        environment = {**os.environ, "LOOMWIND_SETTINGS": str(path)}
+        self.settings_path.write_text(self._settings(self))
+        environment = {**os.environ, "LOOMWIND_SETTINGS": str(self.settings_path)}
         self.process = Process("loomwind", ["serve"], self.log_path, environment)
 
     def ready_status(self) -> int:
--- a/loomwind/cli.py
+++ b/loomwind/cli.py
@@ -4,10 +4,12 @@
 import os
 import signal
 import sys
+from pathlib import Path
 
 import fire
 
 from loomwind import __version__, explain, logs
+from loomwind.clock import Clock
 from loomwind.daemon import Daemon
 from loomwind.demo import run_demo
 from loomwind.errors import LoomwindError
@@ -20,6 +22,7 @@
     show_status,
 )
 from loomwind.platform.deployment import pool_daemon
+from loomwind.reload import SettingsReloader
 from loomwind.serving.daemon import PoolDaemon
 from loomwind.settings import Settings, SettingsError, load_settings
 
@@ -48,26 +51,35 @@
     return found
 
 
-async def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings, path: Path, overrides: dict[str, object]) -> None:
     if settings.store is not None:
         writer = logs.log_to_stdout(settings.name)
         flusher = asyncio.get_running_loop().create_task(writer.run())
-        await _run_until_told(pool_daemon(settings, settings.store))
+        daemon: Daemon | PoolDaemon = pool_daemon(settings, settings.store)
+        await _run_until_told(daemon, settings, path, overrides)
         flusher.cancel()
         writer.flush()
     else:
         logs.log_to_stderr()
-        await _run_until_told(Daemon(settings))
+        await _run_until_told(Daemon(settings), settings, path, overrides)
 
 
-async def _run_until_told(daemon: Daemon | PoolDaemon) -> None:
+async def _run_until_told(
+    daemon: Daemon | PoolDaemon, settings: Settings, path: Path, overrides: dict[str, object]
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    reloader = SettingsReloader(
+        path, lambda: load_settings(str(path), overrides), settings, daemon, Clock()
+    )
+    reloader.listen()
     await daemon.start()
+    following = loop.create_task(reloader.run())
     await stop.wait()
     await daemon.stop()
+    following.cancel()
 
 
 class Commands:
@@ -135,9 +147,10 @@
         listen = {"caller": caller, "peer": peer, "operator": operator, "admin": admin}
         flags |= {f"listen.{key}": value for key, value in listen.items()}
         path = _settings_path(settings)
-        loaded = _load(path, {key: value for key, value in flags.items() if value})
+        overrides = {key: value for key, value in flags.items() if value}
+        loaded = _load(path, overrides)
         try:
-            asyncio.run(_serve(loaded))
+            asyncio.run(_serve(loaded, Path(path), overrides))
         except OSError as error:
             print(f"cannot listen: {error}", file=sys.stderr)
             sys.exit(EXIT_FAILED)
--- a/loomwind/daemon.py
+++ b/loomwind/daemon.py
@@ -40,7 +40,7 @@
 from loomwind.ports.base import MachineRole, MachineState, TableService
 from loomwind.ports.http import HttpMachineList, HttpObjectStore, HttpTableService
 from loomwind.ports.local import LocalTableService
-from loomwind.settings import Settings
+from loomwind.settings import LimitSettings, Settings
 
 LEARN_INTERVAL_SECONDS = 0.2
 HANDOVER_SECONDS = 2.0
@@ -53,6 +53,17 @@
     return host, int(port)
 
 
+def _caller_limits(limits: LimitSettings) -> ServerLimits:
+    """Return what the server of callers holds them to."""
+    return ServerLimits(
+        max_head_bytes=limits.max_head_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        max_header_count=limits.max_header_count,
+        head_timeout_seconds=limits.head_timeout_seconds,
+        body_timeout_seconds=limits.body_timeout_seconds,
+    )
+
+
 class Daemon:
     """One daemon. Call :meth:`start`, and later :meth:`stop`."""
 
@@ -178,17 +189,7 @@
 
     async def _listen(self) -> None:
         settings = self.settings
-        limits = settings.limits
-        self.callers = HttpServer(
-            self.router.handler.handle,
-            ServerLimits(
-                max_head_bytes=limits.max_head_bytes,
-                max_body_bytes=limits.max_body_bytes,
-                max_header_count=limits.max_header_count,
-                head_timeout_seconds=limits.head_timeout_seconds,
-                body_timeout_seconds=limits.body_timeout_seconds,
-            ),
-        )
+        self.callers = HttpServer(self.router.handler.handle, _caller_limits(settings.limits))
         self.admin = AdminServer(self.metrics, self.is_ready)
         self._operator = await self._start_operator()
         await self.callers.start(*split_address(settings.listen.caller))
@@ -309,6 +310,13 @@
         for address in overrides:
             self.transport.forget(address)
 
+    def take_up(self, settings: Settings, changed: tuple[str, ...]) -> tuple[str, ...]:
+        """Put changed limits on callers in force; all else needs a restart."""
+        self.settings = settings
+        if "limits" in changed:
+            self.callers.limits = _caller_limits(settings.limits)
+        return tuple(name for name in changed if name != "limits")
+
     # The controller's role.
 
     def _begin_term(self) -> None:
--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -64,6 +64,10 @@
         self._valid_until = 0.0
         self._renewed_at = 0.0
 
+    def set_duration(self, duration_seconds: float) -> None:
+        """Change how long others wait; the next renewal counts with it."""
+        self._duration = duration_seconds
+
     @property
     def expected_version(self) -> int:
         """Return the version that the next write expects; 0 when there is no row."""
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -62,6 +62,10 @@
         self._leading = False
         self._led_since = 0.0
 
+    def set_bounds(self, bounds: BoundSettings) -> None:
+        """Hold to other bounds from the next change of leader on; windows that run keep theirs."""
+        self._bounds = bounds
+
     def _take_demand(self) -> None:
         """Take in what daemons have told since the last step."""
         for report in self._exchange.inbox.take():
--- a/loomwind/platform/store.py
+++ b/loomwind/platform/store.py
@@ -54,6 +54,11 @@
         self._address = address
         self._timeout = timeout_seconds
 
+    def move(self, address: str, timeout_seconds: float) -> None:
+        """Reach the store elsewhere; see :meth:`Store.move`."""
+        self._address = address
+        self._timeout = timeout_seconds
+
     async def read(self, table: str) -> Snapshot:
         """Return a whole table; see :meth:`Store.read`."""
         rows: list[StoredRow] = []
--- a/loomwind/serving/budget.py
+++ b/loomwind/serving/budget.py
@@ -27,6 +27,12 @@
         """Change the free part, when the number of daemons has changed."""
         self._allowance = allowance
 
+    def set_limits(self, ratio: float, allowance: float, window_seconds: float) -> None:
+        """Change everything that bounds the repeats; see :meth:`__init__`."""
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window = window_seconds
+
     def note_request(self, now: float) -> None:
         """Count a caller's request."""
         self._requests.append(now)
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import uuid
 from collections.abc import Coroutine
+from functools import singledispatchmethod
 
 from msgspec import Struct
 
@@ -25,7 +26,7 @@
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect, Documents, EngineControl, Store
-from loomwind.settings import Settings
+from loomwind.settings import BoundSettings, Settings, StoreSettings
 
 OWN_TABLE = "loomwind"
 LEASE_PART = 0.6
@@ -50,6 +51,11 @@
     return host, int(port)
 
 
+def _lease_seconds(bounds: BoundSettings) -> float:
+    """Return how long a lease lasts without a renewal."""
+    return LEASE_PART * bounds.lease_ms / 1000
+
+
 class PoolDaemon:
     """One daemon. Call :meth:`start`, and later :meth:`stop`."""
 
@@ -70,6 +76,7 @@
     def _make_knowledge(self, deployment: Deployment) -> None:
         """Make what follows the store."""
         settings, store = self.settings, deployment.store
+        self._store = store
         self._own = LeaseHolder(settings.name, uuid.uuid4().hex[:12], settings.listen.peer)
         self._health = StoreHealth()
         self._pool = ServerPool(settings.bounds)
@@ -78,7 +85,7 @@
         )
         lease = Lease(
             self._own,
-            LEASE_PART * settings.bounds.lease_ms / 1000,
+            _lease_seconds(settings.bounds),
             constants.LEASE_RENEW_SECONDS,
             constants.LEASE_MARGIN_SECONDS,
         )
@@ -178,6 +185,30 @@
     async def _on_ready_question(self, exchange: Exchange) -> None:
         await exchange.respond(200 if self.is_ready() else 503, (), b"")
 
+    # Changed settings.
+
+    def take_up(self, settings: Settings, changed: tuple[str, ...]) -> tuple[str, ...]:
+        """Put changed sections in force; returns those that need a restart."""
+        self.settings = settings
+        return tuple(name for name in changed if not self._take_up(getattr(settings, name)))
+
+    @singledispatchmethod
+    def _take_up(self, section: object) -> bool:
+        """Put one section in force; returns False when that takes a restart."""
+        return False
+
+    @_take_up.register
+    def _(self, section: BoundSettings) -> bool:
+        self._pool.set_bounds(section)
+        self._controller.set_bounds(section)
+        self._election.lease.set_duration(_lease_seconds(section))
+        return True
+
+    @_take_up.register
+    def _(self, section: StoreSettings) -> bool:
+        self._store.move(section.address, section.timeout_seconds)
+        return True
+
     async def stop(self) -> None:
         """Leave: hand the lease over, serve until callers have noticed, end what is in progress."""
         self.stopping = True
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -32,10 +32,14 @@
 
         :param drain_seconds: how soon after the store has said so a server gets no new work.
         """
-        self._vanished_grace = VANISHED_GRACE_PART * drain_seconds
+        self.set_drain(drain_seconds)
         self._servers: dict[str, _Listed] = {}
         self.version = 0
 
+    def set_drain(self, drain_seconds: float) -> None:
+        """Change how soon a server that leaves gets no new work."""
+        self._vanished_grace = VANISHED_GRACE_PART * drain_seconds
+
     def put(self, entry: ServerEntry, now: float) -> None:
         """Take in an entry as listed now."""
         known = self._servers.get(entry.instance)
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -57,6 +57,17 @@
         part = self._bounds.retry_safety * RESTART_PART
         return self._bounds.retry_allowance * part / self._daemons
 
+    def set_bounds(self, bounds: BoundSettings) -> None:
+        """Hold to other bounds from now on; what was spent of a retry budget stays spent."""
+        self._bounds = bounds
+        self.directory.set_drain(bounds.drain_seconds)
+        for budget in self._budgets.values():
+            budget.set_limits(
+                bounds.retry_ratio * bounds.retry_safety,
+                self._allowance(),
+                bounds.retry_window_seconds,
+            )
+
     def set_daemons(self, count: int) -> None:
         """Share the retry budget with so many daemons."""
         self._daemons = max(1, count)
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -92,6 +92,10 @@
     configuration_key: str
     server_table: str
 
+    @abstractmethod
+    def move(self, address: str, timeout_seconds: float) -> None:
+        """Reach the store at another address from the next call on."""
+
     @abstractmethod
     async def read(self, table: str) -> Snapshot:
         """Return a whole table.
