--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     relay,
     site,
     sizes,
+    troubles,
 )
 
 if __name__ == "__main__":
@@ -33,6 +34,7 @@
         "configuration": configuration.run,
         "sizes": sizes.run,
         "compare": compare.compare,
+        "troubles": troubles.troubles,
     }
     if sys.argv[1:2] and sys.argv[1].startswith("--site"):
         sys.argv.insert(1, "site")
