Serve latency histograms and counters of the store, sends, retries and the lease; log the servers passed over

Cause: on-call engineers saw requests and orders counted, but no time of anything, nothing of the store, the retry budget or single servers, and a failed request's line did not say which servers were passed over and why. Change: histograms of request, first event, wait for a model and store calls; MeteredStore around the adapter; bounded server labels; each failed or late end names the candidates that were not chosen. Tests: features/pool_metrics.feature, four scenarios (the metrics did not exist before, so it could only fail).

--- /dev/null
+++ b/features/pool_metrics.feature
@@ -0,0 +1,36 @@
+Feature: Counters and latency histograms tell what a pool daemon does
+
+  Scenario: requests are counted by kind and end, with their times
+    Given a plain server shop
+    And a model server one that holds m1
+    And 1 pool daemons
+    When a plain request on book is sent
+    And a model request on draft for m3 is sent
+    Then metric loomwind_request_seconds_count with kind=non_idempotent, end=served is 1
+    And metric loomwind_request_seconds_count with kind=streaming, end=served is 1
+    And metric loomwind_first_event_seconds_count is 1
+    And metric loomwind_model_wait_seconds_count is 1
+    And metric loomwind_waiting_for_model is 0
+
+  Scenario: a request that fails, and what was spent on it
+    Given a plain server shop
+    And a plain server shop2
+    And 1 pool daemons
+    And server shop has faults mode=errors
+    And server shop2 has faults mode=errors
+    When a plain request on look is sent
+    Then metric loomwind_repeats_total with verdict=allowed is 1
+    And metric loomwind_sends_total with end=failed is 1
+
+  Scenario: calls to the store are counted by result
+    Given a plain server shop
+    And 1 pool daemons
+    Then metric loomwind_store_calls_total with call=write, result=answered is at least 1
+    When the store has faults mode=busy
+    Then metric loomwind_store_calls_total with result=unavailable is at least 1
+    And metric loomwind_lease_fence is at least 1
+
+  Scenario: servers beyond the first ones share one label
+    Given labels for 3 servers
+    When 10 servers are counted
+    Then the labels are the first 3 and other
--- /dev/null
+++ b/features/steps/pool_metrics_steps.py
@@ -0,0 +1,68 @@
+"""Steps about the metrics page of a pool daemon."""
+
+import re
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.pool_steps import first_daemon
+from features.support.processes import wait_until
+from loomwind.metrics import OTHER_SERVERS, ServerLabels
+
+SAMPLE = re.compile(r"^(\w+)(?:\{(.*)\})? (\S+)$")
+
+
+def value_of(page: str, name: str, labels: str) -> float:
+    """Return the sum of a metric's samples that have all the labels ``name=value, name=value``."""
+    wanted = [item.replace("=", '="') + '"' for item in labels.split(", ") if item]
+    total = 0.0
+    for line in page.splitlines():
+        match = SAMPLE.match(line)
+        if match and match[1] == name and all(item in (match[2] or "") for item in wanted):
+            total += float(match[3])
+    return total
+
+
+def wait_for_metric(context: Any, name: str, labels: str, least: float, exact: bool) -> None:
+    """Wait until the first daemon's metric has a value."""
+
+    def reached() -> bool:
+        value = value_of(first_daemon(context).metrics(), name, labels)
+        return value == least if exact else value >= least
+
+    wait_until(reached, f"{name} {labels} reaches {least}")
+
+
+@then("metric {name:w} is {value:d}")
+def step_metric(context: Any, name: str, value: int) -> None:
+    wait_for_metric(context, name, "", value, exact=True)
+
+
+@then("metric {name:w} is at least {value:d}")
+def step_metric_least(context: Any, name: str, value: int) -> None:
+    wait_for_metric(context, name, "", value, exact=False)
+
+
+@then("metric {name:w} with {labels} is {value:d}")
+def step_metric_labels(context: Any, name: str, labels: str, value: int) -> None:
+    wait_for_metric(context, name, labels, value, exact=True)
+
+
+@then("metric {name:w} with {labels} is at least {value:d}")
+def step_metric_labels_least(context: Any, name: str, labels: str, value: int) -> None:
+    wait_for_metric(context, name, labels, value, exact=False)
+
+
+@given("labels for {count:d} servers")
+def step_labels(context: Any, count: int) -> None:
+    context.labels = ServerLabels(count)
+
+
+@when("{count:d} servers are counted")
+def step_counted(context: Any, count: int) -> None:
+    context.seen = {context.labels.of(f"i-{number}") for number in range(count)}
+
+
+@then("the labels are the first {count:d} and other")
+def step_labels_are(context: Any, count: int) -> None:
+    assert context.seen == {f"i-{number}" for number in range(count)} | {OTHER_SERVERS}
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -1,8 +1,28 @@
-"""Counters and gauges of one daemon, exposed in the Prometheus text format."""
+"""Counters, gauges and latency histograms of one daemon, in the Prometheus text format."""
 
 from functools import partial
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 3.0, 6.0, 12.0, 30.0)
+CALL_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0)
+MOST_SERVER_LABELS = 64
+OTHER_SERVERS = "other"
+
+
+class ServerLabels:
+    """Names of servers as values of a label: the first ones as they are, all others as one."""
+
+    def __init__(self, most: int = MOST_SERVER_LABELS) -> None:
+        self._most = most
+        self._names: set[str] = set()
+
+    def of(self, name: str) -> str:
+        """Return the label's value for a server."""
+        if name not in self._names and len(self._names) >= self._most:
+            return OTHER_SERVERS
+        self._names.add(name)
+        return name
 
 
 class Metrics:
@@ -13,6 +33,8 @@
         self.registry = registry
         counter = partial(Counter, registry=registry)
         gauge = partial(Gauge, registry=registry)
+        histogram = partial(Histogram, registry=registry)
+        self.server_labels = ServerLabels()
         self.accepted = counter("loomwind_requests_accepted", "Requests read whole from a caller")
         self.answered = counter("loomwind_requests_answered", "Requests answered by a back end")
         self.refused = counter(
@@ -39,6 +61,47 @@
         self.members = gauge("loomwind_members", "Members known, by state", ["state"])
         self.servers = gauge("loomwind_servers", "Servers that the directory lists here")
         self.servers_usable = gauge("loomwind_servers_usable", "Servers that may get new work")
+        self.request_seconds = histogram(
+            "loomwind_request_seconds",
+            "Time from a request's arrival to its end, by kind of route and end",
+            ["kind", "end"],
+            buckets=REQUEST_BUCKETS_S,
+        )
+        self.first_event_seconds = histogram(
+            "loomwind_first_event_seconds",
+            "Time from a stream's arrival to its first event",
+            buckets=REQUEST_BUCKETS_S,
+        )
+        self.model_wait_seconds = histogram(
+            "loomwind_model_wait_seconds",
+            "Time that a request waited for its model or adapter to be loaded",
+            buckets=REQUEST_BUCKETS_S,
+        )
+        self.waiting_for_model = gauge(
+            "loomwind_waiting_for_model", "Requests that wait for a model or adapter now"
+        )
+        self.sends = counter(
+            "loomwind_sends", "Sends of requests to servers, by server and end", ["server", "end"]
+        )
+        self.repeats = counter(
+            "loomwind_repeats", "Repeated sends that the retry budget allowed or not", ["verdict"]
+        )
+        self.store_calls = counter(
+            "loomwind_store_calls", "Calls to the store, by call and result", ["call", "result"]
+        )
+        self.store_seconds = histogram(
+            "loomwind_store_seconds",
+            "Time of calls to the store that do not wait for changes",
+            ["call"],
+            buckets=CALL_BUCKETS_S,
+        )
+        self.lease_fence = gauge("loomwind_lease_fence", "Fence under which this daemon leads")
+        self.store_loads = counter(
+            "loomwind_store_loads", "Loads that this daemon began from the weight store"
+        )
+        self.log_lines_dropped = gauge(
+            "loomwind_log_lines_dropped", "Log lines that found the buffer full"
+        )
         self.replicas = gauge("loomwind_replicas", "Replicas in the routing table here")
 
     def expose(self) -> bytes:
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -95,6 +95,7 @@
         self._ledgers.clear()
         self._windows.clear()
         self._metrics.leading.set(leads)
+        self._metrics.lease_fence.set(self._election.lease.fence or 0)
         if leads:
             self._metrics.elections.inc()
         return leads
@@ -226,6 +227,7 @@
                 if not window.allows(now):
                     continue
                 window.note(now)
+                self._metrics.store_loads.inc()
             if given.may_stage and planned.kind is OrderKind.LOAD and not planned.target.adapter:
                 self._ledgers[planned.instance].staged += 1
             self._begin_order(planned)
--- a/loomwind/serving/choose.py
+++ b/loomwind/serving/choose.py
@@ -35,6 +35,15 @@
     connected: bool = True
     load: float = 0.0
 
+    def describe(self) -> str:
+        """Return what speaks for or against the server, in short."""
+        marks = [f"{self.in_flight} in flight", f"{self.load:.0f} of others"]
+        marks += ["breaker open"] if self.breaker_open else []
+        marks += ["tried"] if self.tried else []
+        marks += [] if self.connected else ["no connection"]
+        marks += [f"{self.error_share:.2f} failed"] if self.error_share else []
+        return ", ".join(marks)
+
 
 def affinity(key: str, instance: str) -> float:
     """Return a number from 0 to 1 that ranks servers for a key (rendezvous hashing)."""
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -9,6 +9,7 @@
 
 from loomwind import constants
 from loomwind.admin import AdminServer
+from loomwind.clock import Clock
 from loomwind.http.client import Connector, HttpClient
 from loomwind.http.server import Exchange, HttpServer
 from loomwind.leadership.election import Election
@@ -22,6 +23,7 @@
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
+from loomwind.serving.metered import MeteredStore
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
@@ -75,7 +77,8 @@
 
     def _make_knowledge(self, deployment: Deployment) -> None:
         """Make what follows the store."""
-        settings, store = self.settings, deployment.store
+        settings = self.settings
+        store = MeteredStore(deployment.store, self.metrics, Clock())
         self._store = store
         self._own = LeaseHolder(settings.name, uuid.uuid4().hex[:12], settings.listen.peer)
         self._health = StoreHealth()
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -32,7 +32,7 @@
 EVENT_SILENCE_SECONDS = 1.0
 SILENCE_PER_OBJECTIVE = 3.0
 SHORTEST_SILENCE_SECONDS = 0.25
-RESUME_REASON = "resume"
+SERVED = "served"
 SERVER_ERROR_STATUSES = range(500, 600)
 
 
@@ -67,6 +67,7 @@
         self._waited_seconds = 0.0
         self._waiting = False
         self._server = ""
+        self._candidates: list[Candidate] = []
         self._cutter = EventCutter(caller.last_event_id)
 
     # The request as a whole.
@@ -83,6 +84,7 @@
         try:
             async with limit:
                 await self._try_servers()
+            self._observe_end(SERVED)
         except TimeoutError as error:
             self._log_end("out-of-time")
             raise self._out_of_time() from error
@@ -97,6 +99,7 @@
 
     def _log_end(self, end: str) -> None:
         """Say how a request that was not served whole has ended, and what decided it."""
+        self._observe_end(end)
         log_decision(
             end,
             self._caller.request_id,
@@ -109,11 +112,28 @@
             sends=self._sends,
             may_have_run=self._may_have_run or self._handed_over,
             server=self._server,
+            passed_over=self._passed_over(),
             events=self._cutter.events,
             configuration=self._serving.configuration_version(),
             servers=self._pool.directory.version,
         )
 
+    def _observe_end(self, end: str) -> None:
+        """Count a request's end and its time."""
+        metrics = self._serving.metrics
+        seconds = self._serving.now() - self._arrived
+        metrics.request_seconds.labels(self._route.kind.value, end).observe(seconds)
+        if self._waited_seconds:
+            metrics.model_wait_seconds.observe(self._waited_seconds)
+
+    def _passed_over(self) -> list[str]:
+        """Return the servers that were not chosen the last time, with what spoke against each."""
+        return [
+            f"{candidate.entry.instance}: {candidate.describe()}"
+            for candidate in self._candidates
+            if candidate.entry.instance != self._server
+        ]
+
     def _out_of_time(self) -> Exception:
         if self._exchange.started:
             return StreamCut("the time is over")
@@ -141,10 +161,12 @@
         self._runs += failure.ran
         self._may_have_run |= failure.ran
         self._pool.note_failure(entry, self._caller.target, failure, self._serving.now())
+        self._serving.count_send(entry, "failed" if failure.ran else "refused")
         log_decision(
             "send-failed",
             self._caller.request_id,
             server=entry.instance,
+            passed_over=self._passed_over(),
             reason=str(failure),
             ran=failure.ran,
             events=self._cutter.events,
@@ -152,7 +174,7 @@
 
     async def _wait_for_budget(self) -> bool:
         """Wait until the budget has room for another send: the model may come, or have room."""
-        while not self._pool.budget(self._service).try_spend(self._serving.now()):
+        while not self._may_repeat():
             if self._serving.refuses_waiting:
                 return False
             await asyncio.sleep(BUDGET_PAUSE_SECONDS)
@@ -171,7 +193,13 @@
             return False
         if self._sends >= self._route.max_attempts + EXTRA_UNSTARTED_SENDS:
             return False
-        return self._pool.budget(self._service).try_spend(self._serving.now())
+        return self._may_repeat()
+
+    def _may_repeat(self) -> bool:
+        """Take one repeat out of the budget, if it has room."""
+        allowed = self._pool.budget(self._service).try_spend(self._serving.now())
+        self._serving.metrics.repeats.labels("allowed" if allowed else "over-budget").inc()
+        return allowed
 
     def _give_up(self, failure: SendFailed) -> Exception:
         if self._exchange.started:
@@ -199,6 +227,7 @@
         waiting = WaitingRequest(self._arrived + objective, objective)
         self._pool.demand.begin_wait(key, waiting)
         self._waiting = True
+        self._serving.metrics.waiting_for_model.inc()
         try:
             while entry is None:
                 self._refuse_if_leaving()
@@ -207,6 +236,7 @@
                 entry = self._choose()
         finally:
             self._pool.demand.end_wait(key, waiting)
+            self._serving.metrics.waiting_for_model.dec()
             self._waited_seconds += self._serving.now() - began
         self._waiting = False
         return entry
@@ -221,7 +251,7 @@
 
     def _choose(self) -> ServerEntry | None:
         now = self._serving.now()
-        found = []
+        found: list[Candidate] = []
         for entry in self._pool.able(self._service, self._caller.target, now):
             health = self._pool.health(entry.instance)
             found.append(
@@ -236,6 +266,7 @@
             )
         noise = [random.random() for _ in found]
         chosen = choose(found, self._serving.zone, self._cache_key(), noise)
+        self._candidates = found
         return chosen.entry if chosen else None
 
     def _cache_key(self) -> str:
@@ -260,6 +291,7 @@
             if target is not None:
                 self._pool.demand.end_run(entry.instance, target)
         health.succeeded()
+        self._serving.count_send(entry, SERVED)
 
     async def _exchange_with(self, entry: ServerEntry) -> None:
         forwarder = self._serving.forwarder
@@ -329,6 +361,7 @@
     def _note_first_event(self, entry: ServerEntry) -> None:
         """Say what a late first event was waiting for."""
         seconds = self._serving.now() - self._arrived
+        self._serving.metrics.first_event_seconds.observe(seconds)
         if seconds > self._route.objective_seconds:
             log_decision(
                 "late",
@@ -373,7 +406,7 @@
         self.pool = pool
         self.forwarder = forwarder
         self.dialect = dialect
-        self._metrics = metrics
+        self.metrics = metrics
         self._beliefs = beliefs
         self.open_requests = 0
         self.limits: set[asyncio.Timeout] = set()
@@ -388,6 +421,10 @@
         """Return the version of the configuration in force; 0 for none."""
         return self._beliefs.configuration_version
 
+    def count_send(self, entry: ServerEntry, end: str) -> None:
+        """Count what became of a send to a server."""
+        self.metrics.sends.labels(self.metrics.server_labels.of(entry.instance), end).inc()
+
     def refuse_waiting(self) -> None:
         """Refuse requests that wait for a model, now and from now on: this daemon leaves."""
         self.refuses_waiting = True
@@ -401,13 +438,13 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         self.open_requests += 1
-        self._metrics.accepted.inc()
-        self._metrics.waiting.inc()
+        self.metrics.accepted.inc()
+        self.metrics.waiting.inc()
         try:
             await self._answer(exchange)
         finally:
             self.open_requests -= 1
-            self._metrics.waiting.dec()
+            self.metrics.waiting.dec()
 
     async def _answer(self, exchange: Exchange) -> None:
         request = exchange.request
@@ -419,15 +456,15 @@
         caller = self.dialect.read_request(request)
         try:
             await self._run(exchange, request, caller)
-            self._metrics.answered.inc()
+            self.metrics.answered.inc()
         except Refused as refusal:
             await self._refuse(exchange, caller, refusal)
         except StreamCut as cut:
             log_decision("cut", caller.request_id, reason=str(cut))
-            self._metrics.refused.labels("answer-cut-short", "partial").inc()
+            self.metrics.refused.labels("answer-cut-short", "partial").inc()
             exchange.abort()
         except (ConnectionBroken, asyncio.CancelledError):
-            self._metrics.cancelled.inc()
+            self.metrics.cancelled.inc()
             raise
         except Exception as error:
             log_decision("failed", caller.request_id, reason=repr(error))
@@ -445,7 +482,7 @@
 
     async def _refuse(self, exchange: Exchange, caller: CallerRequest, refusal: Refused) -> None:
         outcome = "not-run" if refusal.status in (404, 503) else "unknown"
-        self._metrics.refused.labels(str(refusal.status), outcome).inc()
+        self.metrics.refused.labels(str(refusal.status), outcome).inc()
         log_decision(
             "refused",
             caller.request_id,
