--- a/features/settings.feature
+++ b/features/settings.feature
@@ -59,6 +59,17 @@
       | fault     |
       | no faults |
 
+  Scenario: every setting is explained, with its value, source, unit and range
+    When the command line runs check-config examples/small.toml --explain
+    Then it exits with status 0 and names
+      | fault                         |
+      | bounds.lease_ms               |
+      | default  milliseconds         |
+      | limits.max_body_bytes         |
+      | bytes, at least 1024          |
+      | file                          |
+      | (secret)                      |
+
   Scenario: the operator's command line
     Given model tutor of 4000 MiB that loads in 0.1 s, at most 1 replicas
     And a site of 1 daemons and 1 engines
--- a/loomwind/cli.py
+++ b/loomwind/cli.py
@@ -25,6 +25,7 @@
 from loomwind.reload import SettingsReloader
 from loomwind.serving.daemon import PoolDaemon
 from loomwind.settings import Settings, SettingsError, load_settings
+from loomwind.settings_table import setting_rows
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -156,13 +157,16 @@
             print(f"cannot listen: {error}", file=sys.stderr)
             sys.exit(EXIT_FAILED)
 
-    def check_config(self, settings: str) -> None:
+    def check_config(self, settings: str, explain: bool = False) -> None:
         """Check a settings file and list all its faults.
 
         Args:
             settings: path of the TOML settings file.
+            explain: list every setting with its value, source, unit and range.
         """
         loaded = _load(settings, {})
+        for row in setting_rows(loaded, Path(settings)) if explain else ():
+            print(row)
         print(f"{settings}: daemon {loaded.name} of cell {loaded.cell}, no faults")
 
     def explain(self, request: str, *logs: str, json: bool = False) -> None:
--- a/loomwind/settings.py
+++ b/loomwind/settings.py
@@ -239,7 +239,7 @@
         try:
             msgspec.convert(value, kind)
         except msgspec.ValidationError as error:
-            yield SettingFault(path, f"{error}{_allowed(kind)}")
+            yield SettingFault(path, f"{error}{_bracketed(allowed_values(kind))}")
 
 
 def _table_faults(
@@ -254,7 +254,9 @@
             yield SettingFault(prefix + key, f"unknown key; known are {', '.join(sorted(hints))}")
     for field in msgspec.structs.fields(kind):
         if field.required and field.name not in table:
-            yield SettingFault(prefix + field.name, f"missing{_allowed(hints[field.name])}")
+            yield SettingFault(
+                prefix + field.name, f"missing{_bracketed(allowed_values(hints[field.name]))}"
+            )
 
 
 def _table_type(kind: Any) -> Any:
@@ -265,8 +267,8 @@
     return kind
 
 
-def _allowed(kind: Any) -> str:
-    """Return the unit and range of an annotated type, for a fault's text."""
+def allowed_values(kind: Any) -> str:
+    """Return the unit and range of an annotated type; empty when it has none."""
     if typing.get_origin(kind) is not Annotated:
         return ""
     parts = []
@@ -277,7 +279,11 @@
         parts += [f"at most {meta.le}"] if meta.le is not None else []
     if kind == Seconds:
         parts.insert(0, "seconds")
-    return f" ({', '.join(parts)})" if parts else ""
+    return ", ".join(parts)
+
+
+def _bracketed(text: str) -> str:
+    return f" ({text})" if text else ""
 
 
 def _cross_faults(settings: Settings) -> typing.Iterator[SettingFault]:
