Model renewals of the lease, and replay its walks against the code

Cause: the lease model had takings only, while the code renews, also late; and nothing compared the two. Change: renewals in time and too late, a holder that leads again while nobody else wrote; a sixth mutation (renew-own-row). Random walks drive the code's Lease; who leads under which fence is compared after each step.

--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -12,6 +12,7 @@
 
 from specification import catalog, claims, lease, orders, register, voters
 from specification.conformance import DEFAULT_SEED, DEFAULT_WALKS, conform
+from specification.lease_conformance import conform_lease
 from specification.model import Finding, Model, Verdict, check
 
 MODELS = {m.MODEL.name: m.MODEL for m in (register, voters, orders, claims, catalog, lease)}
@@ -60,6 +61,8 @@
                 worst = max(worst, EXIT_NOT_DETERMINED)
     steps = conform(DEFAULT_SEED, DEFAULT_WALKS)
     print(f"conformance: {steps} steps of {DEFAULT_WALKS} walks agree, seed {DEFAULT_SEED}")
+    steps = conform_lease(DEFAULT_SEED, DEFAULT_WALKS)
+    print(f"lease conformance: {steps} steps of {DEFAULT_WALKS} walks agree, seed {DEFAULT_SEED}")
     print(f"took {time.monotonic() - started:.1f} s")
     return worst
 
@@ -116,6 +119,8 @@
         return
     if seed:
         print(f"conformance: {conform(seed, walks)} steps of {walks} walks agree, seed {seed}")
+        steps = conform_lease(seed, walks)
+        print(f"lease conformance: {steps} steps of {walks} walks agree, seed {seed}")
         return
     if all_mutations:
         sys.exit(check_mutations())
--- a/specification/lease.py
+++ b/specification/lease.py
@@ -1,10 +1,13 @@
 """The lease in a row of the store, and orders that may be carried out late.
 
-Two daemons take one row in turn, each only after the holder's own clock has ended its lease. The
-leader orders loads at one model server whose memory holds one model; orders stay on their way as
-long as they like, and the server may restart, after which it has forgotten revision and fence.
-The search shows that the expected revision alone keeps an older leader's order from following a
-newer one's; the fence is a second guard, for servers that are asked without a revision.
+Two daemons take one row in turn, each only after the holder's own clock has ended its lease. A
+holder renews its row under the version that it wrote last, and keeps its fence; a renewal may be
+done so late that its lease has ended meanwhile. One whose lease has ended may lead again by a
+renewal as long as nobody else has written the row. The leader orders loads at one model server
+whose memory holds one model; orders stay on their way as long as they like, and the server may
+restart, after which it has forgotten revision and fence. The search shows that the expected
+revision alone keeps an older leader's order from following a newer one's; the fence is a second
+guard, for servers that are asked without a revision.
 Code: ``loomwind/leadership/lease.py`` and ``loomwind/placement/ledger.py``.
 """
 
@@ -15,21 +18,23 @@
 
 DAEMONS = (0, 1)
 MODELS = ("x", "y")
-MAX_VERSION = 3
+MAX_VERSION = 4
 MAX_ORDERS = 3
 NOBODY = -1
 
 
 class Daemon(NamedTuple):
-    """A daemon; ``expects`` is the row version that its write expects, 0 when it writes nothing.
+    """A daemon; ``expects`` is the row version that its taking expects, -1 when it takes nothing.
 
-    ``good`` says whether its own clock holds its lease for good.
+    ``good`` says whether its own clock holds its lease for good; ``wrote`` is the row's version
+    at its last write, 0 once it knows of a newer one.
     """
 
     good: bool = False
     fence: int = 0
     term: int = 0
     expects: int = -1
+    wrote: int = 0
 
 
 class Order(NamedTuple):
@@ -62,6 +67,7 @@
 MUTATIONS = (
     Mutation("wait-out-lease", "the lease is taken only when its holder's clock has ended it"),
     Mutation("expected-row-version", "the row is written only if it is as it was seen"),
+    Mutation("renew-own-row", "a renewal is done only on the row that its holder wrote last"),
     Mutation("rising-fence", "each leader has a higher fence than the one before"),
     Mutation("expected-revision", "an order is carried out only at the revision it was decided at"),
     Mutation("same-instance", "an order is carried out only by the life it was decided for"),
@@ -88,11 +94,14 @@
 def _lead(state: State, d: int, left_out: frozenset[str]) -> Iterator[Step]:
     (version, holder), daemons, orders, given, server, ghost = state
     me = daemons[d]
+    yield from _renew(state, d, left_out)
     if me.good:
         ended = _put(daemons, d, me._replace(good=False))
         yield f"lease-ends({d})", ((version, holder), ended, orders, given, server, ghost)
         return
     ended_holder = holder == NOBODY or not daemons[holder].good
+    if holder == d:
+        return
     if me.expects < 0 and version < MAX_VERSION and (ended_holder or "wait-out-lease" in left_out):
         deciding = _put(daemons, d, me._replace(expects=version))
         yield f"decide-to-take({d})", ((version, holder), deciding, orders, given, server, ghost)
@@ -101,14 +110,31 @@
     if me.expects == version or "expected-row-version" in left_out:
         taken = version + 1
         fence = 1 if "rising-fence" in left_out else taken
-        leading = _put(daemons, d, Daemon(True, fence, taken, -1))
+        leading = _put(daemons, d, Daemon(True, fence, taken, -1, taken))
         if taken <= MAX_VERSION:
             yield f"take({d})", ((taken, d), leading, orders, given, server, ghost)
     else:
-        failed = _put(daemons, d, me._replace(expects=-1))
+        failed = _put(daemons, d, me._replace(expects=-1, wrote=0))
         yield f"conflict({d})", ((version, holder), failed, orders, given, server, ghost)
 
 
+def _renew(state: State, d: int, left_out: frozenset[str]) -> Iterator[Step]:
+    """The holder writes its row again, in time or so late that its lease ends at once."""
+    (version, holder), daemons, orders, given, server, ghost = state
+    me = daemons[d]
+    if me.wrote == 0 or version >= MAX_VERSION:
+        return
+    if me.wrote == version or "renew-own-row" in left_out:
+        renewed = me._replace(good=True, wrote=version + 1)
+        row = (version + 1, d)
+        yield f"renew({d})", (row, _put(daemons, d, renewed), orders, given, server, ghost)
+        late = renewed._replace(good=False)
+        yield f"renew-late({d})", (row, _put(daemons, d, late), orders, given, server, ghost)
+    else:
+        lost = _put(daemons, d, me._replace(good=False, wrote=0))
+        yield f"renewal-conflict({d})", ((version, holder), lost, orders, given, server, ghost)
+
+
 def _give(state: State, d: int) -> Iterator[Step]:
     """The leader reads the server and orders a load that fits; the order may arrive at any time."""
     row, daemons, orders, given, server, ghost = state
