Drive load and faults through daemons on a store: python -m bench pool

Cause: the stand-ins of the store and of servers were used by features only; nothing put a load through them.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     faults,
     hollow,
     latency,
+    pool,
     relay,
     site,
     sizes,
@@ -33,6 +34,7 @@
         "detection": detection.run,
         "configuration": configuration.run,
         "sizes": sizes.run,
+        "pool": pool.run,
         "compare": compare.compare,
         "troubles": troubles.troubles,
     }
