--- a/bench/pool.py
+++ b/bench/pool.py
@@ -2,8 +2,8 @@
 
 ``python -m bench pool --daemons 3 --rate 20 --seconds 20 --fault kill-leader``
 
-Prints one line of JSON: how requests ended, times to the first byte, and whether a promise was broken
-as callers and servers saw it. All is real processes on loopback.
+Prints one line of JSON: how requests ended, times to the first byte, and whether a promise was
+broken as callers and servers saw it. All is real processes on loopback.
 """
 
 import random
