Let a refused request wait in sight of the leader, and ask a refusing server less and less often

Ruled out: the budget's size (it was spent on refusals, not on failures). Change: a refused request waits for a model as others do and pays for its repeat when a server can take it; a server that refuses the same target again is left alone for twice as long, up to eight times, until the leader tells anew. Tests: two scenarios in pool_decisions, both failed before (1 send and no wait; asked 28 times in 8 s).

--- a/features/pool_decisions.feature
+++ b/features/pool_decisions.feature
@@ -23,6 +23,16 @@
     When a stream comes in pieces of 7 bytes and breaks off
     Then only whole events went through, and the last id is known
 
+  Scenario: a request that was refused unstarted waits in sight of the leader, whatever the budget
+    Given a server that lists m1 and refuses it, and a budget without room
+    When a request for m1 is taken
+    Then the demand for m1 shows a request that waits, after one send
+
+  Scenario: a server that refuses a model again and again is asked less and less often
+    Given a server that lists m1
+    When it refuses m1 each time that it is asked, for 8 s
+    Then it was asked at most 7 times, and at once after the leader told of it anew
+
   Scenario: a lease is not taken while its holder renews it, and at once when the holder has ended
     Given a lease of 3 s held by another daemon
     Then it is not taken after 2.9 s, and is taken after 3.0 s of a store that answers
--- /dev/null
+++ b/features/steps/refusal_steps.py
@@ -0,0 +1,132 @@
+"""Steps about requests that servers refuse unstarted: no process; time is passed in or bounded."""
+
+import asyncio
+from typing import Any, cast
+
+from behave import given, then, when
+
+from loomwind.http.messages import HttpRequest
+from loomwind.http.server import Exchange
+from loomwind.metrics import Metrics
+from loomwind.platform.dialect import PlatformDialect
+from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.errors import SendFailed
+from loomwind.serving.forwarder import Forwarder, OpenAnswer, Outgoing
+from loomwind.serving.handler import RequestHandler, RequestRun
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.residency import Residency, ServerHolding
+from loomwind.serving.views import (
+    CallerRequest,
+    HeldModel,
+    ModelKey,
+    RequestKind,
+    RouteRule,
+    ServerEntry,
+    ServerState,
+    WeightedService,
+)
+from loomwind.settings import BoundSettings
+
+SERVICE = "tutor"
+TARGET = ModelKey("m1")
+MOST_TURNS = 2000
+STEP_S = 0.05
+
+
+def lister() -> ServerEntry:
+    """Return a server whose entry lists the model."""
+    held = (HeldModel("m1"),)
+    return ServerEntry("i-1", SERVICE, "127.0.0.1:9", "zone-a", 8, ServerState.READY, held=held)
+
+
+class RefusingForwarder:
+    """Sends nothing: each server says that it does not hold the model."""
+
+    def __init__(self) -> None:
+        self.sends = 0
+
+    def has_idle_connection(self, entry: ServerEntry) -> bool:
+        """Whether a connection is open."""
+        return True
+
+    async def send(
+        self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
+    ) -> OpenAnswer:
+        """Fail as a server does that has not run the request."""
+        self.sends += 1
+        raise SendFailed("not here", ran=False, missing_target=True, at_fault=False)
+
+
+class NoBeliefs:
+    """Knows no configuration."""
+
+    configuration_version = 0
+
+
+@given("a server that lists m1 and refuses it, and a budget without room")
+def step_refusing(context: Any) -> None:
+    context.pool_state = ServerPool(BoundSettings(retry_ratio=0.0, retry_allowance=0.0))
+    context.pool_state.directory.put(lister(), 0.0)
+    context.forwarder = RefusingForwarder()
+
+
+@when("a request for m1 is taken")
+def step_taken(context: Any) -> None:
+    context.waits = asyncio.run(_waits_after_refusal(context.pool_state, context.forwarder))
+
+
+async def _waits_after_refusal(pool: ServerPool, forwarder: RefusingForwarder) -> bool:
+    handler = RequestHandler(
+        "zone-a",
+        pool,
+        cast(Forwarder, forwarder),
+        PlatformDialect(),
+        Metrics(),
+        cast(Beliefs, NoBeliefs()),
+    )
+    parts = (WeightedService(SERVICE, 1.0),)
+    route = RouteRule("r", "h", "/", RequestKind.STREAMING, parts, 30.0, 0.6)
+    caller = CallerRequest("id-1", "h", 30.0, TARGET)
+    request = HttpRequest("POST", "/")
+    run = RequestRun(handler, cast(Exchange, None), request, caller, route, SERVICE)
+    task = asyncio.ensure_future(run.serve())
+    waits = False
+    for _ in range(MOST_TURNS):
+        await asyncio.sleep(0.001)
+        report = {(d.service, d.target): d.waiting for d in pool.demand.take_report(0.0)}
+        waits = forwarder.sends == 1 and report.get((SERVICE, TARGET), 0) == 1
+        if waits:
+            break
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return waits
+
+
+@then("the demand for m1 shows a request that waits, after one send")
+def step_waits(context: Any) -> None:
+    assert context.waits, f"{context.forwarder.sends} sends, and no request waits in the demand"
+
+
+@given("a server that lists m1")
+def step_lister(context: Any) -> None:
+    context.residency = Residency()
+
+
+@when("it refuses m1 each time that it is asked, for {seconds:d} s")
+def step_refuses(context: Any, seconds: int) -> None:
+    context.asked = 0
+    context.now = 0.0
+    while context.now < seconds:
+        if context.residency.can_run(lister(), TARGET, context.now):
+            context.asked += 1
+            context.residency.note_refused("i-1", TARGET, context.now)
+        context.now += STEP_S
+
+
+@then("it was asked at most {most:d} times, and at once after the leader told of it anew")
+def step_asked(context: Any, most: int) -> None:
+    assert 3 <= context.asked <= most, context.asked
+    residency: Residency = context.residency
+    assert not residency.can_run(lister(), TARGET, context.now)
+    residency.tell(ServerHolding("i-1", 4, (HeldModel("m1"),)), context.now)
+    assert residency.can_run(lister(), TARGET, context.now)
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -26,7 +26,6 @@
 EXTRA_UNSTARTED_SENDS = 3
 REFUSED_PAUSE_SECONDS = 0.03
 LOOK_AGAIN_SECONDS = 0.2
-BUDGET_PAUSE_SECONDS = 0.2
 RETRY_SOON_SECONDS = 0.5
 FIRST_EVENT_SILENCE_SECONDS = 2.0
 EVENT_SILENCE_SECONDS = 1.0
@@ -66,6 +65,7 @@
         self._handed_over = False
         self._waited_seconds = 0.0
         self._waiting = False
+        self._owes_repeat = False
         self._server = ""
         self._candidates: list[Candidate] = []
         self._cutter = EventCutter(caller.last_event_id)
@@ -150,7 +150,7 @@
                 return
             except SendFailed as failure:
                 self._note_failure(entry, failure)
-                if not await self._may_retry(failure):
+                if not self._may_retry(failure):
                     raise self._give_up(failure) from failure
                 if not failure.ran:
                     await asyncio.sleep(REFUSED_PAUSE_SECONDS)
@@ -172,21 +172,17 @@
             events=self._cutter.events,
         )
 
-    async def _wait_for_budget(self) -> bool:
-        """Wait until the budget has room for another send: the model may come, or have room."""
-        while not self._may_repeat():
-            if self._serving.refuses_waiting:
-                return False
-            await asyncio.sleep(BUDGET_PAUSE_SECONDS)
-        return True
+    def _may_retry(self, failure: SendFailed) -> bool:
+        """Whether the request may be sent once more, and the budget has room for it.
 
-    async def _may_retry(self, failure: SendFailed) -> bool:
-        """Whether the request may be sent once more, and the budget has room for it."""
+        One that waits for a model pays when a server can take it: until then it waits as others do.
+        """
         if failure.unreachable:
             self._sends -= 1
             return True
         if not failure.ran and self._caller.target is not None:
-            return await self._wait_for_budget()
+            self._owes_repeat = True
+            return not self._serving.refuses_waiting
         if failure.ran and not self._route.repeatable:
             return False
         if self._runs >= self._route.max_attempts:
@@ -212,7 +208,7 @@
 
     async def _wait_for_server(self) -> ServerEntry:
         target = self._caller.target
-        entry = self._choose()
+        entry = self._choose_paid()
         if target is None:
             if entry is None:
                 raise Refused(503, "no server of the service is known", RETRY_SOON_SECONDS)
@@ -233,7 +229,7 @@
                 self._refuse_if_leaving()
                 left = self._outgoing.deadline - self._serving.now()
                 await self._pool.demand.wait_for_change(min(max(0.0, left), LOOK_AGAIN_SECONDS))
-                entry = self._choose()
+                entry = self._choose_paid()
         finally:
             self._pool.demand.end_wait(key, waiting)
             self._serving.metrics.waiting_for_model.dec()
@@ -249,6 +245,16 @@
         if self._serving.refuses_waiting:
             raise Refused(503, "this daemon is leaving", RETRY_SOON_SECONDS)
 
+    def _choose_paid(self) -> ServerEntry | None:
+        """Return a server, if the budget has room for the repeat that this send may be."""
+        entry = self._choose()
+        if entry is None or not self._owes_repeat:
+            return entry
+        if not self._may_repeat():
+            return None
+        self._owes_repeat = False
+        return entry
+
     def _choose(self) -> ServerEntry | None:
         now = self._serving.now()
         found: list[Candidate] = []
--- a/loomwind/serving/residency.py
+++ b/loomwind/serving/residency.py
@@ -12,9 +12,22 @@
 
 ABSENCE_SECONDS = 1.0
 REFUSED_SECONDS = 0.25
+MOST_DOUBLINGS = 3
+FORGIVEN_AFTER_SECONDS = 6.0
 MOST_LOADS_SEEN = 4096
 
 
+class Absence(Struct, frozen=True):
+    """A server has refused a target.
+
+    :param until: when it may be asked again.
+    :param refusals: how often it has refused lately.
+    """
+
+    until: float
+    refusals: int
+
+
 class ServerHolding(Struct, frozen=True, array_like=True):
     """What a server held when the leader read it.
 
@@ -42,7 +55,7 @@
     def __init__(self) -> None:
         self._told: dict[str, ServerHolding] = {}
         self._loads_seen: deque[float] = deque(maxlen=MOST_LOADS_SEEN)
-        self._absent: dict[tuple[str, ModelKey], float] = {}
+        self._absent: dict[tuple[str, ModelKey], Absence] = {}
 
     def loads_since(self, time: float) -> list[float]:
         """Return when loads were told of, since a time."""
@@ -62,11 +75,18 @@
 
     def note_absent(self, instance: str, target: ModelKey, now: float) -> None:
         """A server said that it does not hold the target."""
-        self._absent[(instance, target)] = now + ABSENCE_SECONDS
+        self._keep_away(instance, target, now, ABSENCE_SECONDS)
 
     def note_refused(self, instance: str, target: ModelKey, now: float) -> None:
         """A server refused the target unstarted: it is full, or the target is on its way out."""
-        self._absent[(instance, target)] = now + REFUSED_SECONDS
+        self._keep_away(instance, target, now, REFUSED_SECONDS)
+
+    def _keep_away(self, instance: str, target: ModelKey, now: float, seconds: float) -> None:
+        """Ask a server no more for a while, longer each time that it refuses again."""
+        known = self._absent.get((instance, target))
+        refusals = known.refusals if known and now < known.until + FORGIVEN_AFTER_SECONDS else 0
+        pause = seconds * 2 ** min(refusals, MOST_DOUBLINGS)
+        self._absent[(instance, target)] = Absence(now + pause, refusals + 1)
 
     def is_coming(self, model: str) -> bool:
         """Whether a server loads a model, as far as the leader has told."""
@@ -81,11 +101,12 @@
 
     def can_run(self, entry: ServerEntry, target: ModelKey, now: float) -> bool:
         """Whether a request for the target may be sent to a server."""
-        if self._absent.get((entry.instance, target), 0.0) > now:
+        absence = self._absent.get((entry.instance, target))
+        if absence is not None and now < absence.until:
             return False
         return holds(self.held_by(entry), target)
 
     def forget(self, instances: set[str]) -> None:
         """Drop what is known of servers that are not among those."""
         self._told = {name: held for name, held in self._told.items() if name in instances}
-        self._absent = {key: until for key, until in self._absent.items() if key[0] in instances}
+        self._absent = {key: known for key, known in self._absent.items() if key[0] in instances}
