--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     site,
     sizes,
     troubles,
+    variants,
 )
 
 if __name__ == "__main__":
@@ -37,6 +38,7 @@
         "pool": pool.run,
         "compare": compare.compare,
         "troubles": troubles.troubles,
+        "variants": variants.variants,
     }
     if sys.argv[1:2] and sys.argv[1].startswith("--site"):
         sys.argv.insert(1, "site")
