Import only what the daemon of the settings needs; keep the operator's libraries for the operator's commands

Cause: a killed daemon serves nobody before its imports are done. The command line imported grpclib, protobuf, the own interface's daemon and the demo also to serve by a store. Change: serve imports by its settings; other commands import when they are called (cached properties, so that the help lists them as before). Tests: settings and reload features (ten scenarios) pass; the command line's help is unchanged.

--- a/loomwind/cli.py
+++ b/loomwind/cli.py
@@ -1,31 +1,30 @@
-"""The command line; the exit statuses are listed in ``loomwind --help``."""
+"""The command line; the exit statuses are listed in ``loomwind --help``.
+
+A daemon that was killed serves nobody before its imports are done, so ``serve`` imports only what
+the daemon of its settings needs; other commands import their parts when they are called.
+"""
 
 import asyncio
 import os
 import signal
 import sys
+from functools import cached_property
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import fire
 
-from loomwind import __version__, explain, logs
+from loomwind import __version__, logs
 from loomwind.clock import Clock
-from loomwind.daemon import Daemon
-from loomwind.demo import run_demo
+from loomwind.constants import DEFAULT_OPERATOR_ADDRESS
 from loomwind.errors import LoomwindError
-from loomwind.operator import operator_pb2 as pb
-from loomwind.operator.commands import (
-    DEFAULT_ADDRESS,
-    ObjectCommands,
-    VersionCommands,
-    set_drain,
-    show_status,
-)
-from loomwind.platform.deployment import pool_daemon
 from loomwind.reload import SettingsReloader
-from loomwind.serving.daemon import PoolDaemon
 from loomwind.settings import Settings, SettingsError, load_settings
-from loomwind.settings_table import setting_rows
+
+if TYPE_CHECKING:
+    from loomwind.daemon import Daemon
+    from loomwind.operator.commands import ObjectCommands, VersionCommands
+    from loomwind.serving.daemon import PoolDaemon
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -54,20 +53,24 @@
 
 async def _serve(settings: Settings, path: Path, overrides: dict[str, object]) -> None:
     if settings.store is not None:
+        from loomwind.platform.deployment import pool_daemon
+
         writer = logs.log_to_stdout(settings.name)
         flusher = asyncio.get_running_loop().create_task(writer.run())
-        daemon: Daemon | PoolDaemon = pool_daemon(settings, settings.store)
+        daemon = pool_daemon(settings, settings.store)
         daemon.metrics.log_lines_dropped.set_function(lambda: writer.dropped_in_all)
         await _run_until_told(daemon, settings, path, overrides)
         flusher.cancel()
         writer.flush()
     else:
+        from loomwind.daemon import Daemon
+
         logs.log_to_stderr()
         await _run_until_told(Daemon(settings), settings, path, overrides)
 
 
 async def _run_until_told(
-    daemon: Daemon | PoolDaemon, settings: Settings, path: Path, overrides: dict[str, object]
+    daemon: "Daemon | PoolDaemon", settings: Settings, path: Path, overrides: dict[str, object]
 ) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -84,6 +87,14 @@
     following.cancel()
 
 
+def _object_commands(name: str, kind: str) -> "ObjectCommands":
+    """Return the commands for one kind of object of the catalog."""
+    from loomwind.operator import operator_pb2 as pb
+    from loomwind.operator.commands import ObjectCommands
+
+    return ObjectCommands(name, getattr(pb, kind))
+
+
 class Commands:
     """Loomwind serves many rarely used models that share one pool of accelerators.
 
@@ -92,14 +103,36 @@
     6 not authenticated.
     """
 
-    def __init__(self) -> None:
-        self.group = ObjectCommands("group", pb.KIND_GROUP)
-        self.model = ObjectCommands("model", pb.KIND_MODEL)
-        self.adapter = ObjectCommands("adapter", pb.KIND_ADAPTER)
-        self.route = ObjectCommands("route", pb.KIND_ROUTE)
-        self.version = VersionCommands()
+    @cached_property
+    def group(self) -> "ObjectCommands":
+        """Put, get, list and remove groups."""
+        return _object_commands("group", "KIND_GROUP")
+
+    @cached_property
+    def model(self) -> "ObjectCommands":
+        """Put, get, list and remove models."""
+        return _object_commands("model", "KIND_MODEL")
+
+    @cached_property
+    def adapter(self) -> "ObjectCommands":
+        """Put, get, list and remove adapters."""
+        return _object_commands("adapter", "KIND_ADAPTER")
+
+    @cached_property
+    def route(self) -> "ObjectCommands":
+        """Put, get, list and remove routes."""
+        return _object_commands("route", "KIND_ROUTE")
 
-    def status(self, address: str = DEFAULT_ADDRESS, token: str = "", json: bool = False) -> None:
+    @cached_property
+    def version(self) -> "VersionCommands":
+        """Add versions of models and choose the current one."""
+        from loomwind.operator.commands import VersionCommands
+
+        return VersionCommands()
+
+    def status(
+        self, address: str = DEFAULT_OPERATOR_ADDRESS, token: str = "", json: bool = False
+    ) -> None:
         """Show placements, queues, daemons and the configuration version.
 
         Args:
@@ -107,10 +140,16 @@
             token: the operator token; LOOMWIND_OPERATOR_TOKEN without it.
             json: print JSON for programs.
         """
+        from loomwind.operator.commands import show_status
+
         show_status(address, token, json)
 
     def drain(
-        self, backend: str, end: bool = False, address: str = DEFAULT_ADDRESS, token: str = ""
+        self,
+        backend: str,
+        end: bool = False,
+        address: str = DEFAULT_OPERATOR_ADDRESS,
+        token: str = "",
     ) -> None:
         """Give an engine or application server no new work.
 
@@ -120,6 +159,8 @@
             address: host:port of any daemon's operator endpoint.
             token: the operator token; LOOMWIND_OPERATOR_TOKEN without it.
         """
+        from loomwind.operator.commands import set_drain
+
         set_drain(backend, not end, address, token)
 
     def serve(
@@ -164,6 +205,8 @@
             settings: path of the TOML settings file.
             explain: list every setting with its value, source, unit and range.
         """
+        from loomwind.settings_table import setting_rows
+
         loaded = _load(settings, {})
         for row in setting_rows(loaded, Path(settings)) if explain else ():
             print(row)
@@ -177,6 +220,8 @@
             logs: log files of one or more daemons.
             json: print one JSON document instead of text.
         """
+        from loomwind import explain
+
         explain.print_story(request, logs, json)
 
     def timeline(self, *logs: str, start: float = 0.0, end: float = 0.0) -> None:
@@ -187,10 +232,14 @@
             start: first time, in seconds since 1970; the beginning without it.
             end: last time; the end without it.
         """
+        from loomwind import explain
+
         explain.print_timeline(logs, start, end)
 
     def demo(self) -> None:
         """Serve a cold and a warm request from one process with embedded stand-ins."""
+        from loomwind.demo import run_demo
+
         sys.exit(asyncio.run(run_demo()))
 
 
--- a/loomwind/operator/commands.py
+++ b/loomwind/operator/commands.py
@@ -15,11 +15,11 @@
 from google.protobuf.json_format import MessageToDict, ParseDict, ParseError
 from google.protobuf.message import Message
 
+from loomwind.constants import DEFAULT_OPERATOR_ADDRESS
 from loomwind.operator import operator_pb2 as pb
 from loomwind.operator.client import InvalidArgument, ObjectNotFound, OperatorClient, OperatorError
 
 TOKEN_VARIABLE = "LOOMWIND_OPERATOR_TOKEN"
-DEFAULT_ADDRESS = "127.0.0.1:7071"
 
 Result = TypeVar("Result")
 
@@ -83,7 +83,9 @@
         self._field = field
         self._kind = kind
 
-    def list(self, address: str = DEFAULT_ADDRESS, token: str = "", json: bool = False) -> None:
+    def list(
+        self, address: str = DEFAULT_OPERATOR_ADDRESS, token: str = "", json: bool = False
+    ) -> None:
         """List all objects of the kind.
 
         Args:
@@ -95,7 +97,11 @@
         _show([_row(found) for found in reply.objects], json)
 
     def get(
-        self, name: str, address: str = DEFAULT_ADDRESS, token: str = "", json: bool = False
+        self,
+        name: str,
+        address: str = DEFAULT_OPERATOR_ADDRESS,
+        token: str = "",
+        json: bool = False,
     ) -> None:
         """Show one object with its version."""
         found = Connection(address, token).run(lambda client: client.get(self._kind, str(name)))
@@ -106,7 +112,7 @@
         name: str,
         base_version: int = -1,
         change_id: str = "",
-        address: str = DEFAULT_ADDRESS,
+        address: str = DEFAULT_OPERATOR_ADDRESS,
         token: str = "",
         **fields: Any,
     ) -> None:
@@ -148,7 +154,7 @@
         name: str,
         base_version: int = -1,
         change_id: str = "",
-        address: str = DEFAULT_ADDRESS,
+        address: str = DEFAULT_OPERATOR_ADDRESS,
         token: str = "",
     ) -> None:
         """Delete an object."""
@@ -171,7 +177,7 @@
         version: str,
         memory_mib: int,
         load_seconds: float = 4.0,
-        address: str = DEFAULT_ADDRESS,
+        address: str = DEFAULT_OPERATOR_ADDRESS,
         token: str = "",
     ) -> None:
         """Add a version to a model."""
@@ -183,7 +189,7 @@
         self._change(model, change, address, token)
 
     def remove(
-        self, model: str, version: str, address: str = DEFAULT_ADDRESS, token: str = ""
+        self, model: str, version: str, address: str = DEFAULT_OPERATOR_ADDRESS, token: str = ""
     ) -> None:
         """Remove a version that is not the current one."""
 
@@ -195,7 +201,7 @@
         self._change(model, change, address, token)
 
     def use(
-        self, model: str, version: str, address: str = DEFAULT_ADDRESS, token: str = ""
+        self, model: str, version: str, address: str = DEFAULT_OPERATOR_ADDRESS, token: str = ""
     ) -> None:
         """Make a version the current one."""
 
