--- /dev/null
+++ b/features/steps/planner_steps.py
@@ -0,0 +1,130 @@
+"""Steps about the planner: pure views, no process; times are in seconds of no clock."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.demand_view import DemandView
+from loomwind.placement.ledger import ServerLedger
+from loomwind.placement.plan import PlanInput, PlannedOrder
+from loomwind.placement.planner import Planner
+from loomwind.serving.demand import TargetDemand
+from loomwind.serving.views import (
+    EngineProfile,
+    HeldModel,
+    ModelKey,
+    ModelProfile,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    ServerEntry,
+    ServerReport,
+    ServerState,
+)
+
+SERVICE = "tutor"
+MODEL_MB = 48_000.0
+STORE_LOAD_S = 4.0
+DISK_LOAD_S = 1.5
+FENCE = 7
+
+
+def profile(memory_gb: int) -> EngineProfile:
+    """Return what each server can hold: models a to h, two at once in 100 GB."""
+    models = tuple(
+        ModelProfile(name, MODEL_MB, STORE_LOAD_S, DISK_LOAD_S, DISK_LOAD_S) for name in "abcdefgh"
+    )
+    return EngineProfile(memory_gb * 1000.0, 8, 4.0, models)
+
+
+def report(held: list[str], on_disk: set[str], revision: int = 0) -> ServerReport:
+    """Return what an idle server says."""
+    models = tuple(HeldModel(name) for name in held)
+    return ServerReport(revision, False, models, on_disk=frozenset(on_disk))
+
+
+@given("model servers {first} and {second} of {memory:d} GB")
+def step_servers(context: Any, first: str, second: str, memory: int) -> None:
+    context.ledgers = {}
+    context.demand = DemandView()
+    for name in (first, second):
+        entry = ServerEntry(name, SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+        context.ledgers[name] = ServerLedger(entry, profile(memory))
+
+
+@given("{first:w} holds {held_first}, {second:w} holds {held_second}")
+def step_hold(context: Any, first: str, held_first: str, second: str, held_second: str) -> None:
+    for name, held in ((first, held_first), (second, held_second)):
+        models = held.split(" and ")
+        context.ledgers[name].note_report(report(models, set(models)), 9.0)
+
+
+@given("{name:w} has a copy of {model} on its disk and loads {other} until {until:f} s")
+def step_busy(context: Any, name: str, model: str, other: str, until: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    assert ledger.report is not None
+    held = [known.name for known in ledger.report.held]
+    ledger.note_report(report(held, {*held, model}), 9.0)
+    began = until - STORE_LOAD_S
+    ledger.note_answer(_order(ledger, OrderKind.LOAD, other), OrderAnswer.ACCEPTED, began)
+
+
+def _order(ledger: ServerLedger, kind: OrderKind, model: str) -> Order:
+    assert ledger.report is not None
+    revision = ledger.report.revision
+    return Order(kind, ModelKey(model), ledger.entry.instance, "daemon", FENCE, revision)
+
+
+@when("a request waits for {model} at {now:f} s")
+def step_waits(context: Any, model: str, now: float) -> None:
+    context.now = now
+    wanted = TargetDemand(SERVICE, ModelKey(model), 1, 1.0, 0.6, 0.6)
+    context.demand.note(PoolDemand("daemon-1", (wanted,), ()), now)
+
+
+@when("the first order of the plan is accepted at {now:f} s")
+def step_accept(context: Any, now: float) -> None:
+    planned = plan(context)[0]
+    ledger: ServerLedger = context.ledgers[planned.instance]
+    order = _order(ledger, planned.kind, planned.target.model)
+    ledger.promise(planned.makes_way_for, now)
+    ledger.note_answer(order, OrderAnswer.ACCEPTED, now)
+    context.now, context.given_order = now, planned
+
+
+@when("that order is accepted and done at {now:f} s")
+def step_done(context: Any, now: float) -> None:
+    step_accept(context, now - 0.1)
+    ledger: ServerLedger = context.ledgers[context.given_order.instance]
+    assert ledger.report is not None
+    held = [known.name for known in ledger.report.held]
+    ledger.note_report(report(held, set(held), ledger.report.revision), now)
+    context.now = now
+
+
+def plan(context: Any) -> list[PlannedOrder]:
+    """Return the plan of this moment."""
+    servers = list(context.ledgers.values())
+    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, True)
+    return Planner(given).plan()
+
+
+@then("the plan is empty")
+def step_empty(context: Any) -> None:
+    assert plan(context) == [], plan(context)
+
+
+@then("the plan is one order: unload {models}")
+def step_unload(context: Any, models: str) -> None:
+    orders = plan(context)
+    assert len(orders) == 1 and orders[0].kind is OrderKind.UNLOAD, orders
+    assert orders[0].target.model in models.split(" or "), orders
+
+
+@then("the plan is one order: load {model} at {where}")
+def step_load(context: Any, model: str, where: str) -> None:
+    orders = plan(context)
+    instance = context.given_order.instance if where == "the same server" else where
+    assert len(orders) == 1 and orders[0].kind is OrderKind.LOAD, orders
+    assert (orders[0].target.model, orders[0].instance) == (model, instance), orders
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -10,7 +10,8 @@
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.ledger import ServerLedger
 from loomwind.placement.load_window import LoadWindow
-from loomwind.placement.planner import PlanInput, PlannedOrder, Planner
+from loomwind.placement.plan import PlanInput, PlannedOrder
+from loomwind.placement.planner import Planner
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.pool import ServerPool
@@ -251,6 +252,8 @@
             report.revision,
         )
         ledger.in_flight = order
+        if planned.makes_way_for:
+            ledger.promise(planned.makes_way_for, self._now())
         self._spawn(self._give(ledger, order))
 
     async def _give(self, ledger: ServerLedger, order: Order) -> None:
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -21,6 +21,7 @@
 )
 
 UNKNOWN_PAUSE_SECONDS = 0.15
+PROMISE_SECONDS = 1.0
 
 
 class Operation(Struct, frozen=True):
@@ -54,6 +55,8 @@
         self.reading = False
         self.doubted = False
         self.staged = 0
+        self._promised = ""
+        self._promised_at = -1e9
         self.quiet_until = 0.0
         self.failed_reads = 0
 
@@ -77,6 +80,19 @@
         held = tuple(model for model in report.held if model.name != operation.target.model)
         return replace(report, held=held)
 
+    def promise(self, name: str, now: float) -> None:
+        """Another model makes way here for one."""
+        self._promised, self._promised_at = name, now
+
+    def promised(self, now: float) -> str | None:
+        """Return the model that another one makes way for; None when there is none."""
+        if not self._promised or self.holds(ModelKey(self._promised)):
+            return None
+        operation = self.operation
+        if operation is not None and operation.kind is OrderKind.UNLOAD:
+            return self._promised
+        return self._promised if now - self._promised_at <= PROMISE_SECONDS else None
+
     def note_silence(self) -> None:
         """A report was asked for and did not come."""
         self.failed_reads += 1
--- /dev/null
+++ b/loomwind/placement/plan.py
@@ -0,0 +1,133 @@
+"""What a plan is made from, and the plan while it is made: orders, reserved turns, free servers."""
+
+from collections.abc import Iterator, Sequence
+
+import attrs
+
+from loomwind.placement.demand_view import DemandView
+from loomwind.placement.ledger import ServerLedger
+from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
+
+NOTICE_SECONDS = 0.2
+UNKNOWN_BUSY_SECONDS = 0.5
+
+
+@attrs.frozen
+class PlannedOrder:
+    """An order that should be given next to a server.
+
+    :ivar from_store: whether the load comes from the weight store.
+    :ivar makes_way_for: for an unload: the model that the room is for.
+    """
+
+    instance: str
+    kind: OrderKind
+    target: ModelKey
+    from_store: bool = False
+    makes_way_for: str = ""
+
+
+@attrs.frozen
+class PlanInput:
+    """Everything that a plan is made from.
+
+    :ivar servers: the model servers of one service that may get work.
+    :ivar running: requests that run, by instance and target.
+    :ivar now: loop time in seconds.
+    :ivar store_load_allowed: whether one more load from the weight store may begin.
+    :ivar may_stage: whether there is time to load models that nobody has asked for.
+    """
+
+    service: str
+    servers: Sequence[ServerLedger]
+    demand: DemandView
+    running: dict[tuple[str, ModelKey], int]
+    now: float
+    store_load_allowed: bool
+    may_stage: bool = False
+
+    def rate(self, target: ModelKey) -> float:
+        """Return the recent rate of requests for a target, a second."""
+        return self.demand.rate(self.service, target, self.now)
+
+    def known_servers(self) -> list[ServerLedger]:
+        """Return the servers whose state is known."""
+        return [server for server in self.servers if server.report is not None]
+
+    def models(self) -> Sequence[ModelProfile]:
+        """Return the service's models, in the configuration's order."""
+        return self.servers[0].profile.models if self.servers else ()
+
+    def holders(self, name: str) -> list[ServerLedger]:
+        """Return the servers that hold a model now."""
+        return [server for server in self.servers if server.holds(ModelKey(name))]
+
+    def held_by(self, server: ServerLedger) -> Iterator[str]:
+        """Yield the models that a server holds."""
+        if server.report is not None:
+            yield from (held.name for held in server.report.held)
+
+
+class DraftPlan:
+    """The orders of one step, at most one for each server, and the turns that are reserved."""
+
+    def __init__(self, given: PlanInput) -> None:
+        self.orders: list[PlannedOrder] = []
+        self._given = given
+        self._taken: set[str] = set()
+        self._reserved: dict[str, float] = {}
+
+    def load(self, server: ServerLedger, target: ModelKey) -> None:
+        """Order a model or an adapter to be loaded."""
+        from_store = not target.adapter and server.loads_from_store(target.model)
+        instance = server.entry.instance
+        self._add(PlannedOrder(instance, OrderKind.LOAD, target, from_store))
+
+    def unload(self, server: ServerLedger, target: ModelKey, makes_way_for: str = "") -> None:
+        """Order a model or an adapter to be unloaded."""
+        instance = server.entry.instance
+        order = PlannedOrder(instance, OrderKind.UNLOAD, target, makes_way_for=makes_way_for)
+        self._add(order)
+
+    def _add(self, order: PlannedOrder) -> None:
+        self._taken.add(order.instance)
+        self.orders.append(order)
+
+    def reserve(self, server: ServerLedger, seconds: float) -> None:
+        """Keep a turn of a busy server for a load."""
+        instance = server.entry.instance
+        self._reserved[instance] = self._reserved.get(instance, 0.0) + seconds
+
+    def is_free(self, server: ServerLedger) -> bool:
+        """Whether a server can take an order now."""
+        if not server.idle or server.entry.instance in self._taken:
+            return False
+        return server.quiet_until <= self._given.now
+
+    def free_servers(self) -> list[ServerLedger]:
+        """Return the servers that can take an order now."""
+        return [server for server in self._given.servers if self.is_free(server)]
+
+    def busy_seconds(self, server: ServerLedger) -> float:
+        """Return the time until a server can begin another load."""
+        reserved = self._reserved.get(server.entry.instance, 0.0)
+        if self.is_free(server):
+            return reserved
+        operation = server.operation
+        if operation is None or operation.kind is not OrderKind.LOAD:
+            return reserved + UNKNOWN_BUSY_SECONDS
+        return reserved + max(0.0, operation.done_at - self._given.now) + NOTICE_SECONDS
+
+    def is_available(self, target: ModelKey) -> bool:
+        """Whether a target is held somewhere, or on its way."""
+        if any(s.holds(target) or s.is_coming(target) for s in self._given.servers):
+            return True
+        if not target.adapter and self.is_promised(target.model):
+            return True
+        return any(o.kind is OrderKind.LOAD and o.target == target for o in self.orders)
+
+    def is_promised(self, name: str) -> bool:
+        """Whether another model makes way for one, or will by this plan."""
+        if any(order.makes_way_for == name for order in self.orders):
+            return True
+        return any(server.promised(self._given.now) == name for server in self._given.servers)
--- /dev/null
+++ b/loomwind/placement/valuation.py
@@ -0,0 +1,108 @@
+"""What models are worth where they are, and what it costs to load one. Pure."""
+
+import math
+from collections.abc import Sequence
+
+import attrs
+
+from loomwind.placement.demand_view import Want
+from loomwind.placement.ledger import ServerLedger
+from loomwind.placement.plan import PlanInput
+from loomwind.serving.views import HeldModel, ModelKey, ModelProfile
+
+POSITION_WEIGHT = 0.06
+POSITION_SCALE = 4.0
+NEXT_IN_LIST_WEIGHTS = (0.3, 0.15)
+LAST_COPY_FACTOR = 4.0
+EVICTION_SECONDS = 6.0
+RUNNING_SECONDS = 6.0
+STORE_LOAD_SECONDS = 1.0
+
+
+@attrs.frozen
+class LoadChoice:
+    """A way to bring a model to a server.
+
+    :ivar cost_seconds: the load, and what has to make way, as time.
+    :ivar victims: the models that have to make way, the least worth first.
+    """
+
+    server: ServerLedger
+    cost_seconds: float
+    victims: tuple[str, ...]
+
+
+class Valuation:
+    """Worth and cost by the demand of one moment."""
+
+    def __init__(self, given: PlanInput, wants: Sequence[Want]) -> None:
+        self._given = given
+        self._names = [model.name for model in given.models()]
+        self._waited_for = {want.key.target.model for want in wants}
+
+    def load_choice(self, server: ServerLedger, name: str) -> LoadChoice | None:
+        """Return how a model would be brought to a server; None when it cannot be."""
+        model = server.profile.model(name)
+        if model is None or model.memory_mb > server.profile.memory_mb:
+            return None
+        from_store = server.loads_from_store(name)
+        if from_store and not self._given.store_load_allowed:
+            return None
+        victims = self._victims(server, model.memory_mb)
+        if victims is None:
+            return None
+        cost = server.load_seconds(name) + EVICTION_SECONDS * self.worth_of(server, victims)
+        if from_store:
+            cost += STORE_LOAD_SECONDS
+        return LoadChoice(server, cost, victims)
+
+    def _victims(self, server: ServerLedger, needed_mb: float) -> tuple[str, ...] | None:
+        """Return the models of least worth whose going makes room; None when none is enough."""
+        report = server.report
+        assert report is not None
+        free_mb = server.free_mb()
+        victims: list[str] = []
+        for held in sorted(report.held, key=lambda held: self.worth(server, held.name)):
+            if free_mb >= needed_mb:
+                break
+            if held.name in self._waited_for:
+                continue
+            victims.append(held.name)
+            free_mb += _size_mb(server.profile.model(held.name), held)
+        return tuple(victims) if free_mb >= needed_mb else None
+
+    def worth_of(self, server: ServerLedger, names: Sequence[str]) -> float:
+        """Return what a server's copies of some models are worth together."""
+        return sum(self.worth(server, name) for name in names)
+
+    def worth(self, server: ServerLedger, name: str) -> float:
+        """Return what a server's copy of a model is worth, in requests a second."""
+        rate = self.expected_rate(name)
+        copies = len(self._given.holders(name))
+        worth = rate * LAST_COPY_FACTOR if copies <= 1 else rate / copies
+        running = sum(
+            count
+            for (instance, target), count in self._given.running.items()
+            if instance == server.entry.instance and target.model == name
+        )
+        return worth + RUNNING_SECONDS * running / EVICTION_SECONDS
+
+    def expected_rate(self, name: str) -> float:
+        """Return the rate that a model will have: its own, and some of those listed before it.
+
+        Demand moves along the configuration's list, so the next ones are worth keeping.
+        """
+        rate = self._given.rate(ModelKey(name))
+        if name not in self._names:
+            return rate
+        position = self._names.index(name)
+        for distance, weight in enumerate(NEXT_IN_LIST_WEIGHTS, start=1):
+            rate += weight * self._given.rate(ModelKey(self._names[position - distance]))
+        return rate + POSITION_WEIGHT * math.exp2(-position / POSITION_SCALE)
+
+
+def _size_mb(model: ModelProfile | None, held: HeldModel) -> float:
+    """Return the memory of a model with its adapters."""
+    if model is None:
+        return 0.0
+    return model.memory_mb + len(held.adapters) * model.adapter_mb
