Pass a server over from which nothing comes, and let a silent one go sooner

Cause: a server that went dark kept its requests for 2 s before they went elsewhere; callers of live drills leave after 2.4 s. Every other request of the same daemon was sent there too until two of them had failed. Change: a server is suspect while requests of this daemon are there and nothing has come from it for 0.7 s, on any connection; it is used last. Silence before the first event ends after twice the objective, 1.2 s at least (three times and 2 s before), between events after 0.8 s (1 s before). Test: a scenario in pool_decisions (the state did not exist before).

--- a/features/pool_decisions.feature
+++ b/features/pool_decisions.feature
@@ -28,6 +28,14 @@
     When a request for m1 is taken
     Then the demand for m1 shows a request that waits, after one send
 
+  Scenario: a server from which nothing comes while requests are there is passed over
+    Given a server that has two requests of this daemon since 10.0 s
+    Then it is suspect at 10.8 s, and not at 10.6 s
+    When something comes from it at 10.9 s
+    Then it is suspect at 11.7 s, and not at 11.5 s
+    When both requests have ended
+    Then it is not suspect at 20.0 s
+
   Scenario: a server that refuses a model again and again is asked less and less often
     Given a server that lists m1
     When it refuses m1 each time that it is asked, for 8 s
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -10,6 +10,7 @@
 from loomwind.metrics import Metrics
 from loomwind.platform.dialect import PlatformDialect
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.breaker import ServerHealth
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder, OpenAnswer, Outgoing
 from loomwind.serving.handler import RequestHandler, RequestRun
@@ -130,3 +131,31 @@
     assert not residency.can_run(lister(), TARGET, context.now)
     residency.tell(ServerHolding("i-1", 4, (HeldModel("m1"),)), context.now)
     assert residency.can_run(lister(), TARGET, context.now)
+
+
+@given("a server that has two requests of this daemon since {now:f} s")
+def step_two_requests(context: Any, now: float) -> None:
+    context.health = ServerHealth()
+    context.health.sent(now)
+    context.health.sent(now + 0.2)
+
+
+@when("something comes from it at {now:f} s")
+def step_heard(context: Any, now: float) -> None:
+    context.health.heard(now)
+
+
+@when("both requests have ended")
+def step_ended(context: Any) -> None:
+    context.health.ended()
+    context.health.ended()
+
+
+@then("it is suspect at {late:f} s, and not at {early:f} s")
+def step_suspect(context: Any, late: float, early: float) -> None:
+    assert context.health.is_suspect(late) and not context.health.is_suspect(early)
+
+
+@then("it is not suspect at {now:f} s")
+def step_not_suspect(context: Any, now: float) -> None:
+    assert not context.health.is_suspect(now)
--- a/loomwind/serving/breaker.py
+++ b/loomwind/serving/breaker.py
@@ -5,6 +5,7 @@
 FIRST_OPEN_SECONDS = 0.7
 LONGEST_OPEN_SECONDS = 4.0
 UNREACHABLE_SECONDS = 0.6
+SUSPECT_SILENCE_SECONDS = 0.7
 
 
 class ServerHealth:
@@ -22,6 +23,28 @@
         self._unreachable_until = 0.0
         self._unreachable_seconds = UNREACHABLE_SECONDS
         self._open_seconds = FIRST_OPEN_SECONDS
+        self._silent_since: float | None = None
+
+    def sent(self, now: float) -> None:
+        """A request goes to the server."""
+        self.in_flight += 1
+        if self._silent_since is None:
+            self._silent_since = now
+
+    def heard(self, now: float) -> None:
+        """Something has come from the server."""
+        self._silent_since = now
+
+    def ended(self) -> None:
+        """A request that was sent has ended."""
+        self.in_flight -= 1
+        if self.in_flight == 0:
+            self._silent_since = None
+
+    def is_suspect(self, now: float) -> bool:
+        """Whether requests are there and nothing has come for a while, on any connection."""
+        since = self._silent_since
+        return since is not None and now - since > SUSPECT_SILENCE_SECONDS
 
     def succeeded(self) -> None:
         """Note a good answer."""
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -27,9 +27,9 @@
 REFUSED_PAUSE_SECONDS = 0.03
 LOOK_AGAIN_SECONDS = 0.2
 RETRY_SOON_SECONDS = 0.5
-FIRST_EVENT_SILENCE_SECONDS = 2.0
-EVENT_SILENCE_SECONDS = 1.0
-SILENCE_PER_OBJECTIVE = 3.0
+FIRST_EVENT_SILENCE_SECONDS = 1.2
+EVENT_SILENCE_SECONDS = 0.8
+SILENCE_PER_OBJECTIVE = 2.0
 SHORTEST_SILENCE_SECONDS = 0.25
 SERVED = "served"
 SERVER_ERROR_STATUSES = range(500, 600)
@@ -265,7 +265,7 @@
                     entry,
                     health.in_flight,
                     health.error_share,
-                    health.is_open(now),
+                    health.is_open(now) or health.is_suspect(now),
                     entry.instance in self._tried,
                     self._serving.forwarder.has_idle_connection(entry),
                 )
@@ -287,13 +287,13 @@
         self._handed_over = True
         target = self._caller.target
         health = self._pool.health(entry.instance)
-        health.in_flight += 1
+        health.sent(self._serving.now())
         if target is not None:
             self._pool.demand.begin_run(entry.instance, target)
         try:
             await self._exchange_with(entry)
         finally:
-            health.in_flight -= 1
+            health.ended()
             if target is not None:
                 self._pool.demand.end_run(entry.instance, target)
         health.succeeded()
@@ -311,6 +311,7 @@
                 body = None if answer.streamed else await forwarder.read_whole(answer)
         except TimeoutError as error:
             raise SendFailed(f"{entry.instance}: silent for {silence} s", ran=True) from error
+        self._pool.health(entry.instance).heard(self._serving.now())
         if body is None:
             await self._relay(entry, answer)
         else:
@@ -347,11 +348,13 @@
         :raises SendFailed: the stream ended before its proper end.
         """
         connection = answer.connection
+        health = self._pool.health(entry.instance)
         try:
             if not self._exchange.started:
                 headers = self._serving.dialect.answer_headers(answer.head)
                 await self._exchange.start(answer.head.status, headers)
             while piece := await self._next_piece(entry, answer):
+                health.heard(self._serving.now())
                 first = self._cutter.events == 0
                 await self._exchange.send(self._cutter.feed(piece))
                 if first and self._cutter.events:
