Take loads and unloads as done by their time, before the report that shows it

Ruled out: reading more often (the lag is the server's). Change: an unload that nobody uses is done after 0.1 s; a load 0.06 s after its time, 0.015 s more for each run beside it. A report that still shows it is not believed for 0.4 s, one that shows it later takes it back. Tests: three scenarios in features/planner.feature.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -8,6 +8,30 @@
     When that order is accepted and done at 10.2 s
     Then the plan is one order: load c at the same server
 
+  Scenario: a load is taken as done when its time is over, and taken back by a later report
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one begins to load c from the weight store at 10.0 s
+    Then one does not hold c at 14.0 s, and holds it at 14.1 s
+    When a report of one at 14.2 s still shows the load
+    Then one holds c
+    When a report of one at 14.8 s still shows the load
+    Then one does not hold c
+
+  Scenario: a load takes longer beside many runs
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one begins to load c from the weight store at 10.0 s
+    Then with 20 runs one does not hold c at 14.3 s, and holds it at 14.4 s
+
+  Scenario: an order follows an unload that nobody uses after a moment, and any other by a report
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one is ordered to unload a at 10.0 s, and nobody uses it
+    Then one takes no order at 10.05 s, and one at 10.1 s
+    When two is ordered to unload b at 10.0 s, and somebody uses it
+    Then two takes no order at 12.0 s
+
   Scenario: nothing else makes way for a model while one does
     Given model servers one and two of 100 GB
     And one holds a and b, two holds a and d
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -128,3 +128,69 @@
     instance = context.given_order.instance if where == "the same server" else where
     assert len(orders) == 1 and orders[0].kind is OrderKind.LOAD, orders
     assert (orders[0].target.model, orders[0].instance) == (model, instance), orders
+
+
+@when("{name:w} begins to load {model} from the weight store at {now:f} s")
+def step_begin_load(context: Any, name: str, model: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    ledger.note_answer(_order(ledger, OrderKind.LOAD, model), OrderAnswer.ACCEPTED, now)
+    context.loading = model
+
+
+def holds_after(context: Any, name: str, now: float, running: int) -> bool:
+    """Let a server's loads settle, and return whether it holds what it was loading."""
+    ledger: ServerLedger = context.ledgers[name]
+    ledger.settle(now, running)
+    return ledger.holds(ModelKey(context.loading))
+
+
+@then("{name:w} does not hold c at {early:f} s, and holds it at {late:f} s")
+def step_settles(context: Any, name: str, early: float, late: float) -> None:
+    assert not holds_after(context, name, early, 0)
+    assert holds_after(context, name, late, 0)
+
+
+@then("with {runs:d} runs {name:w} does not hold c at {early:f} s, and holds it at {late:f} s")
+def step_settles_later(context: Any, runs: int, name: str, early: float, late: float) -> None:
+    assert not holds_after(context, name, early, runs)
+    assert holds_after(context, name, late, runs)
+
+
+@when("a report of {name:w} at {now:f} s still shows the load")
+def step_old_report(context: Any, name: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    assert ledger.report is not None
+    ledger.note_report(ServerReport(ledger.report.revision, True, (HeldModel("a"),)), now)
+
+
+@then("{name:w} holds c")
+def step_holds_now(context: Any, name: str) -> None:
+    assert context.ledgers[name].holds(ModelKey("c"))
+
+
+@then("{name:w} does not hold c")
+def step_holds_not(context: Any, name: str) -> None:
+    assert not context.ledgers[name].holds(ModelKey("c"))
+
+
+@when("{name:w} is ordered to unload {model} at {now:f} s, and {who} uses it")
+def step_unload_ordered(context: Any, name: str, model: str, now: float, who: str) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    order = _order(ledger, OrderKind.UNLOAD, model)
+    ledger.note_answer(order, OrderAnswer.ACCEPTED, now, in_use=who != "nobody")
+
+
+def takes_order(context: Any, name: str, now: float) -> bool:
+    """Whether a server can take an order at a time."""
+    ledger: ServerLedger = context.ledgers[name]
+    return ledger.idle and ledger.quiet_until <= now
+
+
+@then("{name:w} takes no order at {early:f} s, and one at {late:f} s")
+def step_takes_later(context: Any, name: str, early: float, late: float) -> None:
+    assert not takes_order(context, name, early) and takes_order(context, name, late)
+
+
+@then("{name:w} takes no order at {now:f} s")
+def step_takes_none(context: Any, name: str, now: float) -> None:
+    assert not takes_order(context, name, now)
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -23,7 +23,7 @@
 STEP_SECONDS = 0.1
 SETTLED_READ_SECONDS = 2.0
 WORKING_READ_SECONDS = 0.1
-EARLY_READ_SECONDS = 0.15
+EARLY_READ_SECONDS = -0.2
 SILENT_READ_SECONDS = 0.4
 REPORT_TIMEOUT_SECONDS = 0.5
 ORDER_TIMEOUT_SECONDS = 0.4
@@ -123,6 +123,7 @@
         if configuration is None:
             return
         self._update_ledgers(configuration)
+        self._settle_loads()
         for ledger in self._ledgers.values():
             if self._should_read(ledger):
                 ledger.reading = True
@@ -150,6 +151,21 @@
         for instance in [name for name in self._ledgers if name not in listed]:
             del self._ledgers[instance]
 
+    def _settle_loads(self) -> None:
+        """Take loads as done whose time is over, and look again when the next one's is."""
+        now = self._now()
+        running = self._demand.running(now)
+        settled = []
+        for ledger in self._ledgers.values():
+            count = sum(n for (name, _), n in running.items() if name == ledger.entry.instance)
+            if ledger.settle(now, count):
+                settled.append(ledger)
+            elif 0 < ledger.settles_at(count) - now < STEP_SECONDS:
+                delay = ledger.settles_at(count) - now
+                asyncio.get_running_loop().call_later(delay, self._wake.set)
+        if settled:
+            self._tell_holdings(settled)
+
     # Reading servers.
 
     def _should_read(self, ledger: ServerLedger) -> bool:
@@ -258,7 +274,8 @@
 
     async def _give(self, ledger: ServerLedger, order: Order) -> None:
         answer = await self._control.order(ledger.entry, order, ORDER_TIMEOUT_SECONDS)
-        ledger.note_answer(order, answer, self._now())
+        now = self._now()
+        ledger.note_answer(order, answer, now, self._is_in_use(order, now))
         self._metrics.orders.labels(answer.value).inc()
         log_state(
             "order",
@@ -273,6 +290,14 @@
             self._tell_holdings([ledger])
         self._wake.set()
 
+    def _is_in_use(self, order: Order, now: float) -> bool:
+        """Whether requests run at the server of an order for its model, as far as is known."""
+        running = self._demand.running(now)
+        return any(
+            instance == order.instance and target.model == order.target.model
+            for instance, target in running
+        )
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -22,6 +22,10 @@
 
 UNKNOWN_PAUSE_SECONDS = 0.15
 PROMISE_SECONDS = 1.0
+UNLOAD_SETTLES_SECONDS = 0.1
+LOAD_SETTLES_SECONDS = 0.06
+LOAD_SETTLES_SECONDS_A_RUN = 0.015
+REPORT_LAG_SECONDS = 0.4
 
 
 class Operation(Struct, frozen=True):
@@ -57,6 +61,7 @@
         self.staged = 0
         self._promised = ""
         self._promised_at = -1e9
+        self._assumed_at = -1e9
         self.quiet_until = 0.0
         self.failed_reads = 0
 
@@ -67,11 +72,38 @@
         known = self.report
         if known is not None and report.revision < known.revision:
             return False
+        if report.busy and now - self._assumed_at < REPORT_LAG_SECONDS:
+            return False
         if not report.busy:
             self.operation = None
         self.report = self._without_leaving(report)
         return known is None or known.held != self.report.held
 
+    def settle(self, now: float, running: int) -> bool:
+        """Take a load as done when its time is over; returns whether it was.
+
+        A report is some time old when it comes, so one that still shows the load is not believed
+        for a while. One that shows it later takes this back.
+
+        :param running: requests that run at the server, which slow a load down.
+        """
+        operation, report = self.operation, self.report
+        if report is None or operation is None or operation.kind is not OrderKind.LOAD:
+            return False
+        if self.in_flight is not None or now < self.settles_at(running):
+            return False
+        self.operation = None
+        self._assumed_at = now
+        self.report = _with_loaded(report, operation.target)
+        return True
+
+    def settles_at(self, running: int) -> float:
+        """Return when the load that a server carries out should be done."""
+        if self.operation is None:
+            return float("inf")
+        slower = LOAD_SETTLES_SECONDS + LOAD_SETTLES_SECONDS_A_RUN * running
+        return self.operation.done_at + slower
+
     def _without_leaving(self, report: ServerReport) -> ServerReport:
         """Return a report without the model that is being unloaded: it takes no new requests."""
         operation = self.operation
@@ -97,22 +129,27 @@
         """A report was asked for and did not come."""
         self.failed_reads += 1
 
-    def note_answer(self, order: Order, answer: OrderAnswer, now: float) -> None:
-        """Take in the answer to an order."""
+    def note_answer(
+        self, order: Order, answer: OrderAnswer, now: float, in_use: bool = True
+    ) -> None:
+        """Take in the answer to an order.
+
+        :param in_use: whether requests may run there for its target.
+        """
         self.in_flight = None
         report = self.report
         if report is None:
             return
         if answer in (OrderAnswer.ACCEPTED, OrderAnswer.ALREADY):
             if report.revision == order.expected_revision:
-                self._apply(order, answer, now)
+                self._apply(order, answer, now, in_use)
         elif answer is not OrderAnswer.UNKNOWN:
             self.report = None
             self.read_at = -1e9
         else:
             self.quiet_until = now + UNKNOWN_PAUSE_SECONDS
 
-    def _apply(self, order: Order, answer: OrderAnswer, now: float) -> None:
+    def _apply(self, order: Order, answer: OrderAnswer, now: float, in_use: bool) -> None:
         report = self.report
         assert report is not None
         if answer is OrderAnswer.ALREADY and order.kind is OrderKind.LOAD:
@@ -127,7 +164,10 @@
         held = report.held
         if order.kind is OrderKind.UNLOAD:
             held = tuple(model for model in held if model.name != order.target.model)
-        busy = order.kind is OrderKind.LOAD or answer is OrderAnswer.ACCEPTED
+        busy = order.kind is OrderKind.LOAD or (answer is OrderAnswer.ACCEPTED and in_use)
+        if not busy:
+            self.operation = None
+            self.quiet_until = now + UNLOAD_SETTLES_SECONDS
         self.report = replace(report, revision=revision, busy=busy, held=held)
 
     @property
@@ -220,6 +260,16 @@
     return total
 
 
+def _with_loaded(report: ServerReport, target: ModelKey) -> ServerReport:
+    """Return a report after a load of weights: the model is held, and copies were left."""
+    held = report.held
+    if not holds(held, target):
+        held = (*held, HeldModel(target.model))
+    in_memory = report.in_memory | {target.model}
+    on_disk = report.on_disk | {target.model}
+    return replace(report, busy=False, held=held, in_memory=in_memory, on_disk=on_disk)
+
+
 def _with_adapter_order(report: ServerReport, order: Order) -> ServerReport:
     target = order.target
     if order.kind is OrderKind.LOAD:
