--- a/bench/compare.py
+++ b/bench/compare.py
@@ -130,6 +130,7 @@
     start: int = 1,
     jobs: int = 4,
     report: str = "",
+    plot: str = "",
 ) -> None:
     """Play the same days with two versions and print the differences.
 
@@ -144,6 +145,7 @@
         start: decides the seeds; the same start gives the same seeds.
         jobs: how many days are played at once.
         report: file for all results as JSON; none without it.
+        plot: file for a picture of the differences; none without it.
     """
     first, second = str(first), str(second)
     Path(folder).mkdir(parents=True, exist_ok=True)
@@ -163,7 +165,11 @@
             for version, checkout in checkouts.items()
         ]
         played = [future.result() for future in futures]
-    print_table(played, first, second)
+    differences = print_table(played, first, second)
+    if plot:
+        from bench.plot import plot_differences
+
+        plot_differences(differences, Path(plot))
     if report:
         Path(report).write_text(json.dumps([_plain(item) for item in played], indent=1))
 
@@ -186,8 +192,9 @@
     }
 
 
-def print_table(played: list[Played], first: str, second: str) -> None:
-    """Print the differences by site, by day, and by price."""
+def print_table(played: list[Played], first: str, second: str) -> dict[str, Difference]:
+    """Print the differences by site, by day, and by price; returns those of worth."""
+    differences: dict[str, Difference] = {}
     groups: dict[str, list[tuple[PlayedDay, PlayedDay]]] = defaultdict(list)
     by_key = {(p.site, p.day, p.seed, p.version): p.result for p in played}
     for item in played:
@@ -198,6 +205,7 @@
     for name, pairs in sorted(groups.items()):
         worth = difference([a.worth for a, _ in pairs], [b.worth for _, b in pairs])
         served = difference([a.served for a, _ in pairs], [b.served for _, b in pairs])
+        differences[name] = worth
         mean = statistics.fmean(b.worth for _, b in pairs)
         print(f"{name:32} worth {mean:.3f} {worth}; served {served.mean:+.4f}")
     for item in played:
@@ -205,6 +213,7 @@
             print(f"broken: {item.version} {item.site} {item.day} --seed {item.seed}", end=" ")
             print(item.result.broken)
     _print_prices(groups)
+    return differences
 
 
 def _print_prices(groups: dict[str, list[tuple[PlayedDay, PlayedDay]]]) -> None:
--- a/bench/plot.py
+++ b/bench/plot.py
@@ -1,4 +1,4 @@
-"""Pictures of site results; needs matplotlib, the optional extra ``plot``."""
+"""Pictures of results; needs matplotlib, the optional extra ``plot``."""
 
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -6,6 +6,7 @@
 import matplotlib
 
 if TYPE_CHECKING:
+    from bench.compare import Difference
     from bench.site import SiteResult
 
 matplotlib.use("Agg")
@@ -29,3 +30,18 @@
     right.set_ylabel("idle accelerator hours")
     figure.autofmt_xdate()
     figure.savefig(path)
+
+
+def plot_differences(differences: "dict[str, Difference]", path: Path) -> None:
+    """Draw the mean difference of worth of each site and day, with its confidence interval."""
+    from matplotlib import pyplot
+
+    names = sorted(differences, reverse=True)
+    means = [differences[name].mean for name in names]
+    halves = [differences[name].half_width for name in names]
+    figure, axes = pyplot.subplots(figsize=(8, 1 + 0.4 * len(names)))
+    axes.errorbar(means, names, xerr=halves, fmt="o", capsize=3)
+    axes.axvline(0.0, color="grey", linewidth=1)
+    axes.set_xlabel("difference of worth, 95 % interval")
+    figure.tight_layout()
+    figure.savefig(path)
