Take adapters as loaded a moment after their order; call reserved room what it is

Cause: requests waited 0.4 to 1.0 s for an adapter that a server loads in some 20 ms, since it was known by a report only. Change: an adapter counts as loaded 0.1 s after its order was taken; a report that still lists it as pending is not believed for 0.5 s, a later one takes it back. A refusal for a missing adapter keeps requests away for 0.12 s, not 1 s. The room that an unload makes is named so in the code. Test: a scenario in features/planner.feature.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -32,6 +32,16 @@
     When two is ordered to unload b at 10.0 s, and somebody uses it
     Then two takes no order at 12.0 s
 
+  Scenario: an adapter is taken as loaded a moment after its order, and taken back by a later report
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one is ordered to load the adapter a/x at 10.0 s
+    Then one does not have a/x at 10.05 s, and has it at 10.15 s
+    When a report of one at 10.3 s still lists a/x as pending
+    Then one has a/x
+    When a report of one at 10.6 s still lists a/x as pending
+    Then one does not have a/x
+
   Scenario: nothing else makes way for a model while one does
     Given model servers one and two of 100 GB
     And one holds a and b, two holds a and d
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -88,7 +88,7 @@
     planned = plan(context)[0]
     ledger: ServerLedger = context.ledgers[planned.instance]
     order = _order(ledger, planned.kind, planned.target.model)
-    ledger.promise(planned.makes_way_for, now)
+    ledger.reserve_room(planned.makes_way_for, now)
     ledger.note_answer(order, OrderAnswer.ACCEPTED, now)
     context.now, context.given_order = now, planned
 
@@ -194,3 +194,41 @@
 @then("{name:w} takes no order at {now:f} s")
 def step_takes_none(context: Any, name: str, now: float) -> None:
     assert not takes_order(context, name, now)
+
+
+ADAPTER = ModelKey("a", "x")
+
+
+@when("{name:w} is ordered to load the adapter a/x at {now:f} s")
+def step_adapter_ordered(context: Any, name: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    assert ledger.report is not None
+    revision = ledger.report.revision
+    order = Order(OrderKind.LOAD, ADAPTER, ledger.entry.instance, "daemon", FENCE, revision)
+    ledger.note_answer(order, OrderAnswer.ACCEPTED, now)
+
+
+@then("{name:w} does not have a/x at {early:f} s, and has it at {late:f} s")
+def step_adapter_settles(context: Any, name: str, early: float, late: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    assert not ledger.settle_adapters(early) and not ledger.holds(ADAPTER)
+    assert ledger.settle_adapters(late) and ledger.holds(ADAPTER)
+
+
+@when("a report of {name:w} at {now:f} s still lists a/x as pending")
+def step_adapter_pending(context: Any, name: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    assert ledger.report is not None
+    held = (HeldModel("a"),)
+    revision = ledger.report.revision
+    ledger.note_report(ServerReport(revision, False, held, pending_adapters=(ADAPTER,)), now)
+
+
+@then("{name:w} has a/x")
+def step_has_adapter(context: Any, name: str) -> None:
+    assert context.ledgers[name].holds(ADAPTER)
+
+
+@then("{name:w} does not have a/x")
+def step_has_no_adapter(context: Any, name: str) -> None:
+    assert not context.ledgers[name].holds(ADAPTER)
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -8,7 +8,7 @@
 from loomwind.messages.serving import PoolDemand, PoolHoldings
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import DemandView
-from loomwind.placement.ledger import ServerLedger
+from loomwind.placement.ledger import ADAPTER_SETTLES_SECONDS, ServerLedger
 from loomwind.placement.load_window import LoadWindow
 from loomwind.placement.plan import PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
@@ -158,7 +158,7 @@
         settled = []
         for ledger in self._ledgers.values():
             count = sum(n for (name, _), n in running.items() if name == ledger.entry.instance)
-            if ledger.settle(now, count):
+            if ledger.settle(now, count) or ledger.settle_adapters(now):
                 settled.append(ledger)
             elif 0 < ledger.settles_at(count) - now < STEP_SECONDS:
                 delay = ledger.settles_at(count) - now
@@ -269,7 +269,7 @@
         )
         ledger.in_flight = order
         if planned.makes_way_for:
-            ledger.promise(planned.makes_way_for, self._now())
+            ledger.reserve_room(planned.makes_way_for, self._now())
         self._spawn(self._give(ledger, order))
 
     async def _give(self, ledger: ServerLedger, order: Order) -> None:
@@ -286,8 +286,12 @@
             fence=order.fence,
             revision=order.expected_revision,
         )
-        if not order.target.adapter and answer is OrderAnswer.ACCEPTED:
-            self._tell_holdings([ledger])
+        if answer is OrderAnswer.ACCEPTED:
+            if order.target.adapter:
+                loop = asyncio.get_running_loop()
+                loop.call_later(ADAPTER_SETTLES_SECONDS, self._wake.set)
+            else:
+                self._tell_holdings([ledger])
         self._wake.set()
 
     def _is_in_use(self, order: Order, now: float) -> bool:
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -21,11 +21,13 @@
 )
 
 UNKNOWN_PAUSE_SECONDS = 0.15
-PROMISE_SECONDS = 1.0
+ROOM_RESERVED_SECONDS = 1.0
 UNLOAD_SETTLES_SECONDS = 0.1
 LOAD_SETTLES_SECONDS = 0.06
+ADAPTER_SETTLES_SECONDS = 0.1
 LOAD_SETTLES_SECONDS_A_RUN = 0.015
 REPORT_LAG_SECONDS = 0.4
+ADAPTER_BELIEF_SECONDS = 0.5
 
 
 class Operation(Struct, frozen=True):
@@ -59,9 +61,10 @@
         self.reading = False
         self.doubted = False
         self.staged = 0
-        self._promised = ""
-        self._promised_at = -1e9
+        self._reserved_for = ""
+        self._reserved_at = -1e9
         self._assumed_at = -1e9
+        self._adapters_ordered: dict[ModelKey, float] = {}
         self.quiet_until = 0.0
         self.failed_reads = 0
 
@@ -76,7 +79,7 @@
             return False
         if not report.busy:
             self.operation = None
-        self.report = self._without_leaving(report)
+        self.report = self._with_settled_adapters(self._without_leaving(report), now)
         return known is None or known.held != self.report.held
 
     def settle(self, now: float, running: int) -> bool:
@@ -97,6 +100,26 @@
         self.report = _with_loaded(report, operation.target)
         return True
 
+    def settle_adapters(self, now: float) -> bool:
+        """Take adapters as loaded a moment after their order; returns whether there was one."""
+        if self.report is None or not self._adapters_ordered:
+            return False
+        before = self.report.held
+        self.report = self._with_settled_adapters(self.report, now)
+        return self.report.held != before
+
+    def _with_settled_adapters(self, report: ServerReport, now: float) -> ServerReport:
+        """Return a report with the adapters that should be loaded by now, though it is older."""
+        known = self._adapters_ordered
+        self._adapters_ordered = {
+            target: at for target, at in known.items() if now - at < ADAPTER_BELIEF_SECONDS
+        }
+        for target, ordered_at in self._adapters_ordered.items():
+            due = now - ordered_at >= ADAPTER_SETTLES_SECONDS
+            if due and target in report.pending_adapters:
+                report = _with_adapter(report, target)
+        return report
+
     def settles_at(self, running: int) -> float:
         """Return when the load that a server carries out should be done."""
         if self.operation is None:
@@ -112,18 +135,18 @@
         held = tuple(model for model in report.held if model.name != operation.target.model)
         return replace(report, held=held)
 
-    def promise(self, name: str, now: float) -> None:
+    def reserve_room(self, name: str, now: float) -> None:
         """Another model makes way here for one."""
-        self._promised, self._promised_at = name, now
+        self._reserved_for, self._reserved_at = name, now
 
-    def promised(self, now: float) -> str | None:
+    def room_reserved_for(self, now: float) -> str | None:
         """Return the model that another one makes way for; None when there is none."""
-        if not self._promised or self.holds(ModelKey(self._promised)):
+        if not self._reserved_for or self.holds(ModelKey(self._reserved_for)):
             return None
         operation = self.operation
         if operation is not None and operation.kind is OrderKind.UNLOAD:
-            return self._promised
-        return self._promised if now - self._promised_at <= PROMISE_SECONDS else None
+            return self._reserved_for
+        return self._reserved_for if now - self._reserved_at <= ROOM_RESERVED_SECONDS else None
 
     def note_silence(self) -> None:
         """A report was asked for and did not come."""
@@ -158,6 +181,8 @@
         revision = report.revision + 1
         if order.target.adapter:
             self.report = _with_adapter_order(replace(report, revision=revision), order)
+            if order.kind is OrderKind.LOAD:
+                self._adapters_ordered[order.target] = now
             return
         seconds = self.load_seconds(order.target.model) if order.kind is OrderKind.LOAD else 0.0
         self.operation = Operation(order.kind, order.target, now, now + seconds)
@@ -278,6 +303,18 @@
     return replace(report, held=held)
 
 
+def _with_adapter(report: ServerReport, target: ModelKey) -> ServerReport:
+    """Return a report in which a pending adapter is loaded."""
+    pending = tuple(key for key in report.pending_adapters if key != target)
+    held = tuple(
+        HeldModel(model.name, (*model.adapters, target.adapter))
+        if model.name == target.model
+        else model
+        for model in report.held
+    )
+    return replace(report, pending_adapters=pending, held=held)
+
+
 def _without_adapter(model: HeldModel, target: ModelKey) -> HeldModel:
     if model.name != target.model:
         return model
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -31,10 +31,10 @@
         self._valuation = valuation
         self._adapters = adapters
 
-    def keep_promises(self) -> None:
+    def use_reserved_room(self) -> None:
         """Load what other models have made way for."""
         for server in self._draft.free_servers():
-            name = server.promised(self._given.now)
+            name = server.room_reserved_for(self._given.now)
             model = server.profile.model(name) if name is not None else None
             if name is None or model is None or server.free_mb() < model.memory_mb:
                 continue
@@ -95,7 +95,7 @@
         for model in self._given.models():
             key = ModelKey(model.name)
             rate = self._given.rate(key)
-            if rate < COPIES_WANTED_RATE or self._draft.is_promised(model.name):
+            if rate < COPIES_WANTED_RATE or self._draft.has_reserved_room(model.name):
                 continue
             holders = [s for s in self._given.servers if s.holds(key) or s.is_coming(key)]
             if 0 < len(holders) < COPIES_WANTED:
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -122,12 +122,14 @@
         """Whether a target is held somewhere, or on its way."""
         if any(s.holds(target) or s.is_coming(target) for s in self._given.servers):
             return True
-        if not target.adapter and self.is_promised(target.model):
+        if not target.adapter and self.has_reserved_room(target.model):
             return True
         return any(o.kind is OrderKind.LOAD and o.target == target for o in self.orders)
 
-    def is_promised(self, name: str) -> bool:
+    def has_reserved_room(self, name: str) -> bool:
         """Whether another model makes way for one, or will by this plan."""
         if any(order.makes_way_for == name for order in self.orders):
             return True
-        return any(server.promised(self._given.now) == name for server in self._given.servers)
+        return any(
+            server.room_reserved_for(self._given.now) == name for server in self._given.servers
+        )
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -30,7 +30,7 @@
 
     def plan(self) -> list[PlannedOrder]:
         """Return the orders, at most one for each server."""
-        self._models.keep_promises()
+        self._models.use_reserved_room()
         for want in self._wants:
             if self._is_urgent(want):
                 self._plan_want(want)
--- a/loomwind/serving/residency.py
+++ b/loomwind/serving/residency.py
@@ -12,6 +12,7 @@
 
 ABSENCE_SECONDS = 1.0
 REFUSED_SECONDS = 0.25
+ADAPTER_ABSENCE_SECONDS = 0.12
 MOST_DOUBLINGS = 3
 FORGIVEN_AFTER_SECONDS = 6.0
 MOST_LOADS_SEEN = 4096
@@ -75,7 +76,8 @@
 
     def note_absent(self, instance: str, target: ModelKey, now: float) -> None:
         """A server said that it does not hold the target."""
-        self._keep_away(instance, target, now, ABSENCE_SECONDS)
+        seconds = ADAPTER_ABSENCE_SECONDS if target.adapter else ABSENCE_SECONDS
+        self._keep_away(instance, target, now, seconds)
 
     def note_refused(self, instance: str, target: ModelKey, now: float) -> None:
         """A server refused the target unstarted: it is full, or the target is on its way out."""
