--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -131,7 +131,7 @@
         for service in configuration.services:
             if service.engine is not None:
                 self._plan(service.name, service.engine.loads_per_second)
-        if self._now() - self._told_all_at > TELL_ALL_SECONDS:
+        if self._now() - self._told_all_at > self._exchange.paced(TELL_ALL_SECONDS):
             self._told_all_at = self._now()
             self._tell_holdings(list(self._ledgers.values()))
 
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -134,6 +134,10 @@
         for peer in self._peers.others():
             self._transport.cast(peer.address, message)
 
+    def paced(self, seconds: float) -> float:
+        """Return an interval, longer in a large fleet; see :meth:`PeerTable.paced`."""
+        return self._peers.paced(seconds)
+
     async def send_demand(self) -> None:
         """Tell the leader what callers want: at once when a request begins to wait."""
         told_life = ""
