--- a/features/explain.feature
+++ b/features/explain.feature
@@ -90,3 +90,10 @@
     And 1 pool daemons
     When a model request on draft for m3 is sent
     Then explain names the cause served_late
+
+  Scenario: a server that pauses in the middle of a stream
+    Given a model server one that holds m1
+    And 1 pool daemons
+    And server one has faults event_seconds=0.3
+    When a stream on talk for m1 with 4 events begins
+    Then explain names the cause server_paused
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -60,4 +60,5 @@
     "the daemon was stopping as planned": "leaving",
     "the caller went away": "caller_left",
     "the model or adapter was loaded late": "served_late",
+    "the server paused between events": "server_paused",
 }
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -13,8 +13,9 @@
 from loomwind.serving.breaker import ServerHealth
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder, OpenAnswer, Outgoing
-from loomwind.serving.handler import RequestHandler, RequestRun
+from loomwind.serving.handler import RequestHandler
 from loomwind.serving.pool import ServerPool
+from loomwind.serving.request_run import RequestRun
 from loomwind.serving.residency import Residency, ServerHolding
 from loomwind.serving.views import (
     CallerRequest,
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -149,6 +149,7 @@
             route("look", "idempotent", PLAIN_SERVICE),
             route("draft", "streaming", MODEL_SERVICE),
             route("drill", "streaming", MODEL_SERVICE, resumable=True),
+            route("talk", "streaming", MODEL_SERVICE, **{"gap-aim-ms": 100}),
         ]
 
     # The store.
--- a/loomwind/explain.py
+++ b/loomwind/explain.py
@@ -26,6 +26,7 @@
     NO_ROUTE = "no route in the configuration in force"
     NO_CONFIGURATION = "the daemon knew no configuration"
     LEAVING = "the daemon was stopping as planned"
+    SERVER_PAUSED = "the server paused between events"
     CALLER_LEFT = "the caller went away"
     ORDERS_UNANSWERED = "a model server left orders for the model unanswered"
     NO_LEADER = "no daemon led, so nothing was loaded"
@@ -154,6 +155,8 @@
         return _cause_of_failure(str(failure.get("reason")))
     if any(line.get("decision") == "late" for line in own):
         return Cause.SERVED_LATE
+    if any(line.get("decision") == "paused" for line in own):
+        return Cause.SERVER_PAUSED
     return Cause.UNKNOWN
 
 
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -2,6 +2,8 @@
 
 from loomwind.errors import LoomwindError
 
+RETRY_SOON_SECONDS = 0.5
+
 
 class ServingError(LoomwindError):
     """Base class of serving's errors."""
