--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -32,6 +32,7 @@
 SERVICE = "tutor"
 TARGET = ModelKey("m1")
 MOST_TURNS = 2000
+POLL_S = 0.001
 STEP_S = 0.05
 
 
@@ -94,7 +95,7 @@
     task = asyncio.ensure_future(run.serve())
     waits = False
     for _ in range(MOST_TURNS):
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(POLL_S)
         report = {(d.service, d.target): d.waiting for d in pool.demand.take_report(0.0)}
         waits = forwarder.sends == 1 and report.get((SERVICE, TARGET), 0) == 1
         if waits:
--- a/specification/conformance.py
+++ b/specification/conformance.py
@@ -33,6 +33,7 @@
 from loomwind.schema import Artifact
 from specification import register
 from specification.model import State
+from specification.walks import random_walk
 
 DEFAULT_SEED = 7
 DEFAULT_WALKS = 300
@@ -196,15 +197,9 @@
     source = random.Random(seed)
     compared = 0
     for _ in range(walks):
-        state = register.INITIAL
         replay = Replay()
-        for _ in range(WALK_STEPS):
-            steps = list(register.steps_of(state))
-            if not steps:
-                break
-            label, after = source.choice(steps)
-            replay.step(label, state, after)
-            replay.check(after)
-            state = after
+        for step in random_walk(source, register.INITIAL, register.steps_of, WALK_STEPS):
+            replay.step(step.label, step.before, step.after)
+            replay.check(step.after)
             compared += 1
     return compared
--- a/specification/lease_conformance.py
+++ b/specification/lease_conformance.py
@@ -6,11 +6,13 @@
 
 import random
 import re
+from collections.abc import Iterator
 
 from loomwind.leadership.lease import Lease, LeaseAction, LeaseHolder
 from specification import lease
 from specification.conformance import Disagreement
-from specification.model import State
+from specification.model import State, Step
+from specification.walks import random_walk
 
 DURATION_S = 3.0
 RENEW_S = 0.5
@@ -83,6 +85,10 @@
                 raise Disagreement(f"daemon {d}: fence {own.fence}, not {expected.fence}")
 
 
+def _steps_of(state: State) -> Iterator[Step]:
+    return lease.transitions(state, frozenset())
+
+
 def conform_lease(seed: int, walks: int) -> int:
     """Replay walks and compare after each step.
 
@@ -92,15 +98,9 @@
     source = random.Random(seed)
     compared = 0
     for _ in range(walks):
-        state = lease.INITIAL
         replay = LeaseReplay()
-        for _ in range(WALK_STEPS):
-            steps = list(lease.transitions(state, frozenset()))
-            if not steps:
-                break
-            label, after = source.choice(steps)
-            replay.step(label, state, after)
-            replay.check(after)
-            state = after
+        for step in random_walk(source, lease.INITIAL, _steps_of, WALK_STEPS):
+            replay.step(step.label, step.before, step.after)
+            replay.check(step.after)
             compared += 1
     return compared
--- /dev/null
+++ b/specification/walks.py
@@ -0,0 +1,32 @@
+"""Random walks over a model, for comparing the code with it step by step."""
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+from specification.model import State, Step
+
+
+class WalkStep(NamedTuple):
+    """One step of a walk."""
+
+    label: str
+    before: State
+    after: State
+
+
+def random_walk(
+    source: random.Random,
+    initial: State,
+    steps_of: Callable[[State], Iterable[Step]],
+    length: int,
+) -> Iterator[WalkStep]:
+    """Yield the steps of a walk; it ends early where no step is possible."""
+    state = initial
+    for _ in range(length):
+        steps = list(steps_of(state))
+        if not steps:
+            return
+        label, after = source.choice(steps)
+        yield WalkStep(label, state, after)
+        state = after
