Look up holders, copies and runs once a plan, and models by name

Cause: a plan asked each server for each model and each waiting request; EngineProfile.model and the place of a model in the list were searched from the front each time. Ruled out: the rates (a few microseconds each).

Change: PlacementIndex is built once a plan; profiles keep models by name; the pressure on adapters and the adapters that no server has are found once a plan. At least 5 ms pass between two steps, longer in a large fleet, in which reports would wake the leader for each request that waits.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -62,3 +62,9 @@
     And one has a copy of c on its disk and loads d until 16.0 s
     When a request waits for c at 10.0 s
     Then the plan is one order: load c at two
+
+  Scenario: the work of a plan grows with servers and waiting requests, not with their product
+    Given 40 model servers and 400 models, three at each server
+    When requests wait for 100 models that no server has, and no load may begin
+    Then the plan is empty
+    And what a server holds was looked up at most 5 times for each server
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -106,7 +106,8 @@
 def plan(context: Any) -> list[PlannedOrder]:
     """Return the plan of this moment."""
     servers = list(context.ledgers.values())
-    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, True)
+    allowed = getattr(context, "store_load_allowed", True)
+    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, allowed)
     return Planner(given).plan()
 
 
@@ -232,3 +233,46 @@
 @then("{name:w} does not have a/x")
 def step_has_no_adapter(context: Any, name: str) -> None:
     assert not context.ledgers[name].holds(ADAPTER)
+
+
+class CountingLedger(ServerLedger):
+    """A server whose look-ups of what it holds are counted."""
+
+    look_ups = 0
+
+    def holds(self, target: ModelKey) -> bool:
+        """Count the look-up, and do it."""
+        CountingLedger.look_ups += 1
+        return super().holds(target)
+
+
+@given("{servers:d} model servers and {models:d} models, three at each server")
+def step_many_servers(context: Any, servers: int, models: int) -> None:
+    names = [f"m{number}" for number in range(models)]
+    load_s = (STORE_LOAD_S, DISK_LOAD_S, DISK_LOAD_S)
+    many = EngineProfile(
+        3 * MODEL_MB, 8, 4.0, tuple(ModelProfile(name, MODEL_MB, *load_s) for name in names)
+    )
+    context.demand = DemandView()
+    context.ledgers = {}
+    for number in range(servers):
+        entry = ServerEntry(f"i{number}", SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+        ledger = CountingLedger(entry, many)
+        ledger.note_report(report(names[3 * number : 3 * number + 3], set()), 9.0)
+        context.ledgers[entry.instance] = ledger
+
+
+@when("requests wait for {count:d} models that no server has, and no load may begin")
+def step_wait_for_many(context: Any, count: int) -> None:
+    context.now = 10.0
+    context.store_load_allowed = False
+    wanted = [
+        TargetDemand(SERVICE, ModelKey(f"m{399 - n}"), 1, 1.0, 0.6, 0.6) for n in range(count)
+    ]
+    context.demand.note(PoolDemand("daemon-1", tuple(wanted), ()), 10.0)
+    CountingLedger.look_ups = 0
+
+
+@then("what a server holds was looked up at most {most:d} times for each server")
+def step_look_ups(context: Any, most: int) -> None:
+    assert CountingLedger.look_ups <= most * len(context.ledgers), CountingLedger.look_ups
--- a/loomwind/placement/adapters.py
+++ b/loomwind/placement/adapters.py
@@ -6,7 +6,7 @@
 from loomwind.placement.ledger import ServerLedger
 from loomwind.placement.plan import DraftPlan, PlanInput
 from loomwind.placement.valuation import Valuation
-from loomwind.serving.views import ModelKey
+from loomwind.serving.views import ModelKey, ModelProfile
 
 ADAPTERS_AHEAD_RATE = 0.2
 MAX_PENDING_ADAPTERS = 2
@@ -26,6 +26,8 @@
         self._wants = wants
         self._draft = draft
         self._valuation = valuation
+        self._pressures: dict[str, float] = {}
+        self._missing: dict[str, list[ModelKey]] = {}
 
     def bring(self, target: ModelKey) -> None:
         """Bring an adapter to a server that holds its model."""
@@ -112,15 +114,26 @@
             rate = self._valuation.expected_rate(name)
             if rate < ADAPTERS_AHEAD_RATE:
                 continue
-            for number in range(1, model.adapters + 1):
-                target = ModelKey(name, f"a{number}")
-                if self._draft.is_available(target):
-                    continue
-                heat = self._given.rate(target) + rate * RATE_TIE_BREAK
-                if best is None or heat > best[0]:
-                    best = (heat, target)
+            target = self._most_wanted(model)
+            if target is None:
+                continue
+            heat = self._given.rate(target) + rate * RATE_TIE_BREAK
+            if best is None or heat > best[0]:
+                best = (heat, target)
         return best[1] if best else None
 
+    def _most_wanted(self, model: ModelProfile) -> ModelKey | None:
+        """Return the adapter of a model most asked for that no server has; None when all are."""
+        missing = self._missing.get(model.name)
+        if missing is None:
+            targets = [ModelKey(model.name, f"a{n}") for n in range(1, model.adapters + 1)]
+            absent = [target for target in targets if not self._draft.is_available(target)]
+            missing = sorted(absent, key=self._given.rate, reverse=True)
+            self._missing[model.name] = missing
+        while missing and self._draft.is_available(missing[0]):
+            missing.pop(0)
+        return missing[0] if missing else None
+
     # What a load of weights would hold up.
 
     def needs(self, server: ServerLedger) -> bool:
@@ -136,19 +149,19 @@
 
         A server that loads weights refuses orders for adapters meanwhile.
         """
+        instance = server.entry.instance
+        if instance not in self._pressures:
+            self._pressures[instance] = self._pressure(server)
+        return self._pressures[instance]
+
+    def _pressure(self, server: ServerLedger) -> float:
         pressure = 0.0
         for name in self._given.held_by(server):
             model = server.profile.model(name)
             if model is None or not model.adapters:
                 continue
             holders = self._given.holders(name)
-            missing = 1.0 - min(1.0, len(_loaded(holders, name)) / model.adapters)
+            missing = 1.0 - min(1.0, len(self._given.index.adapters_of(name)) / model.adapters)
             idle = sum(1 for holder in holders if holder.idle)
             pressure += missing * self._valuation.expected_rate(name) / max(1, idle)
         return pressure
-
-
-def _loaded(servers: Sequence[ServerLedger], name: str) -> set[str]:
-    """Return the adapters of a model that some server has."""
-    held = [model for s in servers if s.report is not None for model in s.report.held]
-    return {adapter for model in held if model.name == name for adapter in model.adapters}
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -21,6 +21,8 @@
 from loomwind.settings import BoundSettings
 
 STEP_SECONDS = 0.1
+# Between two steps in a small fleet; longer in a large one, in which more reports come.
+SHORTEST_STEP_SECONDS = 0.005
 SETTLED_READ_SECONDS = 2.0
 WORKING_READ_SECONDS = 0.1
 EARLY_READ_SECONDS = -0.2
@@ -117,6 +119,7 @@
                     self._step()
             except Exception as error:
                 log_state("controller", "failed", error=repr(error))
+            await asyncio.sleep(self._exchange.paced(SHORTEST_STEP_SECONDS))
 
     def _step(self) -> None:
         configuration = self._beliefs.configuration
@@ -154,10 +157,10 @@
     def _settle_loads(self) -> None:
         """Take loads as done whose time is over, and look again when the next one's is."""
         now = self._now()
-        running = self._demand.running(now)
+        running = self._demand.running_by_instance(now)
         settled = []
         for ledger in self._ledgers.values():
-            count = sum(n for (name, _), n in running.items() if name == ledger.entry.instance)
+            count = running[ledger.entry.instance]
             if ledger.settle(now, count) or ledger.settle_adapters(now):
                 settled.append(ledger)
             elif 0 < ledger.settles_at(count) - now < STEP_SECONDS:
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -1,7 +1,7 @@
 """Demand over all daemons, as the leader has heard it. Pure; time is passed in."""
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from msgspec import Struct
 
@@ -97,6 +97,13 @@
                 total[(count.instance, count.target)] += count.count
         return total
 
+    def running_by_instance(self, now: float) -> Counter[str]:
+        """Return the requests that run, by instance."""
+        total: Counter[str] = Counter()
+        for (instance, _), count in self.running(now).items():
+            total[instance] += count
+        return total
+
     def rate(self, service: str, target: ModelKey, now: float) -> float:
         """Return the recent rate of requests for a target, a second."""
         heat = self._heat.get(DemandKey(service, target))
--- /dev/null
+++ b/loomwind/placement/index.py
@@ -0,0 +1,76 @@
+"""What a plan looks up again and again, found once: who holds what, copies, runs. Pure."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+from loomwind.placement.ledger import ServerLedger
+from loomwind.serving.views import HeldModel, ModelKey, OrderKind
+
+
+class PlacementIndex:
+    """The state of one service's servers at one moment, by model.
+
+    :ivar holders: the servers that hold a model now, by its name.
+    :ivar arriving: the servers that load a model's weights now, by its name.
+    :ivar copies: the servers with a copy of a model's weights in memory or on disk, by its name.
+    :ivar available: all that is held or on its way, with adapters.
+    :ivar reserved: the models that another one makes way for.
+    """
+
+    def __init__(
+        self,
+        servers: Sequence[ServerLedger],
+        running: Mapping[tuple[str, ModelKey], int],
+        now: float,
+    ) -> None:
+        self.holders: dict[str, list[ServerLedger]] = defaultdict(list)
+        self.arriving: dict[str, list[ServerLedger]] = defaultdict(list)
+        self.copies: dict[str, list[ServerLedger]] = defaultdict(list)
+        self.available: set[ModelKey] = set()
+        self.reserved: set[str] = set()
+        for server in servers:
+            self._add(server, now)
+        self._runs: dict[tuple[str, str], int] = defaultdict(int)
+        for (instance, target), count in running.items():
+            self._runs[(instance, target.model)] += count
+
+    def _add(self, server: ServerLedger, now: float) -> None:
+        room = server.room_reserved_for(now)
+        if room is not None:
+            self.reserved.add(room)
+        report = server.report
+        if report is None:
+            return
+        for held in report.held:
+            self.holders[held.name].append(server)
+            self.available.add(ModelKey(held.name))
+            self.available.update(ModelKey(held.name, adapter) for adapter in held.adapters)
+        self.available.update(report.pending_adapters)
+        for name in report.in_memory | report.on_disk:
+            self.copies[name].append(server)
+        for target in _coming(server):
+            self.available.add(target)
+            if not target.adapter:
+                self.arriving[target.model].append(server)
+
+    def runs(self, instance: str, name: str) -> int:
+        """Return how many requests run at a server for a model and its adapters."""
+        return self._runs.get((instance, name), 0)
+
+    def adapters_of(self, name: str) -> set[str]:
+        """Return the adapters of a model that some server has."""
+        held = (model for server in self.holders[name] for model in _held(server))
+        return {adapter for model in held if model.name == name for adapter in model.adapters}
+
+
+def _held(server: ServerLedger) -> Iterable[HeldModel]:
+    return () if server.report is None else server.report.held
+
+
+def _coming(server: ServerLedger) -> Iterable[ModelKey]:
+    """Yield what a server is loading, or was just told to load."""
+    order, operation = server.in_flight, server.operation
+    if order is not None and order.kind is OrderKind.LOAD:
+        yield order.target
+    if operation is not None and operation.kind is OrderKind.LOAD:
+        yield ModelKey(operation.target.model)
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -97,8 +97,9 @@
             rate = self._given.rate(key)
             if rate < COPIES_WANTED_RATE or self._draft.has_reserved_room(model.name):
                 continue
-            holders = [s for s in self._given.servers if s.holds(key) or s.is_coming(key)]
-            if 0 < len(holders) < COPIES_WANTED:
+            index = self._given.index
+            copies = len(index.holders[model.name]) + len(index.arriving[model.name])
+            if 0 < copies < COPIES_WANTED:
                 self._plan_copy(model.name, rate)
 
     def _plan_copy(self, name: str, rate: float) -> None:
@@ -118,7 +119,9 @@
     def stage(self) -> None:
         """Load models that no server has a copy of, once: later loads come from that copy."""
         for server in self._draft.free_servers():
-            name = self._next_to_stage() if server.staged < MOST_STAGED else None
+            if server.staged >= MOST_STAGED:
+                continue
+            name = self._next_to_stage()
             choice = self._choice(server, name) if name is not None else None
             if name is None or choice is None:
                 continue
@@ -134,7 +137,7 @@
         for model in self._given.models():
             if self._draft.is_available(ModelKey(model.name)):
                 continue
-            if not any(server.has_copy(model.name) for server in self._given.servers):
+            if not self._given.index.copies[model.name]:
                 return model.name
         return None
 
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -5,6 +5,7 @@
 import attrs
 
 from loomwind.placement.demand_view import DemandView
+from loomwind.placement.index import PlacementIndex
 from loomwind.placement.ledger import ServerLedger
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
 
@@ -45,6 +46,10 @@
     now: float
     store_load_allowed: bool
     may_stage: bool = False
+    index: PlacementIndex = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        object.__setattr__(self, "index", PlacementIndex(self.servers, self.running, self.now))
 
     def rate(self, target: ModelKey) -> float:
         """Return the recent rate of requests for a target, a second."""
@@ -58,9 +63,13 @@
         """Return the service's models, in the configuration's order."""
         return self.servers[0].profile.models if self.servers else ()
 
+    def position(self, name: str) -> int | None:
+        """Return a model's place in the configuration's order; None when it has none."""
+        return self.servers[0].profile.positions.get(name) if self.servers else None
+
     def holders(self, name: str) -> list[ServerLedger]:
         """Return the servers that hold a model now."""
-        return [server for server in self.servers if server.holds(ModelKey(name))]
+        return self.index.holders[name]
 
     def held_by(self, server: ServerLedger) -> Iterator[str]:
         """Yield the models that a server holds."""
@@ -76,6 +85,8 @@
         self._given = given
         self._taken: set[str] = set()
         self._reserved: dict[str, float] = {}
+        self._ordered: set[ModelKey] = set()
+        self._making_way: set[str] = set()
 
     def load(self, server: ServerLedger, target: ModelKey) -> None:
         """Order a model or an adapter to be loaded."""
@@ -91,6 +102,10 @@
 
     def _add(self, order: PlannedOrder) -> None:
         self._taken.add(order.instance)
+        if order.kind is OrderKind.LOAD:
+            self._ordered.add(order.target)
+        if order.makes_way_for:
+            self._making_way.add(order.makes_way_for)
         self.orders.append(order)
 
     def reserve(self, server: ServerLedger, seconds: float) -> None:
@@ -120,16 +135,10 @@
 
     def is_available(self, target: ModelKey) -> bool:
         """Whether a target is held somewhere, or on its way."""
-        if any(s.holds(target) or s.is_coming(target) for s in self._given.servers):
+        if target in self._given.index.available or target in self._ordered:
             return True
-        if not target.adapter and self.has_reserved_room(target.model):
-            return True
-        return any(o.kind is OrderKind.LOAD and o.target == target for o in self.orders)
+        return not target.adapter and self.has_reserved_room(target.model)
 
     def has_reserved_room(self, name: str) -> bool:
         """Whether another model makes way for one, or will by this plan."""
-        if any(order.makes_way_for == name for order in self.orders):
-            return True
-        return any(
-            server.room_reserved_for(self._given.now) == name for server in self._given.servers
-        )
+        return name in self._making_way or name in self._given.index.reserved
--- a/loomwind/placement/valuation.py
+++ b/loomwind/placement/valuation.py
@@ -38,6 +38,7 @@
     def __init__(self, given: PlanInput, wants: Sequence[Want]) -> None:
         self._given = given
         self._names = [model.name for model in given.models()]
+        self._expected: dict[str, float] = {}
         self._waited_for = {want.key.target.model for want in wants}
 
     def load_choice(self, server: ServerLedger, name: str) -> LoadChoice | None:
@@ -80,11 +81,7 @@
         rate = self.expected_rate(name)
         copies = len(self._given.holders(name))
         worth = rate * LAST_COPY_FACTOR if copies <= 1 else rate / copies
-        running = sum(
-            count
-            for (instance, target), count in self._given.running.items()
-            if instance == server.entry.instance and target.model == name
-        )
+        running = self._given.index.runs(server.entry.instance, name)
         return worth + RUNNING_SECONDS * running / EVICTION_SECONDS
 
     def expected_rate(self, name: str) -> float:
@@ -92,10 +89,16 @@
 
         Demand moves along the configuration's list, so the next ones are worth keeping.
         """
+        known = self._expected.get(name)
+        if known is None:
+            known = self._expected[name] = self._rate_by_place(name)
+        return known
+
+    def _rate_by_place(self, name: str) -> float:
         rate = self._given.rate(ModelKey(name))
-        if name not in self._names:
+        position = self._given.position(name)
+        if position is None:
             return rate
-        position = self._names.index(name)
         for distance, weight in enumerate(NEXT_IN_LIST_WEIGHTS, start=1):
             rate += weight * self._given.rate(ModelKey(self._names[position - distance]))
         return rate + POSITION_WEIGHT * math.exp2(-position / POSITION_SCALE)
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from functools import cached_property
 
 from msgspec import Struct
 
@@ -76,7 +77,7 @@
     adapter_mb: float = 0.0
 
 
-class EngineProfile(Struct, frozen=True):
+class EngineProfile(Struct, frozen=True, dict=True):
     """What each model server of a service can hold.
 
     :param memory_mb: accelerator memory for weights and adapters together.
@@ -91,9 +92,18 @@
     models: tuple[ModelProfile, ...]
     slots: int = 1
 
+    @cached_property
+    def _by_name(self) -> dict[str, ModelProfile]:
+        return {model.name: model for model in self.models}
+
+    @cached_property
+    def positions(self) -> dict[str, int]:
+        """Return the place of each model in the configuration's order, by its name."""
+        return {model.name: position for position, model in enumerate(self.models)}
+
     def model(self, name: str) -> ModelProfile | None:
         """Return the model of that name, or None."""
-        return next((model for model in self.models if model.name == name), None)
+        return self._by_name.get(name)
 
 
 class ServiceProfile(Struct, frozen=True):
