Learn how many loads at once the weight store serves, and keep to it

Cause: on the grown deployment 45 servers loaded at once from a weight store that serves 4 at full speed, so each load took 11 times as long as its profile says, and its server took no other order meanwhile. Ruled out: the permitted rate, which is 36 loads a second there.

Change: StorePace doubles the loads at once while none is slow, goes back to what was served when one is, and asks again after a minute. A load that is slower than its profile stays known as under way; before, it was forgotten, and could be begun elsewhere a second time.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -68,3 +68,21 @@
     When requests wait for 100 models that no server has, and no load may begin
     Then the plan is empty
     And what a server holds was looked up at most 5 times for each server
+
+  Scenario Outline: the loads at once that help are learned from how long loads take
+    Given a weight store that serves <served> loads at once at full speed, 6 s each
+    When a leader keeps as many under way as it may on <servers> servers, for 60 s
+    Then it has <least> to <most> under way in the last 20 s
+    And as many were done as the weight store can do, but for one in 3
+
+    Examples:
+      | served | servers | least | most |
+      | 2      | 20      | 2     | 3    |
+      | 4      | 45      | 4     | 5    |
+      | 30     | 140     | 24    | 33   |
+      | 30     | 9       | 9     | 9    |
+
+  Scenario: no more loads from the weight store are planned than may be under way
+    Given 40 model servers and 400 models, three at each server
+    When requests wait for 100 models that no server has, and 3 loads may begin
+    Then the plan brings 3 models
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -7,7 +7,7 @@
 from loomwind.messages.serving import PoolDemand
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.ledger import ServerLedger
-from loomwind.placement.plan import PlanInput, PlannedOrder
+from loomwind.placement.plan import NO_LIMIT, PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
 from loomwind.serving.demand import TargetDemand
 from loomwind.serving.views import (
@@ -107,7 +107,8 @@
     """Return the plan of this moment."""
     servers = list(context.ledgers.values())
     allowed = getattr(context, "store_load_allowed", True)
-    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, allowed)
+    left = getattr(context, "store_loads_left", NO_LIMIT)
+    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, allowed, False, left)
     return Planner(given).plan()
 
 
@@ -264,8 +265,24 @@
 
 @when("requests wait for {count:d} models that no server has, and no load may begin")
 def step_wait_for_many(context: Any, count: int) -> None:
-    context.now = 10.0
     context.store_load_allowed = False
+    _wait_for_many(context, count)
+
+
+@when("requests wait for {count:d} models that no server has, and {left:d} loads may begin")
+def step_wait_for_loads(context: Any, count: int, left: int) -> None:
+    context.store_loads_left = left
+    _wait_for_many(context, count)
+
+
+@then("the plan brings {count:d} models")
+def step_brings(context: Any, count: int) -> None:
+    brought = {order.makes_way_for or order.target.model for order in plan(context)}
+    assert len(brought) == count, brought
+
+
+def _wait_for_many(context: Any, count: int) -> None:
+    context.now = 10.0
     wanted = [
         TargetDemand(SERVICE, ModelKey(f"m{399 - n}"), 1, 1.0, 0.6, 0.6) for n in range(count)
     ]
--- /dev/null
+++ b/features/steps/store_pace_steps.py
@@ -0,0 +1,60 @@
+"""Steps about the weight store's pace: a made store, no process; times are in milliseconds."""
+
+from typing import Any
+
+import attrs
+from behave import given, then, when
+
+from loomwind.placement.store_pace import FinishedLoad, StorePace
+
+STEP_MS = 50.0
+MS = 1000.0
+
+
+@attrs.define
+class MadeLoad:
+    """A load that the made store carries out."""
+
+    began_ms: float
+    left_ms: float
+
+
+@given("a weight store that serves {served:d} loads at once at full speed, {seconds:d} s each")
+def step_store(context: Any, served: int, seconds: int) -> None:
+    context.served, context.load_ms = served, seconds * MS
+
+
+@when("a leader keeps as many under way as it may on {servers:d} servers, for {seconds:d} s")
+def step_keep(context: Any, servers: int, seconds: int) -> None:
+    pace = StorePace()
+    loads: list[MadeLoad] = []
+    context.under_way, context.done, context.seconds = [], 0, seconds
+    for step in range(int(seconds * MS / STEP_MS)):
+        now_ms = step * STEP_MS
+        while len(loads) < min(pace.limit, servers):
+            loads.append(MadeLoad(now_ms, context.load_ms))
+        pace.observe(len(loads), now_ms)
+        speed = min(1.0, context.served / len(loads))
+        for load in loads:
+            load.left_ms -= STEP_MS * speed
+        for load in [load for load in loads if load.left_ms <= 0]:
+            loads.remove(load)
+            context.done += 1
+            done_ms = now_ms + STEP_MS
+            pace.note(FinishedLoad(load.began_ms, done_ms, context.load_ms), done_ms)
+        context.under_way.append((now_ms, min(pace.limit, servers)))
+    context.servers = servers
+
+
+@then("it has {least:d} to {most:d} under way in the last {seconds:d} s")
+def step_under_way(context: Any, least: int, most: int, seconds: int) -> None:
+    after_ms = (context.seconds - seconds) * MS
+    counts = {count for now_ms, count in context.under_way if now_ms >= after_ms}
+    assert least <= min(counts) and max(counts) <= most, counts
+
+
+@then("as many were done as the weight store can do, but for one in {part:d}")
+def step_done(context: Any, part: int) -> None:
+    at_once = min(context.served, context.servers)
+    possible = at_once * context.seconds * MS / context.load_ms
+    assert context.done >= possible * (1 - 1 / part), (context.done, possible)
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -1,8 +1,9 @@
 """Carries the plan out while this daemon leads: reads servers, gives orders, tells the daemons."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.leadership.election import Election
 from loomwind.logs import log_state
 from loomwind.messages.serving import PoolDemand, PoolHoldings
@@ -12,6 +13,7 @@
 from loomwind.placement.load_window import LoadWindow
 from loomwind.placement.plan import PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
+from loomwind.placement.store_pace import StorePace
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.pool import ServerPool
@@ -59,6 +61,7 @@
         self._demand = DemandView()
         self._ledgers: dict[str, ServerLedger] = {}
         self._windows: dict[str, LoadWindow] = {}
+        self._paces: dict[str, StorePace] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
         self._told_all_at = -1e9
@@ -201,9 +204,25 @@
         busy_before = ledger.report is None or not ledger.idle
         if ledger.note_report(report, self._now()):
             self._tell_holdings([ledger])
+        self._learn_pace(ledger)
         if busy_before and ledger.idle:
             self._wake.set()
 
+    def _learn_pace(self, ledger: ServerLedger) -> None:
+        finished = ledger.take_finished()
+        pace = self._paces.get(ledger.entry.service)
+        if finished is None or pace is None:
+            return
+        before = pace.limit
+        pace.note(finished, self._now() * MS_PER_SECOND)
+        if pace.limit != before:
+            log_state(
+                "weight-store",
+                "paced",
+                loads_at_once=pace.limit,
+                slowness=round(finished.slowness, 2),
+            )
+
     def _tell_holdings(self, ledgers: list[ServerLedger]) -> None:
         fence = self._election.lease.fence
         if fence is None:
@@ -228,11 +247,14 @@
             seen = self._residency.loads_since(now - seconds)
             window = LoadWindow(loads_per_second, seconds, now, seen)
             self._windows[service] = window
+        pace = self._paces.setdefault(service, StorePace())
         servers = [
             ledger
             for ledger in self._ledgers.values()
             if ledger.entry.service == service and not ledger.failed_reads
         ]
+        store_loads = _store_loads(servers, now)
+        pace.observe(store_loads, now * MS_PER_SECOND)
         given = PlanInput(
             service,
             servers,
@@ -241,6 +263,7 @@
             now,
             window.allows(now),
             self._may_stage(now),
+            max(0, pace.limit - store_loads),
         )
         for planned in Planner(given).plan():
             if planned.from_store:
@@ -318,3 +341,13 @@
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
+
+
+def _store_loads(servers: Iterable[ServerLedger], now: float) -> int:
+    """Return how many loads from the weight store are under way, or have room made for them."""
+    return sum(1 for server in servers if server.loads_from_store_now or _makes_room(server, now))
+
+
+def _makes_room(server: ServerLedger, now: float) -> bool:
+    name = server.room_reserved_for(now)
+    return name is not None and server.loads_from_store(name)
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -8,6 +8,8 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from loomwind.clock import MS_PER_SECOND
+from loomwind.placement.store_pace import FinishedLoad
 from loomwind.serving.residency import holds
 from loomwind.serving.views import (
     EngineProfile,
@@ -27,6 +29,9 @@
 ADAPTER_SETTLES_SECONDS = 0.1
 LOAD_SETTLES_SECONDS_A_RUN = 0.015
 REPORT_LAG_SECONDS = 0.4
+# How old a report is on the whole: a load was done this long before a report shows it.
+REPORT_AGE_SECONDS = 0.2
+OVERDUE_LOOK_SECONDS = 0.3
 ADAPTER_BELIEF_SECONDS = 0.5
 
 
@@ -34,12 +39,16 @@
     """An order that a server carries out now.
 
     :param done_at: when it should be done, by the profile of the model.
+    :param expected_seconds: how long it should take, by that profile.
+    :param from_store: whether it loads from the weight store.
     """
 
     kind: OrderKind
     target: ModelKey
     began: float
     done_at: float
+    expected_seconds: float = 0.0
+    from_store: bool = False
 
 
 class ServerLedger:
@@ -61,6 +70,8 @@
         self.reading = False
         self.doubted = False
         self.staged = 0
+        self._settled: Operation | None = None
+        self._finished: FinishedLoad | None = None
         self._reserved_for = ""
         self._reserved_at = -1e9
         self._assumed_at = -1e9
@@ -77,11 +88,37 @@
             return False
         if report.busy and now - self._assumed_at < REPORT_LAG_SECONDS:
             return False
-        if not report.busy:
-            self.operation = None
+        self._follow_load(report, now)
         self.report = self._with_settled_adapters(self._without_leaving(report), now)
         return known is None or known.held != self.report.held
 
+    def _follow_load(self, report: ServerReport, now: float) -> None:
+        """Take in whether a load goes on or is done; one taken as done too soon goes on."""
+        settled, self._settled = self._settled, None
+        if report.busy:
+            if settled is not None and self.operation is None:
+                self.operation = replace(settled, done_at=now + OVERDUE_LOOK_SECONDS)
+            return
+        done = self.operation or settled
+        if done is not None and done.from_store:
+            self._finished = _finished(done, now, on_time=settled is not None)
+        self.operation = None
+
+    def take_finished(self) -> FinishedLoad | None:
+        """Return the load from the weight store that was seen to be done since the last call."""
+        finished, self._finished = self._finished, None
+        return finished
+
+    @property
+    def loads_from_store_now(self) -> bool:
+        """Whether a load from the weight store is under way, as far as is known."""
+        order, operation = self.in_flight, self.operation
+        if order is not None and order.kind is OrderKind.LOAD and not order.target.adapter:
+            return self.loads_from_store(order.target.model)
+        if operation is not None:
+            return operation.from_store
+        return self.report is not None and self.report.busy
+
     def settle(self, now: float, running: int) -> bool:
         """Take a load as done when its time is over; returns whether it was.
 
@@ -96,6 +133,7 @@
         if self.in_flight is not None or now < self.settles_at(running):
             return False
         self.operation = None
+        self._settled = operation
         self._assumed_at = now
         self.report = _with_loaded(report, operation.target)
         return True
@@ -184,8 +222,14 @@
             if order.kind is OrderKind.LOAD:
                 self._adapters_ordered[order.target] = now
             return
-        seconds = self.load_seconds(order.target.model) if order.kind is OrderKind.LOAD else 0.0
-        self.operation = Operation(order.kind, order.target, now, now + seconds)
+        loads = order.kind is OrderKind.LOAD
+        name = order.target.model
+        seconds = self.load_seconds(name) if loads else 0.0
+        from_store = loads and self.loads_from_store(name)
+        self._settled = None
+        self.operation = Operation(
+            order.kind, order.target, now, now + seconds, seconds, from_store
+        )
         held = report.held
         if order.kind is OrderKind.UNLOAD:
             held = tuple(model for model in held if model.name != order.target.model)
@@ -285,6 +329,15 @@
     return total
 
 
+def _finished(load: Operation, now: float, on_time: bool) -> FinishedLoad:
+    """Return what is learned from a load of the weight store that a report shows to be done."""
+    expected_done = load.began + load.expected_seconds
+    done = expected_done if on_time else max(expected_done, now - REPORT_AGE_SECONDS)
+    return FinishedLoad(
+        load.began * MS_PER_SECOND, done * MS_PER_SECOND, load.expected_seconds * MS_PER_SECOND
+    )
+
+
 def _with_loaded(report: ServerReport, target: ModelKey) -> ServerReport:
     """Return a report after a load of weights: the model is held, and copies were left."""
     held = report.held
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -11,6 +11,7 @@
 
 NOTICE_SECONDS = 0.2
 UNKNOWN_BUSY_SECONDS = 0.5
+NO_LIMIT = 1_000_000
 
 
 @attrs.frozen
@@ -35,7 +36,8 @@
     :ivar servers: the model servers of one service that may get work.
     :ivar running: requests that run, by instance and target.
     :ivar now: loop time in seconds.
-    :ivar store_load_allowed: whether one more load from the weight store may begin.
+    :ivar store_load_allowed: whether the weight store's rate allows one more load.
+    :ivar store_loads_left: how many more may be under way at once.
     :ivar may_stage: whether there is time to load models that nobody has asked for.
     """
 
@@ -46,6 +48,7 @@
     now: float
     store_load_allowed: bool
     may_stage: bool = False
+    store_loads_left: int = NO_LIMIT
     index: PlacementIndex = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -87,19 +90,29 @@
         self._reserved: dict[str, float] = {}
         self._ordered: set[ModelKey] = set()
         self._making_way: set[str] = set()
+        self._store_loads = 0
 
     def load(self, server: ServerLedger, target: ModelKey) -> None:
         """Order a model or an adapter to be loaded."""
         from_store = not target.adapter and server.loads_from_store(target.model)
         instance = server.entry.instance
+        if from_store and server.room_reserved_for(self._given.now) != target.model:
+            self._store_loads += 1
         self._add(PlannedOrder(instance, OrderKind.LOAD, target, from_store))
 
     def unload(self, server: ServerLedger, target: ModelKey, makes_way_for: str = "") -> None:
         """Order a model or an adapter to be unloaded."""
         instance = server.entry.instance
         order = PlannedOrder(instance, OrderKind.UNLOAD, target, makes_way_for=makes_way_for)
+        if makes_way_for and server.loads_from_store(makes_way_for):
+            self._store_loads += 1
         self._add(order)
 
+    @property
+    def may_load_from_store(self) -> bool:
+        """Whether one more load from the weight store may be planned."""
+        return self._given.store_load_allowed and self._store_loads < self._given.store_loads_left
+
     def _add(self, order: PlannedOrder) -> None:
         self._taken.add(order.instance)
         if order.kind is OrderKind.LOAD:
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -24,7 +24,7 @@
         self._given = given
         self._wants = wants
         self._draft = DraftPlan(given)
-        valuation = Valuation(given, wants)
+        valuation = Valuation(given, wants, self._draft)
         self._adapters = AdapterPlanner(given, wants, self._draft, valuation)
         self._models = ModelPlanner(given, self._draft, valuation, self._adapters)
 
--- /dev/null
+++ b/loomwind/placement/store_pace.py
@@ -0,0 +1,90 @@
+"""How many loads at once the weight store serves at full speed, learned from how long they take.
+
+Beyond some number that no setting tells, each load takes proportionally longer: more of them at
+once bring nothing and hold up the servers. The number is found as a sender finds the room of a
+network path: twice as many at once while none is slow, and back to what was served when one is.
+Pure; time is passed in.
+"""
+
+import attrs
+
+FIRST_LIMIT = 4
+SLOW_FACTOR = 1.15
+# A load that had fewer beside it than this part of the limit says nothing about a higher one.
+USED_PART = 0.5
+PROBE_AFTER_MS = 60_000.0
+REMEMBERED_MS = 120_000.0
+
+
+@attrs.frozen
+class FinishedLoad:
+    """A load from the weight store that is done.
+
+    :ivar began_ms: when it began.
+    :ivar done_ms: when it was done.
+    :ivar expected_ms: how long it should take, by its model's profile.
+    """
+
+    began_ms: float
+    done_ms: float
+    expected_ms: float
+
+    @property
+    def slowness(self) -> float:
+        """Return the time it took as a multiple of what it should take; 1 or more."""
+        return max(1.0, (self.done_ms - self.began_ms) / max(1.0, self.expected_ms))
+
+
+@attrs.frozen
+class _Sample:
+    """How many loads were under way up to a time, summed over time."""
+
+    at_ms: float
+    load_ms: float
+
+
+class StorePace:
+    """The number of loads at once that is worth having."""
+
+    def __init__(self) -> None:
+        self._limit = float(FIRST_LIMIT)
+        self._last_slow_ms: float | None = None
+        self._under_way = 0
+        self._samples = [_Sample(0.0, 0.0)]
+
+    @property
+    def limit(self) -> int:
+        """Return how many loads may be under way at once."""
+        return max(1, round(self._limit))
+
+    def observe(self, under_way: int, now_ms: float) -> None:
+        """Take in how many loads are under way from now on."""
+        last = self._samples[-1]
+        summed = last.load_ms + self._under_way * (now_ms - last.at_ms)
+        self._samples.append(_Sample(now_ms, summed))
+        self._under_way = under_way
+        while self._samples[1].at_ms < now_ms - REMEMBERED_MS:
+            self._samples.pop(0)
+
+    def _mean_under_way(self, load: FinishedLoad) -> float:
+        """Return how many loads were under way while one was, itself among them, on the whole."""
+        inside = [s for s in self._samples if load.began_ms <= s.at_ms <= load.done_ms]
+        if len(inside) < 2:
+            return float(max(1, self._under_way))
+        first, last = inside[0], inside[-1]
+        return max(1.0, (last.load_ms - first.load_ms) / max(1.0, last.at_ms - first.at_ms))
+
+    def note(self, load: FinishedLoad, now_ms: float) -> None:
+        """Learn from a load."""
+        at_once = self._mean_under_way(load)
+        if load.slowness > SLOW_FACTOR:
+            self._limit = max(1.0, min(self._limit, at_once / load.slowness))
+            self._last_slow_ms = now_ms
+        elif at_once >= USED_PART * self._limit:
+            self._grow(now_ms)
+
+    def _grow(self, now_ms: float) -> None:
+        if self._last_slow_ms is None:
+            self._limit += 1.0
+        elif now_ms - self._last_slow_ms >= PROBE_AFTER_MS:
+            self._limit += 1.0 / self._limit
--- a/loomwind/placement/valuation.py
+++ b/loomwind/placement/valuation.py
@@ -7,7 +7,7 @@
 
 from loomwind.placement.demand_view import Want
 from loomwind.placement.ledger import ServerLedger
-from loomwind.placement.plan import PlanInput
+from loomwind.placement.plan import DraftPlan, PlanInput
 from loomwind.serving.views import HeldModel, ModelKey, ModelProfile
 
 POSITION_WEIGHT = 0.06
@@ -35,8 +35,9 @@
 class Valuation:
     """Worth and cost by the demand of one moment."""
 
-    def __init__(self, given: PlanInput, wants: Sequence[Want]) -> None:
+    def __init__(self, given: PlanInput, wants: Sequence[Want], draft: DraftPlan) -> None:
         self._given = given
+        self._draft = draft
         self._names = [model.name for model in given.models()]
         self._expected: dict[str, float] = {}
         self._waited_for = {want.key.target.model for want in wants}
@@ -47,7 +48,7 @@
         if model is None or model.memory_mb > server.profile.memory_mb:
             return None
         from_store = server.loads_from_store(name)
-        if from_store and not self._given.store_load_allowed:
+        if from_store and not self._draft.may_load_from_store:
             return None
         victims = self._victims(server, model.memory_mb)
         if victims is None:
