Tell daemons of the lease and of servers by peers, in place of feeds for all

Cause: the lease's row stood in a table that every daemon followed, so each renewal (every 0.45 s) answered the feed of each daemon; each change of a server's entry did the same.

Change: the lease has a table of its own that nobody follows. Its holder tells five heirs of each renewal and all daemons of each change of the leader; the others ask it, and read the row only when it is silent, does not lead, or cannot reach the store. Its word carries the version that it wrote, so the proof of the lease stays: the row is taken under the version that was heard, after the whole duration. A few daemons (three, or one in 25) follow the list of servers, once in 0.3 of the drain bound at most; the others ask one of them, are answered as soon as a server's standing changes, and read the store themselves when the answer is older than 0.7 of that bound or does not come. A short lease is renewed sooner, so that a leader does not fall back between two renewals.

The scenarios of the new module were written with it.

--- /dev/null
+++ b/features/server_list.feature
@@ -0,0 +1,39 @@
+Feature: Few daemons read the store, and the others learn from them, or by themselves when they must
+
+  Scenario: a daemon that asks a hub makes no call of the store
+    Given a daemon that has 3 hubs and is none itself
+    And hubs whose word is 0.0 s old
+    When it has followed the list for 5 questions
+    Then it has called the store 0 times
+    And it knows server s1
+
+  Scenario: a daemon whose hubs are behind reads the store itself
+    Given a daemon that has 3 hubs and is none itself
+    And hubs whose word is 9.0 s old
+    When it has followed the list for 5 questions
+    Then it has called the store 5 times
+
+  Scenario: a daemon that reaches no hub reads the store itself
+    Given a daemon that has 3 hubs and is none itself
+    And hubs that cannot be reached
+    When it has followed the list for 5 questions
+    Then it has called the store 5 times
+
+  Scenario: a hub reads the store itself
+    Given a daemon that is a hub itself
+    When it has followed the list for 5 questions
+    Then it has called the store 5 times
+
+  Scenario: a copy of the list tells what is gone, and only what has changed
+    Given a daemon that knows servers s1 and s2 at version 4
+    When s1 changes what it holds at version 5, and s2 drains at version 6
+    Then a peer at version 4 is sent s2 alone, and told of both
+    When s1 goes at version 7
+    Then a peer that had both knows s2 alone, as draining
+
+  Scenario: what the leader tells of its lease counts as the row that it names
+    Given a lease of 3 s held by another daemon
+    When its holder tells at 102.0 s that it wrote version 9
+    Then it is not taken before 105.0 s, and is then taken under version 9
+    And a daemon that lets others go first takes it 0.7 s later
+    And a late word of version 8 changes nothing
--- a/features/steps/pool_decision_steps.py
+++ b/features/steps/pool_decision_steps.py
@@ -169,16 +169,16 @@
 @then("it is taken at once when the holder is known to have ended")
 def step_taken_at_once(context: Any) -> None:
     lease: Lease = context.lease
-    lease.note_dead("life-0")
+    lease.note_dead("life-0", 100.0)
     assert lease.action(100.1, 60.0) is LeaseAction.WAIT
-    lease.note_dead(OTHER.life)
+    lease.note_dead(OTHER.life, 100.0)
     assert lease.action(100.1, 60.0) is LeaseAction.TAKE
 
 
 @then("its holder stops to act before anyone takes it")
 def step_holder_stops(context: Any) -> None:
     holder = Lease(OTHER, 3.0, 0.5, 0.3)
-    holder.note_no_row(90.0)
+    holder.note_no_row(0, 90.0)
     holder.wrote(7, 100.0)
     assert holder.leads(102.6) and not holder.leads(102.8)
     assert holder.fence == 7
--- /dev/null
+++ b/features/steps/server_list_steps.py
@@ -0,0 +1,231 @@
+"""Steps about who reads the store: made peers and a made store, in one process."""
+
+import asyncio
+from typing import Any, cast
+
+import msgspec
+from behave import given, then, when
+
+from loomwind.leadership.lease import LeaseAction, LeaseHolder
+from loomwind.messages.serving import (
+    DirectoryCopy,
+    ServerDocument,
+    ServerListAnswer,
+    ServerListQuestion,
+)
+from loomwind.metrics import Metrics
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
+from loomwind.platform.documents import PlatformDocuments
+from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.follower import StoreHealth, TableFollower
+from loomwind.serving.peers import PeerEntry, PeerTable
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.ports import Snapshot, Store, StoredRow
+from loomwind.serving.server_list import ServerListFollower
+from loomwind.serving.views import ServerState
+from loomwind.settings import BoundSettings
+
+OWN = LeaseHolder("own", "life-own", "a:0")
+DRAIN_MS = 50
+POLL_SECONDS = 0.002
+MOST_POLLS = 2000
+
+
+def document(state: str = "ready", held: str = "m1") -> bytes:
+    """Return a server's entry as it stands in the store."""
+    entry = {"service": "tutor", "address": "a:1", "zone": "z", "state": state}
+    return msgspec.json.encode(entry | {"models": [{"name": held}]})
+
+
+def beliefs() -> Beliefs:
+    """Return what a daemon believes that knows nothing."""
+    return Beliefs(
+        PlatformDocuments(), "config", ServerPool(BoundSettings()), StoreHealth(), Metrics()
+    )
+
+
+class CountingStore:
+    """A store that never changes, and counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def read(self, table: str) -> Snapshot:
+        """Return an empty table."""
+        self.calls += 1
+        return Snapshot((), 1)
+
+    async def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
+        """Return no change."""
+        self.calls += 1
+        return Snapshot((), after)
+
+
+class MadePeers:
+    """The daemons, of which some are hubs."""
+
+    def __init__(self, hubs: list[PeerEntry]) -> None:
+        self._hubs = hubs
+
+    def hubs(self) -> list[PeerEntry]:
+        """Return the hubs."""
+        return self._hubs
+
+
+class MadeHubs:
+    """Hubs that all say the same, or cannot be reached."""
+
+    def __init__(self) -> None:
+        self.age_ms: float | None = 0.0
+        self.questions = 0
+
+    async def call(
+        self, address: str, message: ServerListQuestion, timeout: float
+    ) -> ServerListAnswer:
+        """Answer a question."""
+        self.questions += 1
+        if self.age_ms is None:
+            raise PeerUnreachable("nobody there")
+        server = ServerDocument("s1", document())
+        copy = DirectoryCopy(2, ("s1",), (server,)) if message.version < 2 else None
+        return ServerListAnswer(0.0, self.age_ms, copy)
+
+
+@given("a daemon that has 3 hubs and is none itself")
+def step_asker(context: Any) -> None:
+    context.list_hubs = [PeerEntry(f"a:{n}", "z", f"life-{n}") for n in range(3)]
+    context.hubs_made = MadeHubs()
+
+
+@given("a daemon that is a hub itself")
+def step_hub(context: Any) -> None:
+    context.list_hubs = [PeerEntry(OWN.address, "z", OWN.life)]
+    context.hubs_made = MadeHubs()
+
+
+@given("hubs whose word is {age:f} s old")
+def step_age(context: Any, age: float) -> None:
+    context.hubs_made.age_ms = age * 1000
+
+
+@given("hubs that cannot be reached")
+def step_unreachable(context: Any) -> None:
+    context.hubs_made.age_ms = None
+
+
+@when("it has followed the list for {count:d} questions")
+def step_follow(context: Any, count: int) -> None:
+    context.beliefs, context.store = beliefs(), CountingStore()
+    asyncio.run(_follow(context, count))
+
+
+async def _follow(context: Any, count: int) -> None:
+    store, hubs = context.store, context.hubs_made
+    table = TableFollower(
+        cast(Store, store), "servers", StoreHealth(), context.beliefs.on_server_rows
+    )
+    follower = ServerListFollower(
+        OWN,
+        table,
+        cast(PeerTransport, hubs),
+        cast(PeerTable, MadePeers(context.list_hubs)),
+        context.beliefs,
+        BoundSettings(drain_ms=DRAIN_MS),
+    )
+    task = asyncio.ensure_future(follower.run())
+    for _ in range(MOST_POLLS):
+        if max(store.calls, hubs.questions) >= count and store.calls in (0, count):
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+@then("it has called the store {count:d} times")
+def step_calls(context: Any, count: int) -> None:
+    assert context.store.calls == count, (context.store.calls, context.hubs_made.questions)
+
+
+@then("it knows server {name:w}")
+def step_knows(context: Any, name: str) -> None:
+    assert context.beliefs.server_version == 2
+    assert context.beliefs._pool.directory.get(name) is not None
+
+
+def rows(version: int, **documents: bytes | None) -> Snapshot:
+    """Return changed rows."""
+    changed = (
+        StoredRow(name, version, value or b"", gone=value is None)
+        for name, value in documents.items()
+    )
+    return Snapshot(tuple(changed), version)
+
+
+@given("a daemon that knows servers s1 and s2 at version 4")
+def step_knows_two(context: Any) -> None:
+    asyncio.run(_take(context, rows(4, s1=document(), s2=document())))
+
+
+async def _take(context: Any, *snapshots: Snapshot) -> None:
+    if not hasattr(context, "beliefs"):
+        context.beliefs, context.peer = beliefs(), beliefs()
+    for snapshot in snapshots:
+        context.beliefs.on_server_rows(snapshot, whole=False)
+    copy = context.beliefs.directory_changes(context.peer.server_version)
+    context.copy = copy
+    context.peer.on_directory_copy(copy)
+    context.listed = context.peer.directory_changes(0).listed
+
+
+@when("s1 changes what it holds at version 5, and s2 drains at version 6")
+def step_changes(context: Any) -> None:
+    held, drained = rows(5, s1=document(held="m2")), rows(6, s2=document("draining"))
+    asyncio.run(_take(context, held, drained))
+
+
+@then("a peer at version 4 is sent s2 alone, and told of both")
+def step_sent(context: Any) -> None:
+    assert [server.instance for server in context.copy.servers] == ["s2"], context.copy
+    assert sorted(context.copy.listed) == ["s1", "s2"], context.copy
+
+
+@when("s1 goes at version 7")
+def step_goes(context: Any) -> None:
+    asyncio.run(_take(context, rows(7, s1=None)))
+
+
+@then("a peer that had both knows s2 alone, as draining")
+def step_peer_knows(context: Any) -> None:
+    assert context.listed == ("s2",), context.listed
+    entry = context.peer._pool.directory.get("s2")
+    assert entry is not None and entry.state is ServerState.DRAINING
+
+
+@when("its holder tells at {now:f} s that it wrote version {version:d}")
+def step_told(context: Any, now: float, version: int) -> None:
+    context.holder = context.lease.holder
+    context.lease.note_row(version, context.holder, now)
+
+
+@then("it is not taken before {now:f} s, and is then taken under version {version:d}")
+def step_taken_then(context: Any, now: float, version: int) -> None:
+    lease = context.lease
+    assert lease.action(now - 0.05, 9.0) is LeaseAction.WAIT
+    assert lease.action(now, 9.0) is LeaseAction.TAKE
+    assert lease.expected_version == version
+    context.takes_at = now
+
+
+@then("a daemon that lets others go first takes it {longer:f} s later")
+def step_later(context: Any, longer: float) -> None:
+    lease, now = context.lease, context.takes_at
+    assert lease.action(now, 9.0, longer) is LeaseAction.WAIT
+    assert lease.action(now + longer, 9.0, longer) is LeaseAction.TAKE
+
+
+@then("a late word of version {version:d} changes nothing")
+def step_late_word(context: Any, version: int) -> None:
+    lease = context.lease
+    lease.note_row(version, context.holder, context.takes_at)
+    assert lease.action(context.takes_at, 9.0) is LeaseAction.TAKE
--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -16,6 +16,7 @@
 SECOND_WRITE_SECONDS = 0.9
 PAUSE_SECONDS = 0.5
 CONFIRMATION_SECONDS = 1.0
+LATER_TAKER_SECONDS = 0.7
 
 
 class PeerConfirmations:
@@ -59,7 +60,12 @@
 
 
 class Election:
-    """Takes, renews and gives up the lease."""
+    """Takes, renews and gives up the lease.
+
+    :ivar wrote: set when this daemon wrote the row, or failed to: others want to know.
+    :ivar waits_longer: whether other daemons should take a lease that was not renewed first.
+    :ivar daemons: how many daemons there are.
+    """
 
     def __init__(
         self,
@@ -77,17 +83,34 @@
         self._led = False
         self._stopping = False
         self._unanswered_since: float | None = None
+        self.wrote = asyncio.Event()
+        self.waits_longer = False
         self.confirmations = PeerConfirmations()
         self.daemons = 1
 
     def note_row(self, row: StoredRow) -> None:
-        """Take in the lease row from the store's feed."""
-        self.lease.note_row(row.version, _holder(row), self._now())
+        """Take in the lease row as the store shows it."""
+        self.note_heard(row.version, _holder(row))
+
+    def note_heard(self, version: int, holder: LeaseHolder | None) -> None:
+        """Take in the lease row as the daemon that wrote it tells."""
+        self.lease.note_row(version, holder, self._now())
         self._report()
 
-    def note_no_row(self) -> None:
-        """The whole table was read, and there is no lease row."""
-        self.lease.note_no_row(self._now())
+    async def read_row(self) -> None:
+        """Read the lease row from the store."""
+        try:
+            snapshot = await self._store.read(self._table)
+        except StoreUnavailable as error:
+            self._health.failed(self._now(), str(error))
+            return
+        self._health.succeeded(self._now())
+        row = next((row for row in snapshot.rows if row.key == LEASE_KEY), None)
+        if row is not None:
+            self.note_row(row)
+        else:
+            self.lease.note_no_row(snapshot.version, self._now())
+            self._report()
 
     async def run_ticks(self) -> None:
         """Notice for ever when this process stands still, also while a write waits."""
@@ -108,7 +131,8 @@
 
     async def _step(self) -> None:
         now = self._now()
-        action = self.lease.action(now, self._health.answers_for(now))
+        longer = LATER_TAKER_SECONDS if self.waits_longer else 0.0
+        action = self.lease.action(now, self._health.answers_for(now), longer)
         if action is LeaseAction.WAIT:
             return
         write = Write(LEASE_KEY, msgspec.json.encode(self._own), self.lease.expected_version)
@@ -122,11 +146,13 @@
             self._health.failed(self._now(), str(error))
             if error.unknown and self._unanswered_since is None:
                 self._unanswered_since = now
+            self.wrote.set()
             await asyncio.sleep(0.0 if error.unknown else REFUSED_PAUSE_SECONDS)
         else:
             self._health.succeeded(self._now())
             self._unanswered_since = None
             self.lease.wrote(version, now)
+            self.wrote.set()
 
     def _on_conflict(self, conflict: WriteConflict) -> None:
         """Take in the row as it is; one of this life was written by the write without an answer."""
@@ -136,6 +162,7 @@
             holder = _holder(row)
             if holder is not None and holder.life == self._own.life and self._unanswered_since:
                 self.lease.wrote(row.version, self._unanswered_since)
+                self.wrote.set()
             else:
                 self.note_row(row)
         self._unanswered_since = None
@@ -168,7 +195,9 @@
         if not leads:
             return
         try:
-            await self._store.write(self._table, Write(LEASE_KEY, None, expected))
+            version = await self._store.write(self._table, Write(LEASE_KEY, None, expected))
+            self.note_heard(version, None)
+            self.wrote.set()
         except (StoreUnavailable, WriteConflict) as error:
             log_state("election", "hand-over-failed", error=str(error))
 
--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -57,6 +57,7 @@
         self.holder: LeaseHolder | None = None
         self.fence: int | None = None
         self._dead_life = ""
+        self._vacant_since = 0.0
         self._known = False
         self._exists = False
         self._version = 0
@@ -68,6 +69,11 @@
         """Change how long others wait; the next renewal counts with it."""
         self._duration = duration_seconds
 
+    @property
+    def version(self) -> int:
+        """Return the version of the row's last change that is known."""
+        return self._version
+
     @property
     def expected_version(self) -> int:
         """Return the version that the next write expects; 0 when there is no row."""
@@ -86,17 +92,26 @@
         self._exists = holder is not None
         self._seen_at = now
         self.holder = holder
+        if holder is None:
+            self._vacant_since = now
         if holder is None or holder.life != self._own.life:
             self.fence = None
 
-    def note_no_row(self, now: float) -> None:
-        """The whole table was read, and the row is not in it."""
+    def note_no_row(self, version: int, now: float) -> None:
+        """The table was read, and the row is not in it.
+
+        :param version: the store's version of that reading.
+        """
         if not self._known:
             self._known = True
             self._seen_at = now
+        elif self._exists:
+            self.note_row(version, None, now)
 
-    def note_dead(self, life: str) -> None:
+    def note_dead(self, life: str, now: float) -> None:
         """A life of a daemon is known to have ended: its lease need not be waited out."""
+        if self._dead_life != life:
+            self._vacant_since = now
         self._dead_life = life
 
     def wrote(self, version: int, sent_at: float) -> None:
@@ -121,11 +136,14 @@
         self.fence = None
         self._valid_until = 0.0
 
-    def action(self, now: float, answers_for_seconds: float) -> LeaseAction:
+    def action(
+        self, now: float, answers_for_seconds: float, longer_seconds: float = 0.0
+    ) -> LeaseAction:
         """Return what to do.
 
         :param answers_for_seconds: for how long the store has answered every call of this daemon;
             a row that stood still while the store was away says nothing about its holder.
+        :param longer_seconds: how much longer to wait for a renewal than the lease asks.
         """
         if not self._known:
             return LeaseAction.WAIT
@@ -133,10 +151,11 @@
             due = self.fence is None or now - self._renewed_at >= self._renew
             return LeaseAction.RENEW if due else LeaseAction.WAIT
         if self.holder is None or self.holder.life == self._dead_life:
-            return LeaseAction.TAKE
+            vacant = now - self._vacant_since >= longer_seconds
+            return LeaseAction.TAKE if vacant else LeaseAction.WAIT
         if self.holder.name == self._own.name:
             return LeaseAction.TAKE
-        silent = now - self._seen_at >= self._duration
+        silent = now - self._seen_at >= self._duration + longer_seconds
         if silent and answers_for_seconds >= 2 * self._renew:
             return LeaseAction.TAKE
         return LeaseAction.WAIT
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -52,9 +52,12 @@
     DirectoryCopy,
     LeaderAnswer,
     LeaderQuestion,
+    LeaseNotice,
     PoolDemand,
     PoolDigest,
     PoolHoldings,
+    ServerListAnswer,
+    ServerListQuestion,
 )
 
 AnyMessage = (
@@ -90,6 +93,9 @@
     | PoolDigest
     | ConfigurationCopy
     | DirectoryCopy
+    | LeaseNotice
+    | ServerListQuestion
+    | ServerListAnswer
 )
 
 __all__ = [
@@ -123,6 +129,7 @@
     "Intent",
     "LeaderAnswer",
     "LeaderQuestion",
+    "LeaseNotice",
     "LoadEstimate",
     "MemberInfo",
     "MemberList",
@@ -138,6 +145,8 @@
     "RegisterValue",
     "RoutingRequest",
     "RoutingUpdate",
+    "ServerListAnswer",
+    "ServerListQuestion",
     "Stamp",
     "VoterAdmitted",
     "VoterId",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -1,5 +1,6 @@
 """Messages between daemons that serve one pool: demand, holdings, and newer contents."""
 
+from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages.identity import Message
 from loomwind.serving.demand import RunningCount, TargetDemand
 from loomwind.serving.residency import ServerHolding
@@ -23,9 +24,29 @@
 
 
 class LeaderAnswer(Message, frozen=True, tag=True, array_like=True):
-    """Names the life that answers."""
+    """Names the life that answers.
+
+    :param lease_version: the version at which it wrote the lease's row last; 0 when it does not
+        lead.
+    :param store_answers: whether it reaches the store.
+    """
 
     life: str
+    lease_version: int = 0
+    store_answers: bool = True
+
+
+class LeaseNotice(Message, frozen=True, tag=True, array_like=True):
+    """Told by the daemon that wrote the lease's row.
+
+    :param holder: who holds the lease now; None when it was given up.
+    :param version: the row's version after the write.
+    :param store_answers: whether the daemon reaches the store.
+    """
+
+    holder: LeaseHolder | None
+    version: int
+    store_answers: bool
 
 
 class PoolHoldings(Message, frozen=True, tag=True, array_like=True):
@@ -58,6 +79,17 @@
     document: bytes
 
 
+class ServerListQuestion(Message, frozen=True, tag=True, array_like=True):
+    """Asked of a daemon that follows the store's list of servers.
+
+    :param version: what the asker knows.
+    :param wait_ms: how long the answer may wait for a change.
+    """
+
+    version: int
+    wait_ms: int
+
+
 class ServerDocument(Message, frozen=True, tag=True, array_like=True):
     """One server's entry as it stands in the store."""
 
@@ -66,10 +98,28 @@
 
 
 class DirectoryCopy(Message, frozen=True, tag=True, array_like=True):
-    """All servers' entries, for a peer that the store does not serve.
+    """The servers' entries for a peer: all that are listed, and those that it does not know.
 
     :param version: the store's version that they stand at.
+    :param listed: the instances of all entries; one that is missing is gone.
+    :param servers: the entries that changed since the peer's version.
+    :param store_in_trouble: whether entries may be missing without a cause.
     """
 
     version: int
+    listed: tuple[str, ...]
     servers: tuple[ServerDocument, ...]
+    store_in_trouble: bool = False
+
+
+class ServerListAnswer(Message, frozen=True, tag=True, array_like=True):
+    """What changed in the list of servers.
+
+    :param held_ms: how long the answer has waited for a change.
+    :param age_ms: how long ago the store last told the daemon that answers.
+    :param copy: the changes; None when there is none.
+    """
+
+    held_ms: float
+    age_ms: float
+    copy: DirectoryCopy | None = None
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Iterable
 
+from msgspec.structs import replace
+
 from loomwind.http.server import ServerLimits
 from loomwind.logs import log_state
 from loomwind.messages.serving import ConfigurationCopy, DirectoryCopy, ServerDocument
@@ -15,7 +17,7 @@
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Documents, MalformedDocument, Snapshot
 from loomwind.serving.routes import RouteTable
-from loomwind.serving.views import Configuration
+from loomwind.serving.views import Configuration, ServerEntry
 
 
 class Beliefs:
@@ -40,6 +42,8 @@
         self._metrics = metrics
         self._configuration_document = b""
         self._server_documents: dict[str, bytes] = {}
+        self._server_changes: dict[str, int] = {}
+        self._servers_changed = asyncio.Event()
         self.routes: RouteTable | None = None
         self.limits = ServerLimits()
 
@@ -98,27 +102,60 @@
             if row.gone:
                 self._drop(row.key, trouble)
             else:
-                self._put(row.key, row.value)
+                self._put(row.key, row.value, snapshot.version)
         self._note_servers(snapshot.version)
 
     def on_directory_copy(self, copy: DirectoryCopy) -> None:
-        """Take in a peer's list of servers, while the store does not answer this daemon."""
-        if self._health.answering_since is not None:
-            return
-        if copy.version <= self._pool.directory.version:
+        """Take in a peer's list of servers, if it is newer."""
+        if copy.version <= self.server_version:
             return
-        self._drop_all_but({server.instance for server in copy.servers}, trouble=False)
+        trouble = copy.store_in_trouble or self._health.in_trouble(self._now())
+        self._drop_all_but(copy.listed, trouble)
         for server in copy.servers:
-            self._put(server.instance, server.document)
+            self._put(server.instance, server.document, copy.version)
         self._note_servers(copy.version)
 
+    @property
+    def server_version(self) -> int:
+        """Return the store's version that the list of servers stands at."""
+        return self._pool.directory.version
+
     def directory_copy(self, than_version: int) -> DirectoryCopy | None:
-        """Return the list of servers for a peer that has an older one; None when it has not."""
-        version = self._pool.directory.version
-        if self._health.answering_since is None or version <= than_version:
+        """Return what a peer lacks that the store does not serve; None when this daemon is no
+        better off.
+        """
+        if self._health.answering_since is None:
+            return None
+        return self.directory_changes(than_version)
+
+    def directory_changes(self, than_version: int) -> DirectoryCopy | None:
+        """Return what changed in the list since a version; None when nothing did.
+
+        What a server holds may be older in it: the leader tells that.
+        """
+        if self.server_version <= than_version:
             return None
-        documents = self._server_documents.items()
-        return DirectoryCopy(version, tuple(ServerDocument(name, raw) for name, raw in documents))
+        changed = tuple(
+            ServerDocument(name, raw)
+            for name, raw in self._server_documents.items()
+            if self._server_changes[name] > than_version
+        )
+        trouble = self._health.in_trouble(self._now())
+        listed = tuple(self._server_documents)
+        return DirectoryCopy(self.server_version, listed, changed, trouble)
+
+    async def wait_for_server_change(self, timeout: float) -> None:
+        """Wait until a server comes, goes or changes its state, or for ``timeout`` seconds."""
+        changed = self._servers_changed
+        try:
+            async with asyncio.timeout(timeout):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    def _note_server_change(self) -> None:
+        self._servers_changed.set()
+        self._servers_changed = asyncio.Event()
 
     def _drop_all_but(self, listed: Iterable[str], trouble: bool) -> None:
         kept = set(listed)
@@ -127,16 +164,22 @@
 
     def _drop(self, instance: str, trouble: bool) -> None:
         self._server_documents.pop(instance, None)
+        self._server_changes.pop(instance, None)
+        self._note_server_change()
         self._pool.directory.remove(instance, self._now(), trouble)
         log_state("server", "unlisted", server=instance, store_in_trouble=trouble)
 
-    def _put(self, instance: str, document: bytes) -> None:
+    def _put(self, instance: str, document: bytes, version: int) -> None:
         try:
             entry = self._documents.server(instance, document)
         except MalformedDocument as error:
             log_state("server", "unreadable", server=instance, error=str(error))
             return
         known = self._pool.directory.get(instance)
+        new = instance not in self._server_documents
+        if new or known is None or _standing(known) != _standing(entry):
+            self._server_changes[instance] = version
+            self._note_server_change()
         if known is None or known.state is not entry.state:
             state = entry.state.value
             log_state("server", state, server=instance, service=entry.service, zone=entry.zone)
@@ -155,6 +198,11 @@
         return asyncio.get_running_loop().time()
 
 
+def _standing(entry: ServerEntry) -> ServerEntry:
+    """Return an entry without what the leader tells sooner."""
+    return replace(entry, revision=0, held=())
+
+
 def _server_limits(configuration: Configuration) -> ServerLimits:
     limits = configuration.limits
     return ServerLimits(
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -23,15 +23,21 @@
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
+from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.metered import MeteredStore
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect, Documents, EngineControl, Store
+from loomwind.serving.server_list import ServerListFollower
 from loomwind.settings import BoundSettings, Settings, StoreSettings
 
 OWN_TABLE = "loomwind"
+LEASE_TABLE = "loomwind-lease"
 LEASE_PART = 0.6
+# A short lease is renewed sooner, so that it holds over two failed renewals.
+LEASE_RENEW_PART = 0.25
+LEASE_MARGIN_PART = 0.2
 STOP_MARGIN_SECONDS = 0.6
 LAST_ANSWERS_SECONDS = 0.3
 WAITING_GRACE_PART = 0.55
@@ -86,13 +92,14 @@
         self._beliefs = Beliefs(
             deployment.documents, store.configuration_key, self._pool, self._health, self.metrics
         )
+        duration = _lease_seconds(settings.bounds)
         lease = Lease(
             self._own,
-            _lease_seconds(settings.bounds),
-            constants.LEASE_RENEW_SECONDS,
-            constants.LEASE_MARGIN_SECONDS,
+            duration,
+            min(constants.LEASE_RENEW_SECONDS, LEASE_RENEW_PART * duration),
+            min(constants.LEASE_MARGIN_SECONDS, LEASE_MARGIN_PART * duration),
         )
-        self._election = Election(store, OWN_TABLE, self._own, lease, self._health)
+        self._election = Election(store, LEASE_TABLE, self._own, lease, self._health)
         self._peers = PeerTable(
             store, OWN_TABLE, self._own, settings.zone, self._election, self._pool
         )
@@ -100,8 +107,12 @@
             TableFollower(
                 store, store.configuration_table, self._health, self._beliefs.on_configuration_rows
             ),
-            TableFollower(store, store.server_table, self._health, self._beliefs.on_server_rows),
-            TableFollower(store, OWN_TABLE, self._health, self._peers.on_rows),
+            TableFollower(
+                store, OWN_TABLE, self._health, self._peers.on_rows, self._peers.rest_seconds
+            ),
+        )
+        self._servers = TableFollower(
+            store, store.server_table, self._health, self._beliefs.on_server_rows
         )
 
     def _make_control(self, deployment: Deployment) -> None:
@@ -111,6 +122,22 @@
             Connector(user_timeout_seconds=constants.POOL_USER_TIMEOUT_SECONDS),
             self.metrics,
         )
+        self._watch = LeaderWatch(
+            self._own,
+            self._transport,
+            self._peers,
+            self._election,
+            self._health,
+            self._pool.demand,
+        )
+        self._server_list = ServerListFollower(
+            self._own,
+            self._servers,
+            self._transport,
+            self._peers,
+            self._beliefs,
+            self.settings.bounds,
+        )
         self._exchange = PeerExchange(
             self._own,
             self._transport,
@@ -119,6 +146,8 @@
             self._pool,
             self._beliefs,
             self._health,
+            self._watch,
+            self._server_list,
         )
         self._controller = PlacementController(
             self.settings.name,
@@ -163,7 +192,9 @@
         self._spawn(self._peers.register())
         self._spawn(self._exchange.send_demand())
         self._spawn(self._exchange.send_digests())
-        self._spawn(self._exchange.watch_leader())
+        self._spawn(self._server_list.run())
+        self._spawn(self._watch.watch())
+        self._spawn(self._watch.tell())
         log_state("daemon", "started", name=self.settings.name, life=self._own.life)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -204,6 +235,7 @@
     def _(self, section: BoundSettings) -> bool:
         self._pool.set_bounds(section)
         self._controller.set_bounds(section)
+        self._server_list.set_bounds(section)
         self._election.lease.set_duration(_lease_seconds(section))
         return True
 
--- a/loomwind/serving/follower.py
+++ b/loomwind/serving/follower.py
@@ -6,7 +6,7 @@
 from loomwind.logs import log_state
 from loomwind.serving.ports import HistoryLost, Snapshot, Store, StoreUnavailable
 
-FEED_WAIT_SECONDS = 2.0
+FEED_WAIT_SECONDS = 10.0
 RETRY_SECONDS = 0.15
 LONGEST_RETRY_SECONDS = 0.6
 TROUBLE_MEMORY_SECONDS = 3.5
@@ -45,6 +45,7 @@
     """Keeps one table's reader up to date. The version never goes back within a life.
 
     :param on_rows: called with rows and whether they are the whole table.
+    :param rest_seconds: returns the pause before the next call; changes of it come together.
     """
 
     def __init__(
@@ -53,35 +54,53 @@
         table: str,
         health: StoreHealth,
         on_rows: Callable[[Snapshot, bool], None],
+        rest_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._table = table
         self._health = health
         self._on_rows = on_rows
+        self._rest = rest_seconds
+        self._retry = RETRY_SECONDS
         self.version = 0
         self.synchronised = False
 
     async def run(self) -> None:
         """Follow for ever."""
-        retry = RETRY_SECONDS
         while True:
-            try:
-                await self._step()
-                retry = RETRY_SECONDS
-            except HistoryLost:
-                log_state("feed", "history-lost", table=self._table, version=self.version)
-                self.synchronised = False
-            except StoreUnavailable as error:
-                self._health.failed(self._now(), str(error))
-                await asyncio.sleep(retry)
-                retry = min(2 * retry, LONGEST_RETRY_SECONDS)
-            except Exception as error:
-                log_state("feed", "failed", table=self._table, error=repr(error))
-                await asyncio.sleep(retry)
-
-    async def _step(self) -> None:
+            await self.follow_once(FEED_WAIT_SECONDS)
+            await asyncio.sleep(self._rest())
+
+    async def follow_once(self, wait_seconds: float) -> bool:
+        """Make one call, and pause after one that failed; returns whether it was answered.
+
+        :param wait_seconds: how long the store may hold its answer until something changes.
+        """
+        try:
+            await self._step(wait_seconds)
+            self._retry = RETRY_SECONDS
+            return True
+        except HistoryLost:
+            log_state("feed", "history-lost", table=self._table, version=self.version)
+            self.synchronised = False
+        except StoreUnavailable as error:
+            self._health.failed(self._now(), str(error))
+            await asyncio.sleep(self._retry)
+            self._retry = min(2 * self._retry, LONGEST_RETRY_SECONDS)
+        except Exception as error:
+            log_state("feed", "failed", table=self._table, error=repr(error))
+            await asyncio.sleep(self._retry)
+        return False
+
+    def adopt(self, version: int) -> None:
+        """Go on from what a peer has told, which stands at a newer version."""
+        if version > self.version:
+            self.version = version
+            self.synchronised = True
+
+    async def _step(self, wait_seconds: float) -> None:
         if self.synchronised:
-            snapshot = await self._store.changes(self._table, self.version, FEED_WAIT_SECONDS)
+            snapshot = await self._store.changes(self._table, self.version, wait_seconds)
         else:
             snapshot = await self._store.read(self._table)
         self._health.succeeded(self._now())
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -7,24 +7,25 @@
 from loomwind import constants
 from loomwind.leadership.election import Election
 from loomwind.leadership.lease import LeaseHolder
-from loomwind.logs import log_state
 from loomwind.messages import (
     AnyMessage,
     ConfigurationCopy,
     DirectoryCopy,
-    LeaderAnswer,
     LeaderQuestion,
+    LeaseNotice,
     PoolDemand,
     PoolDigest,
     PoolHoldings,
+    ServerListQuestion,
 )
-from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.follower import StoreHealth
+from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.residency import ServerHolding
+from loomwind.serving.server_list import ServerListFollower
 
 TELL_DELAY_SECONDS = 0.02
 MOST_REPORTS_KEPT = 4096
@@ -62,6 +63,8 @@
         pool: ServerPool,
         beliefs: Beliefs,
         health: StoreHealth,
+        watch: LeaderWatch,
+        server_list: ServerListFollower,
     ) -> None:
         self._own = own
         self._transport = transport
@@ -70,6 +73,8 @@
         self._pool = pool
         self._beliefs = beliefs
         self._health = health
+        self._watch = watch
+        self._server_list = server_list
         self._holdings_fence = 0
         self._untold: dict[str, ServerHolding] = {}
         self._telling: asyncio.TimerHandle | None = None
@@ -81,7 +86,11 @@
             case PoolDemand():
                 self._on_demand(message)
             case LeaderQuestion():
-                return LeaderAnswer(self._own.life)
+                return self._watch.answer()
+            case ServerListQuestion():
+                return await self._server_list.answer(message)
+            case LeaseNotice():
+                self._watch.on_notice(message)
             case PoolHoldings():
                 self._on_holdings(message)
             case PoolDigest():
@@ -172,25 +181,6 @@
             self._health.answering_since is not None,
         )
 
-    async def watch_leader(self) -> None:
-        """Ask the holder of the lease whether it runs, so that its end is known at once."""
-        while True:
-            await asyncio.sleep(self._peers.paced(constants.LEADER_QUESTION_SECONDS))
-            holder = self._election.lease.holder
-            if holder is None or holder.life == self._own.life:
-                continue
-            if await self._has_ended(holder):
-                log_state("election", "holder-ended", holder=holder.name, life=holder.life)
-                self._election.lease.note_dead(holder.life)
-
-    async def _has_ended(self, holder: LeaseHolder) -> bool:
-        """Whether the life that holds the lease is known to have ended; silence says nothing."""
-        try:
-            answer = await self._transport.call(holder.address, LeaderQuestion())
-        except PeerUnreachable as error:
-            return error.refused
-        return isinstance(answer, LeaderAnswer) and answer.life != holder.life
-
     async def send_digests(self) -> None:
         """Let a peer know what this daemon knows, so that it sends what is newer."""
         while True:
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import msgspec
+import xxhash
 from msgspec import Struct
 
 from loomwind import constants
-from loomwind.leadership.election import LEASE_KEY, Election
+from loomwind.leadership.election import Election
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.logs import log_state
 from loomwind.serving.pool import ServerPool
@@ -21,6 +22,11 @@
 
 PEER_KEY_PREFIX = "daemon/"
 REGISTER_RETRY_SECONDS = 0.5
+HEIRS = 5
+REST_SECONDS_A_DAEMON = 0.01
+LONGEST_REST_SECONDS = 0.5
+LEAST_HUBS = 3
+DAEMONS_A_HUB = 25
 
 
 class PeerEntry(Struct, frozen=True):
@@ -35,7 +41,7 @@
 
 
 class PeerTable:
-    """The rows of all daemons, and the row of the lease beside them."""
+    """The rows of all daemons, and the parts that some of them have."""
 
     def __init__(
         self,
@@ -53,6 +59,7 @@
         self._election = election
         self._pool = pool
         self._peers: dict[str, PeerEntry] = {}
+        self._ranked: list[str] = []
 
     def others(self) -> list[PeerEntry]:
         """Return the other daemons."""
@@ -64,21 +71,30 @@
 
     def on_rows(self, snapshot: Snapshot, whole: bool) -> None:
         """Take in rows of the daemons' table."""
-        lease_seen = False
         if whole:
             self._peers.clear()
         for row in snapshot.rows:
-            if row.key == LEASE_KEY:
-                lease_seen = True
-                self._election.note_row(row)
-            elif row.key.startswith(PEER_KEY_PREFIX):
+            if row.key.startswith(PEER_KEY_PREFIX):
                 self._on_peer_row(row)
-        if lease_seen:
-            self._pool.demand.new_demand.set()
-        elif whole:
-            self._election.note_no_row()
+        self._ranked = sorted(self._peers, key=_rank)
         self._pool.set_daemons(len(self._peers))
         self._election.daemons = max(1, len(self._peers))
+        heirs = self._ranked[:HEIRS]
+        self._election.waits_longer = bool(heirs) and self._own.name not in heirs
+
+    def rest_seconds(self) -> float:
+        """Return the pause between two looks at the rows: all daemons of a fleet start at once."""
+        return min(LONGEST_REST_SECONDS, REST_SECONDS_A_DAEMON * len(self._peers))
+
+    def heirs(self) -> list[PeerEntry]:
+        """Return the daemons that take the lease first; told of each renewal."""
+        names = [name for name in self._ranked[:HEIRS] if name != self._own.name]
+        return [self._peers[name] for name in names]
+
+    def hubs(self) -> list[PeerEntry]:
+        """Return the daemons that follow the store for the others too."""
+        count = max(LEAST_HUBS, len(self._peers) // DAEMONS_A_HUB)
+        return [self._peers[name] for name in self._ranked[:count]]
 
     def _on_peer_row(self, row: StoredRow) -> None:
         name = row.key.removeprefix(PEER_KEY_PREFIX)
@@ -111,3 +127,8 @@
     @property
     def _own_key(self) -> str:
         return PEER_KEY_PREFIX + self._own.name
+
+
+def _rank(name: str) -> int:
+    """Return a number that orders daemons the same way everywhere, whatever their names."""
+    return xxhash.xxh64_intdigest(name.encode())
--- a/specification/lease_conformance.py
+++ b/specification/lease_conformance.py
@@ -33,7 +33,7 @@
         free = LeaseHolder("daemon-9", "life-9", "a:9")
         for each in self._leases:
             each.note_row(version, free, self._now)
-            each.note_dead(free.life)
+            each.note_dead(free.life, self._now)
 
     def step(self, label: str, before: State, after: State) -> None:
         """Do in the code what a step of the model does."""
