Refuse a request early with the time at which its model is there, by the leader's word

Change: the leader tells a daemon, for each model that its requests wait for, when it should be there: a load under way, one planned, a turn that is kept, or a place in the weight store's queue. A request waits where that is within its objective; else, if that is known within a quarter of it, it is refused with that time, and the leader counts its return: the model is loaded first and does not make way. One that has returned waits as long as its caller stays, and is refused as soon as it cannot be served. Without a leader the model's load time is told. What was promised is loaded first, then what was asked for most often in vain. A model asked for all the time may be loaded beyond the pace of the weight store.

--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -64,6 +64,13 @@
     """Knows no configuration."""
 
     configuration_version = 0
+    configuration = None
+
+
+class UnstartedExchange:
+    """An exchange whose answer has not begun."""
+
+    started = False
 
 
 @given("a server that lists m1 and refuses it, and a budget without room")
@@ -91,7 +98,7 @@
     route = RouteRule("r", "h", "/", RequestKind.STREAMING, parts, 30.0, 0.6)
     caller = CallerRequest("id-1", "h", 30.0, TARGET)
     request = HttpRequest("POST", "/")
-    run = RequestRun(handler, cast(Exchange, None), request, caller, route, SERVICE)
+    run = RequestRun(handler, cast(Exchange, UnstartedExchange()), request, caller, route, SERVICE)
     task = asyncio.ensure_future(run.serve())
     waits = False
     for _ in range(MOST_TURNS):
--- /dev/null
+++ b/features/steps/waiting_steps.py
@@ -0,0 +1,143 @@
+"""Steps about waiting for a model: pure decisions, times are passed in."""
+
+import re
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.planner_steps import SERVICE, STORE_LOAD_S, plan
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.demand_view import DemandView
+from loomwind.placement.plan import PlanInput
+from loomwind.placement.planner import Planner
+from loomwind.serving.demand import DemandBoard, DemandKey, TargetDemand, WaitingRequest
+from loomwind.serving.views import ModelKey
+from loomwind.serving.wait_policy import ComeBack, Hopeless, Wait, WaitTerms, decide
+
+MS = 1000.0
+TIMEOUT_MS = 25_000.0
+OBJECTIVE_MS = 2500.0
+TOLERANCE_MS = 1.0
+KEY = DemandKey(SERVICE, ModelKey("m1"))
+
+
+@given("a request that came at {came:f} s, {tries}, whose caller leaves after {patience:f} s")
+def step_request(context: Any, came: float, tries: str, patience: float) -> None:
+    first = tries == "the first time"
+    deadline_ms = (came * MS) + (TIMEOUT_MS if first else TIMEOUT_MS * 2 / 3)
+    context.terms = WaitTerms(came * MS, patience * MS, deadline_ms, OBJECTIVE_MS, first)
+
+
+@when("the leader says {word} at {now:f} s, and a load usually takes {usual:d} s")
+def step_decide(context: Any, word: str, now: float, usual: int) -> None:
+    found = re.search(r"[\d.]+", word)
+    ready_in_ms = float(found[0]) * MS if found else None
+    context.verdict = decide(context.terms, now * MS, ready_in_ms, usual * MS)
+
+
+@then("the request waits")
+def step_waits_on(context: Any) -> None:
+    assert isinstance(context.verdict, Wait), context.verdict
+    assert context.verdict.until_ms == context.terms.wait_until_ms
+
+
+@then("the request waits for a word until {until:f} s")
+def step_waits_for_word(context: Any, until: float) -> None:
+    assert context.verdict == Wait(until * MS), context.verdict
+
+
+@then("the request comes back after {after:f} s")
+def step_comes_back(context: Any, after: float) -> None:
+    assert isinstance(context.verdict, ComeBack), context.verdict
+    assert abs(context.verdict.after_ms - after * MS) < TOLERANCE_MS, context.verdict
+
+
+@then("the request is refused, with {after:f} s")
+def step_refused_with(context: Any, after: float) -> None:
+    assert isinstance(context.verdict, Hopeless), context.verdict
+    assert context.verdict.after_ms is not None
+    assert abs(context.verdict.after_ms - after * MS) < TOLERANCE_MS, context.verdict
+
+
+@given("a board of demand, and a request for m1 that returns by {due:f} s")
+def step_board(context: Any, due: float) -> None:
+    context.board = DemandBoard()
+    context.board.expect_return(KEY, WaitingRequest(due, 2.5))
+
+
+@then("the leader hears of {waiting:d} waiting and {returning:d} returning at {now:f} s")
+def step_hears(context: Any, waiting: int, returning: int, now: float) -> None:
+    (report,) = context.board.take_report(now)
+    assert (report.waiting, report.returning) == (waiting, returning), report
+
+
+@then("the leader hears of nothing at {now:f} s")
+def step_hears_nothing(context: Any, now: float) -> None:
+    assert context.board.take_report(now) == ()
+
+
+def wanted(name: str, arrivals: float, waiting: int = 1, returning: int = 0) -> TargetDemand:
+    """Return the demand for a model, all with the same objective."""
+    return TargetDemand(SERVICE, ModelKey(name), waiting, arrivals, 2.5, 2.0, returning)
+
+
+@when("m1 was asked for 3 times and is waited for, m2 once, and m3 is promised, at {now:f} s")
+def step_three_wants(context: Any, now: float) -> None:
+    demand = (wanted("m2", 1.0), wanted("m1", 3.0), wanted("m3", 1.0, 0, 1))
+    context.demand.note(PoolDemand("daemon-1", demand, ()), now)
+    context.now = now
+
+
+@then("the wants are {names}")
+def step_wants(context: Any, names: str) -> None:
+    wants = context.demand.wants(context.now)
+    assert [want.key.target.model for want in wants] == names.split(", "), wants
+
+
+@when("servers hold m1 by {now:f} s")
+def step_held(context: Any, now: float) -> None:
+    context.demand.note_available(SERVICE, ["m1"])
+    context.now = now
+
+
+@then("m1 was asked for in vain {count:d} times")
+def step_in_vain(context: Any, count: int) -> None:
+    want = next(w for w in context.demand.wants(context.now) if w.key == KEY)
+    assert want.unserved == count, want
+
+
+@when("requests wait for c and d at {now:f} s, and no more may be under way")
+def step_two_wait(context: Any, now: float) -> None:
+    demand = (wanted("c", 1.0), wanted("d", 1.0))
+    context.demand.note(PoolDemand("daemon-1", demand, ()), now)
+    context.now = now
+
+
+@then("c is expected in about {first:d} s, and d in about {second:d} s")
+def step_expected(context: Any, first: int, second: int) -> None:
+    servers = list(context.ledgers.values())
+    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, True, False, 0)
+    planner = Planner(given)
+    assert planner.plan() == []
+    expected = {each.key.target.model: each.ready_in_ms / MS for each in planner.expectations()}
+    assert abs(expected["c"] - first) < 0.5, expected
+    assert abs(expected["d"] - second) < 0.5, expected
+    assert expected["d"] - expected["c"] >= STORE_LOAD_S
+
+
+@when(
+    "requests wait for c, which is asked for {rate:d} times a second, and no more may be under way"
+)
+def step_often(context: Any, rate: int) -> None:
+    context.demand = DemandView()
+    for step in range(40):
+        arrivals = rate * 0.5
+        context.demand.note(PoolDemand("daemon-1", (wanted("c", arrivals),), ()), step * 0.5)
+        context.now = step * 0.5
+    context.store_loads_left = 0
+
+
+@then("the plan is to load c")
+def step_loads_c(context: Any) -> None:
+    orders = plan(context)
+    assert [str(order.target) for order in orders] == ["c"], orders
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -55,6 +55,7 @@
     LeaseNotice,
     PoolDemand,
     PoolDigest,
+    PoolExpectations,
     PoolHoldings,
     ServerListAnswer,
     ServerListQuestion,
@@ -94,6 +95,7 @@
     | ConfigurationCopy
     | DirectoryCopy
     | LeaseNotice
+    | PoolExpectations
     | ServerListQuestion
     | ServerListAnswer
 )
@@ -136,6 +138,7 @@
     "Message",
     "PoolDemand",
     "PoolDigest",
+    "PoolExpectations",
     "PoolHoldings",
     "Prepare",
     "ProbeAnswer",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -3,6 +3,7 @@
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages.identity import Message
 from loomwind.serving.demand import RunningCount, TargetDemand
+from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.residency import ServerHolding
 
 
@@ -59,6 +60,16 @@
     holdings: tuple[ServerHolding, ...]
 
 
+class PoolExpectations(Message, frozen=True, tag=True, array_like=True):
+    """Told by the leader to a daemon whose requests wait: when their models should be there.
+
+    :param fence: the leader's fence; a lower one than was heard is ignored.
+    """
+
+    fence: int
+    expected: tuple[ExpectedTarget, ...]
+
+
 class PoolDigest(Message, frozen=True, tag=True, array_like=True):
     """What a daemon knows, by version, so that a peer that knows more can send it.
 
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -6,7 +6,7 @@
 from loomwind.clock import MS_PER_SECOND
 from loomwind.leadership.election import Election
 from loomwind.logs import log_state
-from loomwind.messages.serving import PoolDemand, PoolHoldings
+from loomwind.messages.serving import PoolDemand, PoolExpectations, PoolHoldings
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.ledger import ADAPTER_SETTLES_SECONDS, ServerLedger
@@ -15,6 +15,8 @@
 from loomwind.placement.planner import Planner
 from loomwind.placement.store_pace import StorePace
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.demand import DemandKey
+from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import EngineControl
@@ -61,6 +63,7 @@
         self._demand = DemandView()
         self._ledgers: dict[str, ServerLedger] = {}
         self._windows: dict[str, LoadWindow] = {}
+        self._unanswered: dict[str, PoolDemand] = {}
         self._paces: dict[str, StorePace] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
@@ -77,6 +80,7 @@
         for report in self._exchange.inbox.take():
             self._demand.note(report, self._now())
             self._doubt_holders(report)
+            self._unanswered[report.sender] = report
 
     def _doubt_holders(self, report: PoolDemand) -> None:
         """Read servers soon that should have what a daemon waits for: it may not reach them."""
@@ -137,6 +141,7 @@
         for service in configuration.services:
             if service.engine is not None:
                 self._plan(service.name, service.engine.loads_per_second)
+        self._unanswered.clear()
         if self._now() - self._told_all_at > self._exchange.paced(TELL_ALL_SECONDS):
             self._told_all_at = self._now()
             self._tell_holdings(list(self._ledgers.values()))
@@ -265,7 +270,11 @@
             self._may_stage(now),
             max(0, pace.limit - store_loads),
         )
-        for planned in Planner(given).plan():
+        planner = Planner(given)
+        orders = planner.plan()
+        self._demand.note_available(service, given.index.holders)
+        self._tell_expectations(service, planner.expectations())
+        for planned in orders:
             if planned.from_store:
                 if not window.allows(now):
                     continue
@@ -275,6 +284,17 @@
                 self._ledgers[planned.instance].staged += 1
             self._begin_order(planned)
 
+    def _tell_expectations(self, service: str, expected: tuple[ExpectedTarget, ...]) -> None:
+        """Answer the reports of this step: when should be there what their requests wait for."""
+        fence = self._election.lease.fence
+        by_key = {each.key: each for each in expected}
+        for report in self._unanswered.values() if fence is not None else ():
+            keys = [DemandKey(d.service, d.target) for d in report.demand if d.waiting]
+            known = tuple(by_key[key] for key in keys if key.service == service and key in by_key)
+            if known and fence is not None:
+                message = PoolExpectations(fence, known)
+                self._exchange.tell_expectations(report.sender, message)
+
     def _may_stage(self, now: float) -> bool:
         """Whether no request for a model has been heard of since this daemon began to lead."""
         return now - self._led_since > STAGE_AFTER_SECONDS and not self._demand.any_yet
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 
 from msgspec import Struct
 
@@ -10,6 +11,7 @@
 from loomwind.serving.views import ModelKey
 
 REPORT_LIFETIME_SECONDS = 2.0
+ASKED_IN_VAIN = 2.0
 
 
 class Want(Struct, frozen=True):
@@ -17,12 +19,23 @@
 
     :param urgency_seconds: the smallest objective among them.
     :param slack_seconds: the most time that one of them has left to its objective.
+    :param returning: requests that were told to come back for it.
+    :param unserved: requests for its model since that was last held by any server.
+    :param since: when it was first waited for, without a break.
     """
 
     key: DemandKey
     waiting: int
     urgency_seconds: float
     slack_seconds: float
+    returning: int = 0
+    unserved: float = 0.0
+    since: float = 0.0
+
+    @property
+    def rank(self) -> tuple[float, bool, float, float]:
+        """Order wants: the most urgent first; then those promised, those most often in vain."""
+        return (self.urgency_seconds, self.returning == 0, -self.unserved, self.since)
 
 
 class Heat(Struct):
@@ -49,6 +62,8 @@
         self._reports: dict[str, PoolDemand] = {}
         self._heard: dict[str, float] = {}
         self._heat: dict[DemandKey, Heat] = defaultdict(Heat)
+        self._unserved: dict[DemandKey, float] = defaultdict(float)
+        self._since: dict[DemandKey, float] = {}
 
     def note(self, report: PoolDemand, now: float) -> None:
         """Take in a daemon's report."""
@@ -58,6 +73,9 @@
         for demand in report.demand:
             if not demand.arrivals:
                 continue
+            self._unserved[DemandKey(demand.service, ModelKey(demand.target.model))] += (
+                demand.arrivals
+            )
             for target in {demand.target, ModelKey(demand.target.model)}:
                 heat = self._heat[DemandKey(demand.service, target)]
                 heat.rate = heat.at(now) + demand.arrivals * DECAY_PER_SECOND
@@ -74,20 +92,47 @@
         ]
 
     def wants(self, now: float) -> list[Want]:
-        """Return what is waited for, the most urgent first."""
+        """Return what is waited for or was promised, in the order in which it is taken on.
+
+        A model that was asked for more than once in vain is wanted also when nobody waits.
+        """
         waiting: dict[DemandKey, int] = defaultdict(int)
+        returning: dict[DemandKey, int] = defaultdict(int)
         urgency: dict[DemandKey, float] = {}
         slack: dict[DemandKey, float] = {}
         for report in self._fresh(now):
             for demand in report.demand:
-                if demand.waiting:
+                if demand.waiting or demand.returning:
                     key = DemandKey(demand.service, demand.target)
                     waiting[key] += demand.waiting
+                    returning[key] += demand.returning
                     urgency[key] = min(urgency.get(key, 1e9), demand.urgency_seconds)
                     age = now - self._heard[report.sender]
                     slack[key] = max(slack.get(key, -1e9), demand.slack_seconds - age)
-        wants = [Want(key, count, urgency[key], slack[key]) for key, count in waiting.items()]
-        return sorted(wants, key=lambda want: (want.urgency_seconds, -want.waiting))
+        self._since = {key: self._since.get(key, now) for key in waiting}
+        wants = [
+            Want(
+                key,
+                count,
+                urgency[key],
+                slack[key],
+                returning[key],
+                self._unserved.get(DemandKey(key.service, ModelKey(key.target.model)), 0.0),
+                self._since[key],
+            )
+            for key, count in waiting.items()
+        ]
+        wants += [
+            Want(key, 0, self._heat[key].objective_seconds, 0.0, 0, unserved, now)
+            for key, unserved in self._unserved.items()
+            if unserved >= ASKED_IN_VAIN and key not in waiting
+        ]
+        return sorted(wants, key=lambda want: want.rank)
+
+    def note_available(self, service: str, names: Iterable[str]) -> None:
+        """Begin to count anew for models that a server holds."""
+        for name in names:
+            self._unserved.pop(DemandKey(service, ModelKey(name)), None)
 
     def running(self, now: float) -> dict[tuple[str, ModelKey], int]:
         """Return the requests that run, by instance and target."""
--- a/loomwind/placement/index.py
+++ b/loomwind/placement/index.py
@@ -28,6 +28,7 @@
         self.copies: dict[str, list[ServerLedger]] = defaultdict(list)
         self.available: set[ModelKey] = set()
         self.reserved: set[str] = set()
+        self._servers = {server.entry.instance: server for server in servers}
         for server in servers:
             self._add(server, now)
         self._runs: dict[tuple[str, str], int] = defaultdict(int)
@@ -53,6 +54,10 @@
             if not target.adapter:
                 self.arriving[target.model].append(server)
 
+    def server(self, instance: str) -> ServerLedger:
+        """Return the server of that name."""
+        return self._servers[instance]
+
     def runs(self, instance: str, name: str) -> int:
         """Return how many requests run at a server for a model and its adapters."""
         return self._runs.get((instance, name), 0)
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -17,7 +17,10 @@
 
 
 class ModelPlanner:
-    """Adds orders for models to a plan."""
+    """Adds orders for models to a plan.
+
+    :ivar queued: models that wait for the weight store, in the order in which they were asked for.
+    """
 
     def __init__(
         self,
@@ -30,6 +33,7 @@
         self._draft = draft
         self._valuation = valuation
         self._adapters = adapters
+        self.queued: list[str] = []
 
     def use_reserved_room(self) -> None:
         """Load what other models have made way for."""
@@ -54,11 +58,13 @@
         choices = [self._choice(server, name) for server in self._candidates(name, may_wait)]
         best = _cheapest(choices, self._cost_with_wait)
         if best is None:
+            if not self._draft.may_load_from_store(name):
+                self.queued.append(name)
             return
         if self._draft.is_free(best.server):
             self._carry_out(best, name)
         else:
-            self._draft.reserve(best.server, best.server.load_seconds(name))
+            self._draft.reserve(best.server, name)
 
     def _candidates(self, name: str, may_wait: bool) -> list[ServerLedger]:
         """Return the servers that a model may be brought to."""
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -11,6 +11,7 @@
 
 NOTICE_SECONDS = 0.2
 UNKNOWN_BUSY_SECONDS = 0.5
+OFTEN_ASKED_RATE = 0.5
 NO_LIMIT = 1_000_000
 
 
@@ -66,6 +67,10 @@
         """Return the service's models, in the configuration's order."""
         return self.servers[0].profile.models if self.servers else ()
 
+    def model(self, name: str) -> ModelProfile | None:
+        """Return a model of the service, or None."""
+        return self.servers[0].profile.model(name) if self.servers else None
+
     def position(self, name: str) -> int | None:
         """Return a model's place in the configuration's order; None when it has none."""
         return self.servers[0].profile.positions.get(name) if self.servers else None
@@ -88,6 +93,7 @@
         self._given = given
         self._taken: set[str] = set()
         self._reserved: dict[str, float] = {}
+        self._turns: dict[str, float] = {}
         self._ordered: set[ModelKey] = set()
         self._making_way: set[str] = set()
         self._store_loads = 0
@@ -108,10 +114,15 @@
             self._store_loads += 1
         self._add(order)
 
-    @property
-    def may_load_from_store(self) -> bool:
-        """Whether one more load from the weight store may be planned."""
-        return self._given.store_load_allowed and self._store_loads < self._given.store_loads_left
+    def may_load_from_store(self, name: str) -> bool:
+        """Whether one more load from the weight store may be planned.
+
+        A model that is asked for all the time need not wait until another load is done.
+        """
+        if not self._given.store_load_allowed:
+            return False
+        often = self._given.rate(ModelKey(name)) >= OFTEN_ASKED_RATE
+        return often or self._store_loads < self._given.store_loads_left
 
     def _add(self, order: PlannedOrder) -> None:
         self._taken.add(order.instance)
@@ -121,11 +132,17 @@
             self._making_way.add(order.makes_way_for)
         self.orders.append(order)
 
-    def reserve(self, server: ServerLedger, seconds: float) -> None:
-        """Keep a turn of a busy server for a load."""
+    def reserve(self, server: ServerLedger, name: str) -> None:
+        """Keep a turn of a busy server for a load of a model."""
         instance = server.entry.instance
+        seconds = server.load_seconds(name)
+        self._turns[name] = self.busy_seconds(server) + seconds
         self._reserved[instance] = self._reserved.get(instance, 0.0) + seconds
 
+    def turn_in(self, name: str) -> float | None:
+        """Return the time until a model is loaded for which a turn is kept; None without one."""
+        return self._turns.get(name)
+
     def is_free(self, server: ServerLedger) -> bool:
         """Whether a server can take an order now."""
         if not server.idle or server.entry.instance in self._taken:
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -5,11 +5,14 @@
 way. See :mod:`loomwind.placement.models` and :mod:`loomwind.placement.adapters`.
 """
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.placement.adapters import AdapterPlanner
 from loomwind.placement.demand_view import Want
 from loomwind.placement.models import ModelPlanner
+from loomwind.placement.outlook import Outlook
 from loomwind.placement.plan import DraftPlan, PlanInput, PlannedOrder
 from loomwind.placement.valuation import Valuation
+from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.views import ModelKey
 
 FREE_FOR_COPIES = 2
@@ -45,6 +48,16 @@
             self._models.stage()
         return self._draft.orders
 
+    def expectations(self) -> tuple[ExpectedTarget, ...]:
+        """Return when what requests wait for should be ready, by the plan that was made."""
+        outlook = Outlook(self._given, self._draft, self._models.queued)
+        expected = []
+        for want in self._wants:
+            ready_in = outlook.ready_in(want.key.target) if want.waiting else None
+            if ready_in is not None:
+                expected.append(ExpectedTarget(want.key, ready_in * MS_PER_SECOND))
+        return tuple(expected)
+
     def _plan_want(self, want: Want) -> None:
         target = want.key.target
         if not self._draft.is_available(ModelKey(target.model)):
--- a/loomwind/platform/documents.py
+++ b/loomwind/platform/documents.py
@@ -1,5 +1,7 @@
 """The configuration and the servers' entries of the platform, as the product's views."""
 
+import math
+
 import msgspec
 from msgspec import Struct
 
@@ -18,6 +20,10 @@
     WeightedService,
 )
 
+LEAST_PATIENCE_MS = 2000.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+
 
 class WirePart(Struct):
     """A part of a split."""
@@ -173,9 +179,18 @@
         sticky=wire.sticky_sessions,
         resumable=wire.resumable,
         gap_objective_seconds=wire.gap_aim_ms / 1000,
+        patience_seconds=_patience_ms(wire) / 1000,
     )
 
 
+def _patience_ms(wire: WireRoute) -> float:
+    """Return how long clients wait for the next event of a stream, by the platform's pages."""
+    if RequestKind(wire.kind) is not RequestKind.STREAMING:
+        return math.inf
+    by_objective = PATIENCE_OBJECTIVES * wire.target_latency_ms
+    return max(LEAST_PATIENCE_MS, by_objective, PATIENCE_PAUSES * wire.gap_aim_ms)
+
+
 def _service(wire: WireService) -> ServiceProfile:
     engine = None if wire.engine is None else _engine(wire.engine)
     return ServiceProfile(wire.name, wire.health_path, wire.max_conns, engine)
--- a/loomwind/serving/demand.py
+++ b/loomwind/serving/demand.py
@@ -23,6 +23,7 @@
         daemon yet, those of the last while, older ones counted less.
     :param urgency_seconds: the smallest objective among those that wait; 0 when none does.
     :param slack_seconds: the most time that one of those that wait has left to its objective.
+    :param returning: requests that were refused and told to come back for it.
     """
 
     service: str
@@ -31,6 +32,7 @@
     arrivals: float
     urgency_seconds: float = 0.0
     slack_seconds: float = 0.0
+    returning: int = 0
 
 
 class WaitingRequest(Struct, frozen=True, order=True):
@@ -79,6 +81,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[DemandKey, list[WaitingRequest]] = {}
+        self._returning: dict[DemandKey, list[WaitingRequest]] = {}
         self._arrivals: Counter[DemandKey] = Counter()
         self._recent: dict[DemandKey, RecentCount] = {}
         self._running: Counter[tuple[str, ModelKey]] = Counter()
@@ -101,6 +104,18 @@
         if not self._waiting[key]:
             del self._waiting[key]
 
+    def expect_return(self, key: DemandKey, request: WaitingRequest) -> None:
+        """A request was refused and comes back; it counts until its objective is missed then."""
+        self._returning.setdefault(key, []).append(request)
+        self.new_demand.set()
+
+    def _forget_returns(self, now: float) -> None:
+        """Drop returns whose time is over."""
+        for key, requests in list(self._returning.items()):
+            self._returning[key] = [request for request in requests if request.due > now]
+            if not self._returning[key]:
+                del self._returning[key]
+
     def begin_run(self, instance: str, target: ModelKey) -> None:
         """A request is sent to a server."""
         self._running[(instance, target)] += 1
@@ -124,7 +139,8 @@
         recent = {key: recent.at(now) for key, recent in self._recent.items()}
         self._recent = {key: self._recent[key] for key in recent if recent[key] > FORGOTTEN_COUNT}
         arrivals: Mapping[DemandKey, float] = recent if to_new_leader else self._arrivals
-        keys = set(self._waiting) | set(arrivals)
+        self._forget_returns(now)
+        keys = set(self._waiting) | set(self._returning) | set(arrivals)
         ordered = sorted(keys, key=lambda key: (key.service, key.target))
         report = tuple(self._demand_for(key, arrivals.get(key, 0.0), now) for key in ordered)
         self._arrivals.clear()
@@ -132,13 +148,16 @@
 
     def _demand_for(self, key: DemandKey, arrivals: float, now: float) -> TargetDemand:
         waiting = self._waiting.get(key, [])
+        returning = self._returning.get(key, [])
+        both = waiting + returning
         return TargetDemand(
             key.service,
             key.target,
             len(waiting),
             arrivals,
-            min((request.objective_seconds for request in waiting), default=0.0),
-            max((request.due - now for request in waiting), default=0.0),
+            min((request.objective_seconds for request in both), default=0.0),
+            max((request.due - now for request in both), default=0.0),
+            len(returning),
         )
 
     def running(self) -> tuple[RunningCount, ...]:
--- /dev/null
+++ b/loomwind/serving/expectations.py
@@ -0,0 +1,49 @@
+"""When the leader expects a model or an adapter to be there, as a daemon was told. Pure."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from loomwind.serving.demand import DemandKey
+
+VALID_MS = 1500.0
+OVERDUE_MS = 100.0
+
+
+class ExpectedTarget(Struct, frozen=True, array_like=True):
+    """When a target should be there.
+
+    :param ready_in_ms: from when this was said.
+    """
+
+    key: DemandKey
+    ready_in_ms: float
+
+
+class _Known(Struct, frozen=True):
+    ready_at_ms: float
+    told_at_ms: float
+
+
+class Expectations:
+    """What the leader has said lately."""
+
+    def __init__(self) -> None:
+        self._known: dict[DemandKey, _Known] = {}
+
+    def note(self, expected: Iterable[ExpectedTarget], now_ms: float) -> None:
+        """Take in what the leader says."""
+        self._known = {
+            key: known
+            for key, known in self._known.items()
+            if now_ms - known.told_at_ms <= VALID_MS
+        }
+        for each in expected:
+            self._known[each.key] = _Known(now_ms + each.ready_in_ms, now_ms)
+
+    def ready_in_ms(self, key: DemandKey, now_ms: float) -> float | None:
+        """Return the time until a target should be there; None when nobody has said lately."""
+        known = self._known.get(key)
+        if known is None or now_ms - known.told_at_ms > VALID_MS:
+            return None
+        return max(OVERDUE_MS, known.ready_at_ms - now_ms)
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -6,12 +6,14 @@
 
 import asyncio
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.metrics import Metrics
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, StreamCut
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.pool import ServerPool
@@ -19,6 +21,8 @@
 from loomwind.serving.request_run import RequestRun
 from loomwind.serving.views import CallerRequest, ServerEntry
 
+UNKNOWN_LOAD_MS = 5000.0
+
 
 class RequestHandler:
     """Gives every request that reaches this daemon one final answer."""
@@ -55,6 +59,14 @@
         """Return the version of the configuration in force; 0 for none."""
         return self._beliefs.configuration_version
 
+    def usual_load_ms(self, key: DemandKey) -> float:
+        """Return how long a load of a target's model takes when nothing stands before it."""
+        configuration = self._beliefs.configuration
+        service = configuration.service(key.service) if configuration else None
+        engine = service.engine if service else None
+        model = engine.model(key.target.model) if engine else None
+        return model.load_seconds * MS_PER_SECOND if model else UNKNOWN_LOAD_MS
+
     def count_send(self, entry: ServerEntry, end: str) -> None:
         """Count what became of a send to a server."""
         self.metrics.sends.labels(self.metrics.server_labels.of(entry.instance), end).inc()
--- /dev/null
+++ b/loomwind/serving/model_wait.py
@@ -0,0 +1,111 @@
+"""A request's wait for its model: in sight of the leader, and no longer than it helps."""
+
+from typing import TYPE_CHECKING
+
+from loomwind.clock import MS_PER_SECOND
+from loomwind.logs import log_decision
+from loomwind.serving.demand import DemandKey, WaitingRequest
+from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused
+from loomwind.serving.views import CallerRequest, RouteRule
+from loomwind.serving.wait_policy import (
+    ComeBack,
+    Hopeless,
+    Wait,
+    WaitTerms,
+    decide,
+    is_first_try,
+)
+
+if TYPE_CHECKING:
+    from loomwind.serving.handler import RequestHandler
+
+LOOK_AGAIN_SECONDS = 0.2
+
+
+class ModelWait:
+    """One wait. Use it as a context: the leader hears of the request from its begin to its end."""
+
+    def __init__(
+        self,
+        serving: "RequestHandler",
+        key: DemandKey,
+        route: RouteRule,
+        caller: CallerRequest,
+        arrived: float,
+        deadline: float,
+    ) -> None:
+        """Make a wait.
+
+        :param arrived: loop time at which the request came.
+        :param deadline: loop time at which its time is over.
+        """
+        self._serving = serving
+        self._pool = serving.pool
+        self._key = key
+        self._caller = caller
+        self._objective = route.objective_seconds
+        self._deadline = deadline
+        remaining = caller.remaining_seconds
+        self._terms = WaitTerms(
+            arrived_ms=arrived * MS_PER_SECOND,
+            leaves_ms=(arrived + route.patience_seconds) * MS_PER_SECOND,
+            deadline_ms=deadline * MS_PER_SECOND,
+            objective_ms=route.objective_seconds * MS_PER_SECOND,
+            first_try=is_first_try(
+                None if remaining is None else remaining * MS_PER_SECOND,
+                route.timeout_seconds * MS_PER_SECOND,
+            ),
+        )
+        self._waiting = WaitingRequest(arrived + self._objective, self._objective)
+
+    def __enter__(self) -> "ModelWait":
+        self._pool.demand.begin_wait(self._key, self._waiting)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._pool.demand.end_wait(self._key, self._waiting)
+
+    async def look_again(self, may_refuse: bool) -> None:
+        """Wait until something may have changed.
+
+        :param may_refuse: whether nothing of the request has run, and no answer has begun.
+        :raises Refused: it cannot be served in time.
+        """
+        now = self._serving.now()
+        until = self._deadline
+        if may_refuse:
+            until = self._until(now)
+        await self._pool.demand.wait_for_change(min(max(0.0, until - now), LOOK_AGAIN_SECONDS))
+
+    def _until(self, now: float) -> float:
+        """Return when to look again at the latest.
+
+        :raises Refused: it cannot be served in time.
+        """
+        now_ms = now * MS_PER_SECOND
+        ready_in_ms = self._pool.expectations.ready_in_ms(self._key, now_ms)
+        usual_ms = self._serving.usual_load_ms(self._key)
+        verdict = decide(self._terms, now_ms, ready_in_ms, usual_ms)
+        match verdict:
+            case Wait(until_ms):
+                return until_ms / MS_PER_SECOND
+            case ComeBack(after_ms, returns_in_ms):
+                self._log(verdict, ready_in_ms)
+                back = now + returns_in_ms / MS_PER_SECOND + self._objective
+                returning = WaitingRequest(back, self._objective)
+                self._pool.demand.expect_return(self._key, returning)
+                raise Refused(503, "the model is being loaded", after_ms / MS_PER_SECOND)
+            case Hopeless(after):
+                self._log(verdict, ready_in_ms)
+                seconds = RETRY_SOON_SECONDS if after is None else after / MS_PER_SECOND
+                raise Refused(503, "the model cannot be loaded in time", seconds)
+
+    def _log(self, verdict: ComeBack | Hopeless, ready_in_ms: float | None) -> None:
+        log_decision(
+            "come-back" if isinstance(verdict, ComeBack) else "hopeless",
+            self._caller.request_id,
+            target=str(self._key.target),
+            ready_in_ms=None if ready_in_ms is None else round(ready_in_ms),
+            after_ms=None if verdict.after_ms is None else round(verdict.after_ms),
+            first_try=self._terms.first_try,
+        )
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -15,6 +15,7 @@
     LeaseNotice,
     PoolDemand,
     PoolDigest,
+    PoolExpectations,
     PoolHoldings,
     ServerListQuestion,
 )
@@ -93,6 +94,8 @@
                 self._watch.on_notice(message)
             case PoolHoldings():
                 self._on_holdings(message)
+            case PoolExpectations():
+                self._on_expectations(message)
             case PoolDigest():
                 self._on_digest(message)
             case ConfigurationCopy():
@@ -115,6 +118,20 @@
             self._holdings_fence = message.fence
             self._pool.tell(message.holdings)
 
+    def _on_expectations(self, message: PoolExpectations) -> None:
+        """Take in when models should be there; the word of an earlier leader is ignored."""
+        if message.fence >= self._holdings_fence:
+            self._pool.expect(message.expected)
+
+    def tell_expectations(self, daemon: str, message: PoolExpectations) -> None:
+        """Tell one daemon when what its requests wait for should be there."""
+        if daemon == self._own.name:
+            self._on_expectations(message)
+            return
+        peer = self._peers.named(daemon)
+        if peer is not None:
+            self._transport.cast(peer.address, message)
+
     def _on_digest(self, digest: PoolDigest) -> None:
         """Send a peer what it lacks."""
         configuration = self._beliefs.configuration_copy(digest.configuration_version)
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -65,6 +65,10 @@
         """Return the other daemons."""
         return [peer for name, peer in self._peers.items() if name != self._own.name]
 
+    def named(self, name: str) -> PeerEntry | None:
+        """Return the daemon of that name; None when it has no row."""
+        return self._peers.get(name)
+
     def paced(self, seconds: float) -> float:
         """Return an interval, longer in a large fleet so that the leader's work stays bounded."""
         return seconds * max(1.0, len(self._peers) / constants.SMALL_FLEET_DAEMONS)
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -1,12 +1,15 @@
 """The servers as one daemon sees them: listed, resident, healthy; with the budgets for retries."""
 
 import asyncio
+from collections.abc import Iterable
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.serving.breaker import ServerHealth
 from loomwind.serving.budget import RetryBudget
 from loomwind.serving.demand import DemandBoard
 from loomwind.serving.directory import ServerDirectory
 from loomwind.serving.errors import SendFailed
+from loomwind.serving.expectations import Expectations, ExpectedTarget
 from loomwind.serving.residency import Residency, ServerHolding
 from loomwind.serving.views import ModelKey, ServerEntry
 from loomwind.settings import BoundSettings
@@ -24,6 +27,7 @@
         self.directory = ServerDirectory(bounds.drain_seconds)
         self.residency = Residency()
         self.demand = DemandBoard()
+        self.expectations = Expectations()
         self._bounds = bounds
         self._daemons = UNKNOWN_DAEMONS
         self._health: dict[str, ServerHealth] = {}
@@ -95,6 +99,11 @@
             self.residency.tell(holding, self.now())
         self.demand.wake()
 
+    def expect(self, expected: Iterable[ExpectedTarget]) -> None:
+        """Take in when the leader expects models to be there, and let those that wait look."""
+        self.expectations.note(expected, self.now() * MS_PER_SECOND)
+        self.demand.wake()
+
     def refresh(self) -> None:
         """Forget servers that are gone, and wake requests that wait."""
         known = {entry.instance for entry in self.directory.entries()}
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -13,10 +13,11 @@
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.serving.choose import Candidate, choose
-from loomwind.serving.demand import DemandKey, WaitingRequest
+from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, SendFailed, StreamCut
 from loomwind.serving.event_stream import EventCutter
 from loomwind.serving.forwarder import OpenAnswer, Outgoing
+from loomwind.serving.model_wait import ModelWait
 from loomwind.serving.silence import allowed_silence_seconds
 from loomwind.serving.stream_gaps import StreamGaps
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
@@ -27,7 +28,6 @@
 DEADLINE_MARGIN_SECONDS = 0.02
 EXTRA_UNSTARTED_SENDS = 3
 REFUSED_PAUSE_SECONDS = 0.03
-LOOK_AGAIN_SECONDS = 0.2
 EVENT_SILENCE_SECONDS = 0.8
 SERVED = "served"
 SERVER_ERROR_STATUSES = range(500, 600)
@@ -217,24 +217,26 @@
         if entry is not None:
             return entry
         began = self._serving.now()
-        objective = self._route.objective_seconds
-        waiting = WaitingRequest(self._arrived + objective, objective)
-        self._pool.demand.begin_wait(key, waiting)
+        deadline = self._outgoing.deadline
+        wait = ModelWait(self._serving, key, self._route, self._caller, self._arrived, deadline)
         self._waiting = True
         self._serving.metrics.waiting_for_model.inc()
         try:
-            while entry is None:
-                self._refuse_if_leaving()
-                left = self._outgoing.deadline - self._serving.now()
-                await self._pool.demand.wait_for_change(min(max(0.0, left), LOOK_AGAIN_SECONDS))
-                entry = self._choose_paid()
+            with wait:
+                while entry is None:
+                    self._refuse_if_leaving()
+                    await wait.look_again(self._may_refuse())
+                    entry = self._choose_paid()
         finally:
-            self._pool.demand.end_wait(key, waiting)
             self._serving.metrics.waiting_for_model.dec()
             self._waited_seconds += self._serving.now() - began
         self._waiting = False
         return entry
 
+    def _may_refuse(self) -> bool:
+        """Whether a refusal is true: nothing has run, and no answer has begun."""
+        return not (self._may_have_run or self._exchange.started)
+
     def _refuse_if_leaving(self) -> None:
         """End a wait while its caller can still go elsewhere.
 
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 from functools import cached_property
 
 from msgspec import Struct
@@ -35,6 +36,7 @@
     :param priority: 0 is the most urgent.
     :param resumable: whether a stream that was cut may be continued at another server.
     :param gap_objective_seconds: the longest pause between events; 0 when none is given.
+    :param patience_seconds: how long its callers wait for the next event of a stream.
     """
 
     name: str
@@ -49,6 +51,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_objective_seconds: float = 0.0
+    patience_seconds: float = math.inf
 
     @property
     def repeatable(self) -> bool:
