Ask a server again soon that did not hold what it should, and believe its loads later

Change: 0.15 s, twice as long each time that it refuses again, and the leader adds 0.03 s to the time at which it believes that server, each time that a daemon still waits just after.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -89,7 +89,7 @@
                 continue
             for ledger in self._ledgers.values():
                 if ledger.holds(demand.target):
-                    ledger.doubted = True
+                    ledger.note_doubt(demand.target, self._now())
 
     def _note_leadership(self) -> bool:
         """Begin or end to lead, and return whether this daemon leads.
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -32,6 +32,10 @@
 # How old a report is on the whole: a load was done this long before a report shows it.
 REPORT_AGE_SECONDS = 0.2
 OVERDUE_LOOK_SECONDS = 0.3
+# A server whose loads were taken as done too soon is believed a little later from then on.
+TOO_SOON_SECONDS = 0.4
+LATE_STEP_SECONDS = 0.03
+MOST_LATE_SECONDS = 0.3
 ADAPTER_BELIEF_SECONDS = 0.5
 
 
@@ -71,6 +75,7 @@
         self.doubted = False
         self.staged = 0
         self._settled: Operation | None = None
+        self._late_by = 0.0
         self._finished: FinishedLoad | None = None
         self._reserved_for = ""
         self._reserved_at = -1e9
@@ -104,6 +109,15 @@
             self._finished = _finished(done, now, on_time=settled is not None)
         self.operation = None
 
+    def note_doubt(self, target: ModelKey, now: float) -> None:
+        """A daemon waits for what should be here: read soon, and believe later loads later."""
+        self.doubted = True
+        settled = self._settled
+        if settled is None or settled.target.model != target.model:
+            return
+        if now - self._assumed_at < TOO_SOON_SECONDS:
+            self._late_by = min(MOST_LATE_SECONDS, self._late_by + LATE_STEP_SECONDS)
+
     def take_finished(self) -> FinishedLoad | None:
         """Return the load from the weight store that was seen to be done since the last call."""
         finished, self._finished = self._finished, None
@@ -162,7 +176,7 @@
         """Return when the load that a server carries out should be done."""
         if self.operation is None:
             return float("inf")
-        slower = LOAD_SETTLES_SECONDS + LOAD_SETTLES_SECONDS_A_RUN * running
+        slower = LOAD_SETTLES_SECONDS + LOAD_SETTLES_SECONDS_A_RUN * running + self._late_by
         return self.operation.done_at + slower
 
     def _without_leaving(self, report: ServerReport) -> ServerReport:
--- a/loomwind/serving/residency.py
+++ b/loomwind/serving/residency.py
@@ -10,7 +10,7 @@
 
 from loomwind.serving.views import HeldModel, ModelKey, ServerEntry
 
-ABSENCE_SECONDS = 1.0
+ABSENCE_SECONDS = 0.15
 REFUSED_SECONDS = 0.25
 ADAPTER_ABSENCE_SECONDS = 0.12
 MOST_DOUBLINGS = 3
