--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: relay, latency, faults, sites and hollow fleets. Run ``python -m bench``."""
+"""Measurements: relay, latency, faults, sites and the users' bench. Run ``python -m bench``."""
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -69,7 +69,8 @@
     Then explain names the cause no_leader
 
   Scenario: a planned stop
-    Given a model server one that holds m1
+    Given callers who wait 20 s for an answer to begin
+    And a model server one that holds m1
     And 1 pool daemons
     And server one has faults late_order_seconds=60
     When a model request on draft for m3 begins with 20.0 s to its deadline
@@ -97,3 +98,12 @@
     And server one has faults event_seconds=0.3
     When a stream on talk for m1 with 4 events begins
     Then explain names the cause server_paused
+
+  Scenario: a request that was told when to come back
+    Given models that take 3 s to load
+    And callers who wait 2 s for an answer to begin
+    And a model server one that holds m1
+    And 1 pool daemons
+    When a model request on draft for m3 begins with 20.0 s to its deadline
+    Then the last reply has status 503
+    And explain names the cause told_to_return
--- a/features/pool_control.feature
+++ b/features/pool_control.feature
@@ -12,7 +12,8 @@
     And no server was ordered beyond its memory
 
   Scenario: orders that are carried out seconds later overcommit nothing
-    Given 2 pool daemons
+    Given callers who wait 8 s for an answer to begin
+    And 2 pool daemons
     And server one has faults late_order_seconds=1.0
     And server two has faults late_order_seconds=1.0
     When a model request on draft for m3 begins with 30.0 s to its deadline
--- a/features/pool_promises.feature
+++ b/features/pool_promises.feature
@@ -80,7 +80,8 @@
     And the first daemon ends by itself with status 0
 
   Scenario: a request that waits for a model gets its answer before a planned stop ends
-    Given a model server one that holds m1
+    Given callers who wait 20 s for an answer to begin
+    And a model server one that holds m1
     And 1 pool daemons
     And server one has faults late_order_seconds=60
     When a model request on draft for m3 begins with 20.0 s to its deadline
@@ -90,7 +91,8 @@
     And the first daemon ends by itself with status 0
 
   Scenario: a request for a model that is being unloaded waits for it and is served
-    Given servers with 60000 MB
+    Given callers who wait 8 s for an answer to begin
+    And servers with 60000 MB
     And a model server one that holds m1
     And 1 pool daemons
     And server one has faults event_seconds=0.1
--- a/loomwind/explain.py
+++ b/loomwind/explain.py
@@ -31,6 +31,8 @@
     ORDERS_UNANSWERED = "a model server left orders for the model unanswered"
     NO_LEADER = "no daemon led, so nothing was loaded"
     MODEL_NOT_LOADED = "the model was not loaded in time"
+    TOLD_TO_RETURN = "the model was being loaded, and the caller was told when to come back"
+    NO_TURN = "the model could not be loaded before the caller would have left"
     SERVER_SILENT = "a server took the request and did not answer"
     SERVER_BROKE_OFF = "a server broke off its answer"
     SERVERS_REFUSED = "the servers refused the request unstarted"
@@ -40,6 +42,9 @@
     UNKNOWN = "the lines do not tell"
 
 
+VERDICTS = {"come-back": Cause.TOLD_TO_RETURN, "hopeless": Cause.NO_TURN}
+
+
 class LogLine(Struct, frozen=True):
     """One line of a daemon's log.
 
@@ -145,7 +150,7 @@
     if ended and ended.get("decision") == "caller-left":
         return Cause.CALLER_LEFT
     if ended and ended.get("waiting"):
-        return _cause_of_wait(orders, before)
+        return _cause_of_wait(own, orders, before)
     if "no server of the service" in reason:
         return Cause.NO_SERVER
     failure = next((line for line in reversed(own) if line.get("decision") == "send-failed"), None)
@@ -160,7 +165,9 @@
     return Cause.UNKNOWN
 
 
-def _cause_of_wait(orders: Sequence[LogLine], before: Sequence[LogLine]) -> Cause:
+def _cause_of_wait(
+    own: Sequence[LogLine], orders: Sequence[LogLine], before: Sequence[LogLine]
+) -> Cause:
     if any(line.get("state") == "unknown" for line in orders):
         return Cause.ORDERS_UNANSWERED
     changes = [line for line in before if line.kind == "loomwind:election"]
@@ -173,6 +180,9 @@
     )
     if not orders and (not any(leads.values()) or store_lost):
         return Cause.NO_LEADER
+    verdict = next((line for line in own if line.get("decision") in VERDICTS), None)
+    if verdict is not None and verdict.get("ready_in_ms") is not None:
+        return VERDICTS[str(verdict.get("decision"))]
     return Cause.MODEL_NOT_LOADED
 
 
