--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -56,6 +56,8 @@
     "no server of the service was known": "no_server",
     "a model server left orders for the model unanswered": "orders_unanswered",
     "the model was not loaded in time": "model_not_loaded",
+    "the model was being loaded, and the caller was told when to come back": "told_to_return",
+    "the model could not be loaded before the caller would have left": "no_turn",
     "no daemon led, so nothing was loaded": "no_leader",
     "the daemon was stopping as planned": "leaving",
     "the caller went away": "caller_left",
