--- a/features/planner.feature
+++ b/features/planner.feature
@@ -86,9 +86,3 @@
     Given 40 model servers and 400 models, three at each server
     When requests wait for 100 models that no server has, and 3 loads may begin
     Then the plan brings 3 models
-
-  Scenario: a model with too many requests at its only copy gets another before a cold one its first
-    Given model servers one and two of 100 GB
-    And one holds a and b, two holds d
-    When 20 requests run for a at one of 8 places, and one waits for c at 10.0 s
-    Then the orders are: load a at two
--- a/loomwind/placement/index.py
+++ b/loomwind/placement/index.py
@@ -1,6 +1,6 @@
 """What a plan looks up again and again, found once: who holds what, copies, runs. Pure."""
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from loomwind.placement.ledger import ServerLedger
@@ -15,7 +15,6 @@
     :ivar copies: the servers with a copy of a model's weights in memory or on disk, by its name.
     :ivar available: all that is held or on its way, with adapters.
     :ivar reserved: the models that another one makes way for.
-    :ivar runs_of: how many requests run for a model and its adapters anywhere, by its name.
     """
 
     def __init__(
@@ -33,10 +32,8 @@
         for server in servers:
             self._add(server, now)
         self._runs: dict[tuple[str, str], int] = defaultdict(int)
-        self.runs_of: Counter[str] = Counter()
         for (instance, target), count in running.items():
             self._runs[(instance, target.model)] += count
-            self.runs_of[target.model] += count
 
     def _add(self, server: ServerLedger, now: float) -> None:
         room = server.room_reserved_for(now)
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -34,7 +34,6 @@
     def plan(self) -> list[PlannedOrder]:
         """Return the orders, at most one for each server."""
         self._models.use_reserved_room()
-        self._models.relieve_crowded()
         for want in self._wants:
             if self._is_urgent(want):
                 self._plan_want(want)
