Keep a load that takes longer than its profile under way until a report shows its end

Cause: a load was taken as done by its time; a later report took that back, and 0.36 s after it was taken as done again, and so on: daemons were told of a model that was not there, and the pace of the weight store never learned that a load was slow, since its last belief was "done". Change: a load that a report shows to be late is overdue, and only a report ends it. The scenario failed before.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -86,3 +86,12 @@
     Given 40 model servers and 400 models, three at each server
     When requests wait for 100 models that no server has, and 3 loads may begin
     Then the plan brings 3 models
+
+  Scenario: a load that takes longer than its profile says goes on until a report shows its end
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one begins to load c from the weight store at 10.0 s
+    Then one does not hold c at 14.0 s, and holds it at 14.1 s
+    When reports of one show the load each 0.3 s until 22.0 s, its end at 22.2 s
+    Then one did not hold c from 14.6 s to 22.0 s, and was loading it
+    And the load was seen to take 3.0 times as long
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 
 from loomwind.messages.serving import PoolDemand
@@ -293,3 +294,30 @@
 @then("what a server holds was looked up at most {most:d} times for each server")
 def step_look_ups(context: Any, most: int) -> None:
     assert CountingLedger.look_ups <= most * len(context.ledgers), CountingLedger.look_ups
+
+
+@when("reports of {name:w} show the load each {step:f} s until {last:f} s, its end at {end:f} s")
+def step_slow_load(context: Any, name: str, step: float, last: float, end: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    context.beliefs_while_loading = []
+    now = 14.3
+    while now < last:
+        now += step
+        ledger.note_report(msgspec.structs.replace(report(["a"], {"a"}, 1), busy=True), now)
+        ledger.settle(now, 0)
+        state = (now, ledger.holds(ModelKey("c")), ledger.coming)
+        context.beliefs_while_loading.append(state)
+    ledger.note_report(report(["a", "c"], {"a", "c"}, 1), end)
+    context.finished = ledger.take_finished()
+
+
+@then("{name:w} did not hold c from {first:f} s to {last:f} s, and was loading it")
+def step_not_held(context: Any, name: str, first: float, last: float) -> None:
+    states = [state for state in context.beliefs_while_loading if first <= state[0] <= last]
+    assert states and all(not held and coming == "c" for _, held, coming in states), states
+    assert context.ledgers[name].holds(ModelKey("c"))
+
+
+@then("the load was seen to take {times:f} times as long")
+def step_slowness(context: Any, times: float) -> None:
+    assert abs(context.finished.slowness - times) < 0.05, context.finished
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -45,6 +45,7 @@
     :param done_at: when it should be done, by the profile of the model.
     :param expected_seconds: how long it should take, by that profile.
     :param from_store: whether it loads from the weight store.
+    :param overdue: whether a report has shown that it takes longer than it should.
     """
 
     kind: OrderKind
@@ -53,6 +54,7 @@
     done_at: float
     expected_seconds: float = 0.0
     from_store: bool = False
+    overdue: bool = False
 
 
 class ServerLedger:
@@ -101,8 +103,10 @@
         """Take in whether a load goes on or is done; one taken as done too soon goes on."""
         settled, self._settled = self._settled, None
         if report.busy:
-            if settled is not None and self.operation is None:
-                self.operation = replace(settled, done_at=now + OVERDUE_LOOK_SECONDS)
+            late = settled if self.operation is None else self.operation
+            if late is not None and now >= late.done_at:
+                look_at = now + OVERDUE_LOOK_SECONDS
+                self.operation = replace(late, done_at=look_at, overdue=True)
             return
         done = self.operation or settled
         if done is not None and done.from_store:
@@ -144,7 +148,7 @@
         operation, report = self.operation, self.report
         if report is None or operation is None or operation.kind is not OrderKind.LOAD:
             return False
-        if self.in_flight is not None or now < self.settles_at(running):
+        if operation.overdue or self.in_flight is not None or now < self.settles_at(running):
             return False
         self.operation = None
         self._settled = operation
@@ -174,7 +178,7 @@
 
     def settles_at(self, running: int) -> float:
         """Return when the load that a server carries out should be done."""
-        if self.operation is None:
+        if self.operation is None or self.operation.overdue:
             return float("inf")
         slower = LOAD_SETTLES_SECONDS + LOAD_SETTLES_SECONDS_A_RUN * running + self._late_by
         return self.operation.done_at + slower
