Take the weight store as slow when three loads in a row are

Change: three loads in a row have to be slow, and the least bad of them tells what the store serves; after 20 s it is asked for more again. The scenario was written with it.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -95,3 +95,8 @@
     When reports of one show the load each 0.3 s until 22.0 s, its end at 22.2 s
     Then one did not hold c from 14.6 s to 22.0 s, and was loading it
     And the load was seen to take 3.0 times as long
+
+  Scenario: one load that is slow for its server's requests does not slow the others down
+    Given a weight store that serves 8 loads at once at full speed, 6 s each
+    When every third load takes twice as long for another reason
+    Then the leader may have 8 or more under way
--- a/features/steps/store_pace_steps.py
+++ b/features/steps/store_pace_steps.py
@@ -58,3 +58,19 @@
     at_once = min(context.served, context.servers)
     possible = at_once * context.seconds * MS / context.load_ms
     assert context.done >= possible * (1 - 1 / part), (context.done, possible)
+
+
+@when("every third load takes twice as long for another reason")
+def step_every_third(context: Any) -> None:
+    context.pace = StorePace()
+    for number in range(24):
+        began_ms = number * context.load_ms
+        factor = 2.0 if number % 3 == 0 else 1.0
+        context.pace.observe(context.pace.limit, began_ms)
+        done_ms = began_ms + factor * context.load_ms
+        context.pace.note(FinishedLoad(began_ms, done_ms, context.load_ms), done_ms)
+
+
+@then("the leader may have {count:d} or more under way")
+def step_may_have(context: Any, count: int) -> None:
+    assert context.pace.limit >= count, context.pace.limit
--- a/loomwind/placement/store_pace.py
+++ b/loomwind/placement/store_pace.py
@@ -6,13 +6,17 @@
 Pure; time is passed in.
 """
 
+from collections import deque
+
 import attrs
 
 FIRST_LIMIT = 4
 SLOW_FACTOR = 1.15
 # A load that had fewer beside it than this part of the limit says nothing about a higher one.
 USED_PART = 0.5
-PROBE_AFTER_MS = 60_000.0
+# A server that runs many requests loads slowly too: the store is slow when so many in a row are.
+ALIKE_LOADS = 3
+PROBE_AFTER_MS = 20_000.0
 REMEMBERED_MS = 120_000.0
 
 
@@ -43,6 +47,17 @@
     load_ms: float
 
 
+@attrs.frozen
+class _Seen:
+    """What one load has shown.
+
+    :ivar at_once: loads that were under way with it on the whole, itself among them.
+    """
+
+    slowness: float
+    at_once: float
+
+
 class StorePace:
     """The number of loads at once that is worth having."""
 
@@ -51,6 +66,7 @@
         self._last_slow_ms: float | None = None
         self._under_way = 0
         self._samples = [_Sample(0.0, 0.0)]
+        self._recent: deque[_Seen] = deque(maxlen=ALIKE_LOADS)
 
     @property
     def limit(self) -> int:
@@ -77,10 +93,14 @@
     def note(self, load: FinishedLoad, now_ms: float) -> None:
         """Learn from a load."""
         at_once = self._mean_under_way(load)
-        if load.slowness > SLOW_FACTOR:
-            self._limit = max(1.0, min(self._limit, at_once / load.slowness))
+        self._recent.append(_Seen(load.slowness, at_once))
+        slowness = min(seen.slowness for seen in self._recent)
+        if len(self._recent) == ALIKE_LOADS and slowness > SLOW_FACTOR:
+            served = max(seen.at_once / seen.slowness for seen in self._recent)
+            self._limit = max(1.0, min(self._limit, served))
             self._last_slow_ms = now_ms
-        elif at_once >= USED_PART * self._limit:
+            self._recent.clear()
+        elif load.slowness <= SLOW_FACTOR and at_once >= USED_PART * self._limit:
             self._grow(now_ms)
 
     def _grow(self, now_ms: float) -> None:
