--- a/loomwind/serving/follower.py
+++ b/loomwind/serving/follower.py
@@ -6,7 +6,7 @@
 from loomwind.logs import log_state
 from loomwind.serving.ports import HistoryLost, Snapshot, Store, StoreUnavailable
 
-FEED_WAIT_SECONDS = 10.0
+FEED_WAIT_SECONDS = 25.0
 RETRY_SECONDS = 0.15
 LONGEST_RETRY_SECONDS = 0.6
 TROUBLE_MEMORY_SECONDS = 3.5
