--- a/features/server_list.feature
+++ b/features/server_list.feature
@@ -43,3 +43,21 @@
     When the leader tells at 10.0 s that s1 holds m1 and m2 at revision 18
     Then s1 can run m2 at 10.1 s
     And s1 can run m2 at 19.0 s only if nothing newer is listed
+
+  Scenario: a server that was seen leaving gets no new work while the store is in disruption
+    Given a list of servers under a drain bound of 2.0 s
+    When s1 is listed as draining, and its entry goes at 10.0 s while the store is in trouble
+    Then s1 may not get work at 10.1 s
+
+  Scenario: an entry that lapses while the store is away counts on for a while, and for good if it returns
+    Given a list of servers under a drain bound of 2.0 s
+    When s1 is listed as ready, and its entry goes at 10.0 s while the store is in trouble
+    Then s1 may get work at 11.7 s
+    And s1 may not get work at 11.9 s
+    When s1 is listed as ready again
+    Then s1 may get work at 20.0 s
+
+  Scenario: an entry that goes while the store is well is gone at once
+    Given a list of servers under a drain bound of 2.0 s
+    When s1 is listed as ready, and its entry goes at 10.0 s while the store is well
+    Then s1 may not get work at 10.0 s
--- a/features/steps/server_list_steps.py
+++ b/features/steps/server_list_steps.py
@@ -18,6 +18,7 @@
 from loomwind.peering.transport import PeerTransport
 from loomwind.platform.documents import PlatformDocuments
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.directory import ServerDirectory
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
@@ -255,3 +256,34 @@
     older = msgspec.structs.replace(context.entry, revision=18)
     assert context.residency.can_run(older, ModelKey("m2"), now)
     assert not context.residency.can_run(context.entry, ModelKey("m2"), now)
+
+
+def listed_as(state: str) -> ServerEntry:
+    """Return an entry of s1."""
+    return ServerEntry("s1", "tutor", "a:1", "z", 8, ServerState(state))
+
+
+@given("a list of servers under a drain bound of {seconds:f} s")
+def step_list(context: Any, seconds: float) -> None:
+    context.directory = ServerDirectory(seconds)
+
+
+@when("s1 is listed as {state:w}, and its entry goes at {now:f} s while the store is {health}")
+def step_entry_goes(context: Any, state: str, now: float, health: str) -> None:
+    context.directory.put(listed_as(state), now - 5.0)
+    context.directory.remove("s1", now, health == "in trouble")
+
+
+@when("s1 is listed as ready again")
+def step_listed_again(context: Any) -> None:
+    context.directory.put(listed_as("ready"), 12.0)
+
+
+@then("s1 may get work at {now:f} s")
+def step_may_get_work(context: Any, now: float) -> None:
+    assert [entry.instance for entry in context.directory.usable("tutor", now)] == ["s1"]
+
+
+@then("s1 may not get work at {now:f} s")
+def step_may_not_get_work(context: Any, now: float) -> None:
+    assert context.directory.usable("tutor", now) == []
