--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     fairness,
     faults,
     latency,
+    losses,
     pool,
     relay,
     site,
@@ -35,6 +36,7 @@
         "sizes": sizes.run,
         "pool": pool.run,
         "compare": compare.compare,
+        "losses": losses.losses,
         "troubles": troubles.troubles,
         "variants": variants.variants,
     }
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -100,10 +100,14 @@
     Then explain names the cause server_paused
 
   Scenario: a request that was told when to come back
-    Given models that take 3 s to load
+    Given a model server one that holds m1
+    And models that load in 3.0 s
     And callers who wait 2 s for an answer to begin
-    And a model server one that holds m1
     And 1 pool daemons
     When a model request on draft for m3 begins with 20.0 s to its deadline
     Then the last reply has status 503
     And explain names the cause told_to_return
+
+  Scenario: the losses of a day are counted by route and reason
+    Given the lines of a request that was told to come back, and of one that was late at its server
+    Then the reasons are "told to come back, model" on r-1 and "late at its server" on no known route
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -7,8 +7,10 @@
 
 from behave import given, then, when
 
+from bench.losses import Reason, reasons
 from features.steps.pool_steps import pool, replies_of
 from features.support.processes import wait_until
+from loomwind.explain import REQUEST_TYPE, LogLine
 
 
 @given("models that load in {seconds:f} s")
@@ -64,3 +66,17 @@
     "the model or adapter was loaded late": "served_late",
     "the server paused between events": "server_paused",
 }
+
+
+@given("the lines of a request that was told to come back, and of one that was late at its server")
+def step_loss_lines(context: Any) -> None:
+    told = {"decision": "come-back", "request_id": "a", "target": "m1"}
+    ended = {"decision": "given-up", "request_id": "a", "route": "r-1", "waiting": True}
+    late = {"decision": "late", "request_id": "b", "target": "m1", "waited_for_model": 0.0}
+    context.lines = [LogLine(1.0, "d", REQUEST_TYPE, fields) for fields in (told, ended, late)]
+
+
+@then('the reasons are "{first}" on {route} and "{second}" on no known route')
+def step_reasons(context: Any, first: str, route: str, second: str) -> None:
+    expected = {Reason(route, first): 1, Reason("", second): 1}
+    assert reasons(context.lines) == expected, reasons(context.lines)
--- a/features/steps/pool_steps.py
+++ b/features/steps/pool_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features.support.caller import Reply, read_part_and_leave
-from features.support.pool_site import PoolDaemonProcess, PoolSite, model
+from features.support.pool_site import PoolDaemonProcess, PoolSite
 from features.support.processes import wait_until
 
 
@@ -258,12 +258,6 @@
     pool(context).lease_ms = 1000 * seconds
 
 
-@given("models that take {seconds:d} s to load")
-def step_slow_models(context: Any, seconds: int) -> None:
-    site = pool(context)
-    site.models = [model(known["name"], load_time_s=float(seconds)) for known in site.models]
-
-
 @given("callers who wait {seconds:d} s for an answer to begin")
 def step_patient(context: Any, seconds: int) -> None:
     for known in pool(context).routes:
