--- a/features/server_list.feature
+++ b/features/server_list.feature
@@ -1,26 +1,26 @@
 Feature: Few daemons read the store, and the others learn from them, or by themselves when they must
 
-  Scenario: a daemon that asks a hub makes no call of the store
-    Given a daemon that has 3 hubs and is none itself
-    And hubs whose word is 0.0 s old
+  Scenario: a daemon that asks a mirror makes no call of the store
+    Given a daemon that has 3 mirrors and is none itself
+    And mirrors whose word is 0.0 s old
     When it has followed the list for 5 questions
     Then it has called the store 0 times
     And it knows server s1
 
-  Scenario: a daemon whose hubs are behind reads the store itself
-    Given a daemon that has 3 hubs and is none itself
-    And hubs whose word is 9.0 s old
+  Scenario: a daemon whose mirrors are behind reads the store itself
+    Given a daemon that has 3 mirrors and is none itself
+    And mirrors whose word is 9.0 s old
     When it has followed the list for 5 questions
     Then it has called the store 5 times
 
-  Scenario: a daemon that reaches no hub reads the store itself
-    Given a daemon that has 3 hubs and is none itself
-    And hubs that cannot be reached
+  Scenario: a daemon that reaches no mirror reads the store itself
+    Given a daemon that has 3 mirrors and is none itself
+    And mirrors that cannot be reached
     When it has followed the list for 5 questions
     Then it has called the store 5 times
 
-  Scenario: a hub reads the store itself
-    Given a daemon that is a hub itself
+  Scenario: a mirror reads the store itself
+    Given a daemon that is a mirror itself
     When it has followed the list for 5 questions
     Then it has called the store 5 times
 
--- a/features/steps/server_list_steps.py
+++ b/features/steps/server_list_steps.py
@@ -65,18 +65,18 @@
 
 
 class MadePeers:
-    """The daemons, of which some are hubs."""
+    """The daemons, of which some are mirrors."""
 
-    def __init__(self, hubs: list[PeerEntry]) -> None:
-        self._hubs = hubs
+    def __init__(self, mirrors: list[PeerEntry]) -> None:
+        self._mirrors = mirrors
 
-    def hubs(self) -> list[PeerEntry]:
-        """Return the hubs."""
-        return self._hubs
+    def mirrors(self) -> list[PeerEntry]:
+        """Return the mirrors."""
+        return self._mirrors
 
 
-class MadeHubs:
-    """Hubs that all say the same, or cannot be reached."""
+class MadeMirrors:
+    """Mirrors that all say the same, or cannot be reached."""
 
     def __init__(self) -> None:
         self.age_ms: float | None = 0.0
@@ -94,26 +94,26 @@
         return ServerListAnswer(0.0, self.age_ms, copy)
 
 
-@given("a daemon that has 3 hubs and is none itself")
+@given("a daemon that has 3 mirrors and is none itself")
 def step_asker(context: Any) -> None:
-    context.list_hubs = [PeerEntry(f"a:{n}", "z", f"life-{n}") for n in range(3)]
-    context.hubs_made = MadeHubs()
+    context.list_mirrors = [PeerEntry(f"a:{n}", "z", f"life-{n}") for n in range(3)]
+    context.mirrors_made = MadeMirrors()
 
 
-@given("a daemon that is a hub itself")
-def step_hub(context: Any) -> None:
-    context.list_hubs = [PeerEntry(OWN.address, "z", OWN.life)]
-    context.hubs_made = MadeHubs()
+@given("a daemon that is a mirror itself")
+def step_mirror(context: Any) -> None:
+    context.list_mirrors = [PeerEntry(OWN.address, "z", OWN.life)]
+    context.mirrors_made = MadeMirrors()
 
 
-@given("hubs whose word is {age:f} s old")
+@given("mirrors whose word is {age:f} s old")
 def step_age(context: Any, age: float) -> None:
-    context.hubs_made.age_ms = age * 1000
+    context.mirrors_made.age_ms = age * 1000
 
 
-@given("hubs that cannot be reached")
+@given("mirrors that cannot be reached")
 def step_unreachable(context: Any) -> None:
-    context.hubs_made.age_ms = None
+    context.mirrors_made.age_ms = None
 
 
 @when("it has followed the list for {count:d} questions")
@@ -123,21 +123,21 @@
 
 
 async def _follow(context: Any, count: int) -> None:
-    store, hubs = context.store, context.hubs_made
+    store, mirrors = context.store, context.mirrors_made
     table = TableFollower(
         cast(Store, store), "servers", StoreHealth(), context.beliefs.on_server_rows
     )
     follower = ServerListFollower(
         OWN,
         table,
-        cast(PeerTransport, hubs),
-        cast(PeerTable, MadePeers(context.list_hubs)),
+        cast(PeerTransport, mirrors),
+        cast(PeerTable, MadePeers(context.list_mirrors)),
         context.beliefs,
         BoundSettings(drain_ms=DRAIN_MS),
     )
     task = asyncio.ensure_future(follower.run())
     for _ in range(MOST_POLLS):
-        if max(store.calls, hubs.questions) >= count and store.calls in (0, count):
+        if max(store.calls, mirrors.questions) >= count and store.calls in (0, count):
             break
         await asyncio.sleep(POLL_SECONDS)
     task.cancel()
@@ -146,7 +146,7 @@
 
 @then("it has called the store {count:d} times")
 def step_calls(context: Any, count: int) -> None:
-    assert context.store.calls == count, (context.store.calls, context.hubs_made.questions)
+    assert context.store.calls == count, (context.store.calls, context.mirrors_made.questions)
 
 
 @then("it knows server {name:w}")
--- a/loomwind/serving/leader_watch.py
+++ b/loomwind/serving/leader_watch.py
@@ -55,7 +55,7 @@
         return self._health.answering_since is not None
 
     async def tell(self) -> None:
-        """Tell heirs of each renewal for ever, and all daemons of each change of the leader."""
+        """Tell standbys of each renewal for ever, and all daemons of each change of the leader."""
         while True:
             await self._election.wrote.wait()
             self._election.wrote.clear()
@@ -69,7 +69,7 @@
                 self._told_store_answers,
             )
             self._told_fence, self._told_store_answers = lease.fence, notice.store_answers
-            for peer in self._peers.others() if news else self._peers.heirs():
+            for peer in self._peers.others() if news else self._peers.standbys():
                 self._transport.cast(peer.address, notice)
 
     # What this daemon hears.
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -22,11 +22,11 @@
 
 PEER_KEY_PREFIX = "daemon/"
 REGISTER_RETRY_SECONDS = 0.5
-HEIRS = 5
+STANDBYS = 5
 REST_SECONDS_A_DAEMON = 0.01
 LONGEST_REST_SECONDS = 0.5
-LEAST_HUBS = 3
-DAEMONS_A_HUB = 25
+LEAST_MIRRORS = 3
+DAEMONS_A_MIRROR = 25
 
 
 class PeerEntry(Struct, frozen=True):
@@ -83,21 +83,21 @@
         self._ranked = sorted(self._peers, key=_rank)
         self._pool.set_daemons(len(self._peers))
         self._election.daemons = max(1, len(self._peers))
-        heirs = self._ranked[:HEIRS]
-        self._election.waits_longer = bool(heirs) and self._own.name not in heirs
+        standbys = self._ranked[:STANDBYS]
+        self._election.waits_longer = bool(standbys) and self._own.name not in standbys
 
     def rest_seconds(self) -> float:
         """Return the pause between two looks at the rows: all daemons of a fleet start at once."""
         return min(LONGEST_REST_SECONDS, REST_SECONDS_A_DAEMON * len(self._peers))
 
-    def heirs(self) -> list[PeerEntry]:
+    def standbys(self) -> list[PeerEntry]:
         """Return the daemons that take the lease first; told of each renewal."""
-        names = [name for name in self._ranked[:HEIRS] if name != self._own.name]
+        names = [name for name in self._ranked[:STANDBYS] if name != self._own.name]
         return [self._peers[name] for name in names]
 
-    def hubs(self) -> list[PeerEntry]:
+    def mirrors(self) -> list[PeerEntry]:
         """Return the daemons that follow the store for the others too."""
-        count = max(LEAST_HUBS, len(self._peers) // DAEMONS_A_HUB)
+        count = max(LEAST_MIRRORS, len(self._peers) // DAEMONS_A_MIRROR)
         return [self._peers[name] for name in self._ranked[:count]]
 
     def _on_peer_row(self, row: StoredRow) -> None:
--- a/loomwind/serving/server_list.py
+++ b/loomwind/serving/server_list.py
@@ -53,17 +53,17 @@
         """Follow for ever, with at most one call of the store in each period."""
         while True:
             began = self._now()
-            hub = self._hub()
-            if hub is None or not await self._ask(hub):
+            mirror = self._mirror()
+            if mirror is None or not await self._ask(mirror):
                 await self._read_store()
             await asyncio.sleep(max(0.0, began + self._period - self._now()))
 
-    def _hub(self) -> PeerEntry | None:
+    def _mirror(self) -> PeerEntry | None:
         """Return a daemon to ask; None when this one reads the store itself."""
-        hubs = self._peers.hubs()
-        if not hubs or any(hub.life == self._own.life for hub in hubs):
+        mirrors = self._peers.mirrors()
+        if not mirrors or any(mirror.life == self._own.life for mirror in mirrors):
             return None
-        return random.choice(hubs)
+        return random.choice(mirrors)
 
     async def _read_store(self) -> None:
         began = self._now()
@@ -71,7 +71,7 @@
         if await self._table.follow_once(self._period):
             self._fresh_at = began
 
-    async def _ask(self, hub: PeerEntry) -> bool:
+    async def _ask(self, mirror: PeerEntry) -> bool:
         """Ask a daemon that reads the store; returns whether the list is fresh by that."""
         sent = self._now()
         question = ServerListQuestion(
@@ -79,9 +79,9 @@
         )
         timeout = self._period + ANSWER_MARGIN_SECONDS
         try:
-            answer = await self._transport.call(hub.address, question, timeout)
+            answer = await self._transport.call(mirror.address, question, timeout)
         except PeerUnreachable as error:
-            log_state("server-list", "hub-silent", hub=hub.address, reason=str(error))
+            log_state("server-list", "mirror-silent", mirror=mirror.address, reason=str(error))
             return False
         if not isinstance(answer, ServerListAnswer):
             return False
