Confirm a leader only by fresh failures, and hand a lease over only when its orders are answered

Read from the code, both of which give two leaders' orders in turn:

- A daemon whose call had failed once said that the store was away until its next feed was answered, up to 25 s since feeds wait that long, and so kept a cut-off leader in its role.
Now it says so for 2 s after a failure, and its next call after one does not wait.
- A leader that stops removed its row while its orders were under way; the next one hears of it within 30 ms, and servers here check no fences.
A renewal answered after the release made the leaving daemon lead again.
Now it leads no more, waits until its orders are answered (0.4 s at most), and then removes the row.

The new scenarios fail on the code before (by absence of the methods they ask).

--- a/features/server_list.feature
+++ b/features/server_list.feature
@@ -61,3 +61,14 @@
     Given a list of servers under a drain bound of 2.0 s
     When s1 is listed as ready, and its entry goes at 10.0 s while the store is well
     Then s1 may not get work at 10.0 s
+
+  Scenario: a daemon says that the store is away only while its own calls fail
+    Given a daemon whose call of the store failed at 10.0 s
+    Then it says at 10.5 s that the store is away
+    And it says at 12.5 s nothing of the kind, though no call was answered since
+    And its next call of a feed does not wait, so that an answer is known at once
+
+  Scenario: a leader that stops hands its lease over only when its orders are answered
+    Given a leader with an order under way that is answered late
+    When it stops, and a renewal is answered after that
+    Then it does not lead, and removes its row after the order was answered
--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -168,7 +168,9 @@
         self._unanswered_since = None
 
     def leads(self) -> bool:
-        """Whether this daemon may act as the leader now."""
+        """Whether this daemon may act as the leader now; never again once it has released."""
+        if self._stopping:
+            return False
         now = self._now()
         if self.lease.leads(now):
             return True
@@ -185,15 +187,17 @@
         holder = self.lease.holder.name if self.lease.holder else None
         log_state("election", state, fence=self.lease.fence, holder=holder)
 
-    async def hand_over(self) -> None:
-        """Give the lease up, so that another daemon need not wait for its end."""
-        self._stopping = True
+    def release(self) -> bool:
+        """Lead no more; returns whether this daemon led. Its row stays until it is handed over."""
         leads = self.leads()
-        expected = self.lease.expected_version
+        self._stopping = True
         self.lease.released()
         self._report()
-        if not leads:
-            return
+        return leads
+
+    async def hand_over(self) -> None:
+        """Remove the row of a lease that was released: another daemon need not wait for its end."""
+        expected = self.lease.expected_version
         try:
             version = await self._store.write(self._table, Write(LEASE_KEY, None, expected))
             self.note_heard(version, None)
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -340,6 +340,12 @@
                 self._tell_holdings([ledger])
         self._wake.set()
 
+    async def finish_orders(self) -> None:
+        """Wait until each order that was sent is answered, or can be waited for no longer."""
+        under_way = [task for task in self._tasks if not task.done()]
+        if under_way:
+            await asyncio.wait(under_way, timeout=ORDER_TIMEOUT_SECONDS)
+
     def _is_in_use(self, order: Order, now: float) -> bool:
         """Whether requests run at the server of an order for its model, as far as is known."""
         running = self._demand.running(now)
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -268,7 +268,10 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def _hand_over(self) -> None:
-        await self._election.hand_over()
+        """Give the lease up, once no order of this daemon can arrive after the next leader's."""
+        if self._election.release():
+            await self._controller.finish_orders()
+            await self._election.hand_over()
         await self._peers.unregister()
 
     def close(self) -> None:
--- a/loomwind/serving/follower.py
+++ b/loomwind/serving/follower.py
@@ -10,6 +10,7 @@
 RETRY_SECONDS = 0.15
 LONGEST_RETRY_SECONDS = 0.6
 TROUBLE_MEMORY_SECONDS = 3.5
+AWAY_SECONDS = 2.0
 
 
 class StoreHealth:
@@ -32,6 +33,12 @@
         self.answering_since = None
         self.last_failure = now
 
+    def is_away(self, now: float) -> bool:
+        """Whether a call has failed a moment ago, and none was answered since."""
+        if self.answering_since is not None or self.last_failure is None:
+            return False
+        return now - self.last_failure < AWAY_SECONDS
+
     def in_trouble(self, now: float) -> bool:
         """Whether a call failed lately, so that entries may be gone without a cause."""
         return self.last_failure is not None and now - self.last_failure < TROUBLE_MEMORY_SECONDS
@@ -99,6 +106,8 @@
             self.synchronised = True
 
     async def _step(self, wait_seconds: float) -> None:
+        if self._health.answering_since is None:
+            wait_seconds = 0.0  # so that the store's return is known at once
         if self.synchronised:
             snapshot = await self._store.changes(self._table, self.version, wait_seconds)
         else:
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -195,7 +195,7 @@
             self._own.name,
             demand.take_report(self._now(), to_new_leader),
             demand.running(),
-            self._health.answering_since is not None,
+            not self._health.is_away(self._now()),
         )
 
     async def send_digests(self) -> None:
