--- a/features/steps/server_list_steps.py
+++ b/features/steps/server_list_steps.py
@@ -6,8 +6,7 @@
 import msgspec
 from behave import given, then, when
 
-from loomwind.leadership.election import Election
-from loomwind.leadership.lease import Lease, LeaseAction, LeaseHolder
+from loomwind.leadership.lease import LeaseAction, LeaseHolder
 from loomwind.messages.serving import (
     DirectoryCopy,
     ServerDocument,
@@ -17,15 +16,13 @@
 from loomwind.metrics import Metrics
 from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
-from loomwind.placement.controller import PlacementController
 from loomwind.platform.documents import PlatformDocuments
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.directory import ServerDirectory
 from loomwind.serving.follower import StoreHealth, TableFollower
-from loomwind.serving.peer_exchange import DemandInbox, PeerExchange
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import EngineControl, Snapshot, Store, StoredRow, Write
+from loomwind.serving.ports import Snapshot, Store, StoredRow
 from loomwind.serving.residency import Residency, ServerHolding
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.serving.views import HeldModel, ModelKey, ServerEntry, ServerState
@@ -35,7 +32,6 @@
 DRAIN_MS = 50
 POLL_SECONDS = 0.002
 MOST_POLLS = 2000
-MOST_TURNS = 20
 
 
 def document(state: str = "ready", held: str = "m1") -> bytes:
@@ -336,72 +332,3 @@
 async def _follow_twice(table: TableFollower) -> None:
     await table.follow_once(25.0)
     await table.follow_once(25.0)
-
-
-class RowStore(CountingStore):
-    """A store with the lease's row alone, which notes in what order things happened."""
-
-    def __init__(self, events: list[str]) -> None:
-        super().__init__()
-        self._events = events
-
-    async def write(self, table: str, write: Write, timeout_seconds: float | None = None) -> int:
-        """Write, or remove, the row."""
-        self._events.append("removed" if write.value is None else "written")
-        return 7
-
-
-class MadeExchange:
-    """An exchange to which nobody has said anything."""
-
-    def __init__(self) -> None:
-        self.inbox = DemandInbox()
-
-
-@given("a leader with an order under way that is answered late")
-def step_leader_with_order(context: Any) -> None:
-    context.events = []
-
-
-@when("it stops, and a renewal is answered after that")
-def step_stops(context: Any) -> None:
-    asyncio.run(_stop_leader(context))
-
-
-async def _stop_leader(context: Any) -> None:
-    store = cast(Store, RowStore(context.events))
-    lease = Lease(OWN, 1.8, 0.45, 0.3)
-    election = Election(store, "lease", OWN, lease, StoreHealth())
-    now = asyncio.get_running_loop().time()
-    lease.note_no_row(0, now)
-    lease.wrote(5, now)
-    pool = ServerPool(BoundSettings())
-    controller = PlacementController(
-        "own",
-        election,
-        pool,
-        beliefs(),
-        cast(EngineControl, None),
-        cast(PeerExchange, MadeExchange()),
-        BoundSettings(),
-        Metrics(),
-    )
-    assert election.leads()
-    controller._spawn(_answer_late(context.events))
-    assert election.release()
-    lease.wrote(6, now)
-    context.leads_after = election.leads()
-    await controller.finish_orders()
-    await election.hand_over()
-
-
-async def _answer_late(events: list[str]) -> None:
-    for _ in range(MOST_TURNS):
-        await asyncio.sleep(0)
-    events.append("answered")
-
-
-@then("it does not lead, and removes its row after the order was answered")
-def step_handed_over(context: Any) -> None:
-    assert not context.leads_after
-    assert context.events == ["answered", "removed"], context.events
