Log and count how streams ended: what marked the end, and what was left of an event

Each stream that its connection's end has ended, or that left part of an event behind, now has a line (stream-ended: framing, events, rest_bytes), and loomwind_streams_ended counts all by framing. No logic is changed. The stand-in server can leave out length and chunks.

--- a/features/pool_metrics.feature
+++ b/features/pool_metrics.feature
@@ -22,6 +22,15 @@
     Then metric loomwind_repeats_total with verdict=allowed is 1
     And metric loomwind_sends_total with end=failed is 1
 
+  Scenario: streams are counted by what marked their end
+    Given a model server one that holds m1
+    And 1 pool daemons
+    When a model request on draft for m1 is sent
+    And server one has faults unframed=true
+    And a model request on draft for m1 is sent
+    Then metric loomwind_streams_ended_total with framing=chunked is 1
+    And metric loomwind_streams_ended_total with framing=close is 1
+
   Scenario: calls to the store are counted by result
     Given a plain server shop
     And 1 pool daemons
--- a/loomwind/http/messages.py
+++ b/loomwind/http/messages.py
@@ -1,5 +1,7 @@
 """Typed HTTP requests and response heads, without sockets."""
 
+import enum
+
 from msgspec import Struct
 
 Headers = tuple[tuple[str, str], ...]
@@ -54,6 +56,14 @@
         return find_header(self.headers, name)
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response's body (RFC 9112, section 6.3)."""
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    CLOSE = "close"
+
+
 class HttpResponse(Struct, frozen=True):
     """One whole response."""
 
@@ -61,6 +71,13 @@
     headers: Headers = ()
     body: bytes = b""
 
+    @property
+    def framing(self) -> Framing:
+        """Return what marks the end of the body; for responses that may have one."""
+        if self.header("transfer-encoding") is not None:
+            return Framing.CHUNKED
+        return Framing.CLOSE if self.header("content-length") is None else Framing.LENGTH
+
     def header(self, name: str) -> str | None:
         """Return the first value of the header of that lower-case name."""
         return find_header(self.headers, name)
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -72,6 +72,11 @@
             "Time from a stream's arrival to its first event",
             buckets=REQUEST_BUCKETS_S,
         )
+        self.streams_ended = counter(
+            "loomwind_streams_ended",
+            "Streams that servers ended, by what marked the end of the body",
+            ["framing"],
+        )
         self.model_wait_seconds = histogram(
             "loomwind_model_wait_seconds",
             "Time that a request waited for its model or adapter to be loaded",
--- a/loomwind/serving/event_stream.py
+++ b/loomwind/serving/event_stream.py
@@ -36,6 +36,11 @@
             if line.startswith(ID_FIELD):
                 self.last_event_id = line[len(ID_FIELD) :].strip().decode("latin-1")
 
+    @property
+    def rest_bytes(self) -> int:
+        """How many bytes of an event that is not whole are kept back."""
+        return len(self._rest)
+
     def take_rest(self) -> bytes:
         """Return what is left after the proper end of the stream."""
         rest = bytes(self._rest)
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -9,7 +9,7 @@
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken, HttpError
-from loomwind.http.messages import HttpRequest
+from loomwind.http.messages import Framing, HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.serving.choose import Candidate, choose
@@ -356,6 +356,7 @@
                 await self._exchange.send(self._cutter.feed(piece))
                 if first and self._cutter.events:
                     self._note_first_event(entry)
+            self._note_end(entry, answer)
             await self._exchange.send(self._cutter.take_rest())
             await self._exchange.finish()
             self._note_pause(entry, gaps)
@@ -365,6 +366,21 @@
             raise
         self._serving.forwarder.release(connection)
 
+    def _note_end(self, entry: ServerEntry, answer: OpenAnswer) -> None:
+        """Say how a stream ended that only its connection's end or an event's end can tell of."""
+        framing = answer.head.framing
+        self._serving.metrics.streams_ended.labels(framing.value).inc()
+        if framing is not Framing.CLOSE and not self._cutter.rest_bytes:
+            return
+        log_decision(
+            "stream-ended",
+            self._caller.request_id,
+            server=entry.instance,
+            framing=framing.value,
+            events=self._cutter.events,
+            rest_bytes=self._cutter.rest_bytes,
+        )
+
     def _note_pause(self, entry: ServerEntry, gaps: StreamGaps) -> None:
         """Say that a whole stream has paused for longer than its route allows."""
         allowed_ms = self._route.gap_objective_seconds * MS_PER_SECOND
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -9,6 +9,7 @@
 import contextlib
 import uuid
 from collections import Counter
+from collections.abc import Iterable
 
 import fire
 import msgspec
@@ -33,6 +34,7 @@
         refuses unstarted, ``reset`` runs and closes.
     :param surplus: a second answer follows each answer, in the place of the next one.
     :param cut_after_events: a stream breaks off in the middle of the event after so many; 0: never.
+    :param unframed: answers have neither a length nor chunks, and end with their connection.
     :param late_order_seconds: orders get no answer and are carried out so much later.
     :param event_seconds: time between the events of a stream.
     :param work_seconds: how long a plain request takes.
@@ -41,6 +43,7 @@
     mode: str = ""
     surplus: bool = False
     cut_after_events: int = 0
+    unframed: bool = False
     late_order_seconds: float = 0.0
     event_seconds: float = EVENT_SECONDS
     work_seconds: float = 0.0
@@ -223,17 +226,26 @@
         else:
             await asyncio.sleep(self.faults.work_seconds)
             body = f"{request.method} {request.target} ".encode() + request.body
-            await exchange.respond(200, headers, body)
+            if self.faults.unframed:
+                _start_unframed(exchange, headers)
+                exchange.send_raw(body)
+                exchange.abort()
+            else:
+                await exchange.respond(200, headers, body)
         if self.faults.surplus:
             exchange.send_raw(SURPLUS_ANSWER)
 
     async def _stream(self, exchange: Exchange, request: HttpRequest, headers: Headers) -> None:
         first = int(request.header("last-event-id") or 0) + 1
         last = int((request.header("x-token-usage") or "1,1").split(",")[1])
-        await exchange.start(200, (*headers, ("content-type", "text/event-stream")))
+        headers = (*headers, ("content-type", "text/event-stream"))
+        if self.faults.unframed:
+            await self._stream_unframed(exchange, headers, range(first, last + 1))
+            return
+        await exchange.start(200, headers)
         for sent, number in enumerate(range(first, last + 1)):
             await asyncio.sleep(self.faults.event_seconds)
-            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            event = _event(number)
             if self.faults.cut_after_events and sent == self.faults.cut_after_events:
                 await exchange.send(event[: len(event) // 2])
                 exchange.abort()
@@ -241,11 +253,35 @@
             await exchange.send(event)
         await exchange.finish()
 
+    async def _stream_unframed(
+        self, exchange: Exchange, headers: Headers, numbers: Iterable[int]
+    ) -> None:
+        """Send events whose end is told by the connection's end alone."""
+        _start_unframed(exchange, headers)
+        for sent, number in enumerate(numbers):
+            await asyncio.sleep(self.faults.event_seconds)
+            event = _event(number)
+            if self.faults.cut_after_events and sent == self.faults.cut_after_events:
+                exchange.send_raw(event[: len(event) // 2])
+                break
+            exchange.send_raw(event)
+        exchange.abort()
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
 
 
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: token-{number}\n\n".encode()
+
+
+def _start_unframed(exchange: Exchange, headers: Headers) -> None:
+    """Send a head without a length; h11 would announce chunks."""
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
+    exchange.send_raw("\r\n".join([*lines, "", ""]).encode("latin-1"))
+
+
 async def _serve(server: PoolServer, held: str, host: str, port: int) -> None:
     if server.holdings is not None:
         server.holdings.held = {name: [] for name in held.split("+") if name}
