--- a/features/pool_promises.feature
+++ b/features/pool_promises.feature
@@ -60,6 +60,35 @@
     Then the last reply is not whole and has whole events only
     And the last request ran 1 times
 
+  Scenario: an unframed stream that breaks off inside an event ends visibly
+    Given a model server one that holds m1
+    And 1 pool daemons
+    And server one has faults unframed=true, cut_after_events=2
+    When a stream on draft for m1 with 6 events begins
+    Then the last reply is not whole and has whole events only
+    And the last request ran 1 times
+
+  Scenario: an unframed stream that breaks off inside an event is resumed at another server
+    Given a model server one that holds m1
+    And a model server two that holds m1
+    And 1 pool daemons
+    And server one has faults unframed=true, cut_after_events=3
+    And server two has faults unframed=true, cut_after_events=4
+    When a stream on drill for m1 with 6 events begins
+    Then the last reply is whole with 6 events in order
+
+  Scenario: unframed answers that end with their connection are passed on whole
+    Given a model server one that holds m1
+    And a plain server shop
+    And 1 pool daemons
+    And server one has faults unframed=true
+    And server shop has faults unframed=true
+    When a stream on draft for m1 with 6 events begins
+    Then the last reply is whole with 6 events in order
+    When a plain request on book is sent
+    Then the last reply has status 200
+    And the last reply's body is "POST /book/item hello"
+
   Scenario: a caller that leaves has its work cancelled
     Given a model server one that holds m1
     And 1 pool daemons
