End what a test run has started when the test run is killed

The two scenarios of bad_input in KNOWN-RED.txt failed once, beside 14 processes that an ended test run had left. Cause, now shown: daemons of a killed run go on speaking to the addresses that they knew, the next run gives these ports to its own daemons of the same cell, and the two sites become one; 'all daemons know each other' then never comes true. The kernel now ends each process under test with its parent, and each behave with the runner.

--- a/features/__main__.py
+++ b/features/__main__.py
@@ -16,7 +16,12 @@
 
 from msgspec import Struct
 
-from features.support.processes import FIRST_PORT, PORT_BASE_VARIABLE, PORTS_PER_RUN
+from features.support.processes import (
+    FIRST_PORT,
+    PORT_BASE_VARIABLE,
+    PORTS_PER_RUN,
+    end_with_parent,
+)
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -55,6 +60,7 @@
         text=True,
         check=False,
         env={**os.environ, PORT_BASE_VARIABLE: str(port_base)},
+        preexec_fn=end_with_parent,
     )
     return Result(name, done.returncode == 0, done.stdout + done.stderr)
 
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,6 +1,7 @@
 """Starts the programs under test as processes of their own, and ends them by their ids."""
 
 import contextlib
+import ctypes
 import itertools
 import os
 import signal
@@ -17,6 +18,19 @@
 PORT_BASE_VARIABLE = "LOOMWIND_PORT_BASE"
 FIRST_PORT = 10_000
 PORTS_PER_RUN = 7_000
+# From <linux/prctl.h>: the signal that a process gets when the thread that started it ends.
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def end_with_parent() -> None:
+    """Let the kernel end this process with its parent; run in a child before its program.
+
+    What a killed test run left behind would go on speaking to the addresses that it knew, which
+    the next run gives to its own processes.
+    """
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def wait_until(
@@ -78,6 +92,7 @@
             stderr=self._log,
             text=True,
             env=environment,
+            preexec_fn=end_with_parent,
         )
 
     def ports(self) -> list[int]:
@@ -88,6 +103,11 @@
             raise AssertionError(f"did not start: {line}")
         return [int(port) for port in line[1:]]
 
+    @property
+    def identity(self) -> int:
+        """Return the id of the process."""
+        return self._process.pid
+
     @property
     def alive(self) -> bool:
         """Whether the process runs."""
