Take a stream that ends inside an event as broken off, whatever frames its body

Cause: the end of an answer was taken from HTTP framing alone. An answer with neither length nor chunks ends with its connection, so a server that breaks off and closes in order looks done; the daemon passed the rest of the event on and closed its own chunked body. Why it works: the content tells what the framing cannot. An event has begun and has no end: the run counts as failed, is resumed where the route allows it, else the caller's connection is cut. Blank lines and comments after the last event are passed on. Ends of lines in CR and CR LF, which the format allows, count too.

--- a/loomwind/serving/event_stream.py
+++ b/loomwind/serving/event_stream.py
@@ -3,8 +3,14 @@
 Pure and without I/O. Format: https://html.spec.whatwg.org/multipage/server-sent-events.html
 """
 
-EVENT_END = b"\n\n"
+import re
+
+from loomwind.serving.errors import StreamEndedInsideEvent
+
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+LONGEST_EVENT_END = len(b"\r\n\r\n")
 ID_FIELD = b"id:"
+COMMENT = b":"
 
 
 class EventCutter:
@@ -21,28 +27,34 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that are whole now; empty when none is."""
+        searched = max(0, len(self._rest) - LONGEST_EVENT_END + 1)
         self._rest += data
-        end = self._rest.rfind(EVENT_END)
-        if end < 0:
+        ends = [match.end() for match in EVENT_END.finditer(self._rest, searched)]
+        if not ends:
             return b""
-        whole = bytes(self._rest[: end + len(EVENT_END)])
-        del self._rest[: end + len(EVENT_END)]
-        self._note(whole)
+        whole = bytes(self._rest[: ends[-1]])
+        del self._rest[: ends[-1]]
+        self.events += len(ends)
+        self._note_last_id(whole)
         return whole
 
-    def _note(self, whole: bytes) -> None:
-        self.events += whole.count(EVENT_END)
-        for line in whole.split(b"\n"):
+    def _note_last_id(self, whole: bytes) -> None:
+        for line in whole.splitlines():
             if line.startswith(ID_FIELD):
                 self.last_event_id = line[len(ID_FIELD) :].strip().decode("latin-1")
 
-    @property
-    def rest_bytes(self) -> int:
-        """How many bytes of an event that is not whole are kept back."""
-        return len(self._rest)
+    def end(self) -> bytes:
+        """Take in that the server has ended its answer in order, however that was framed.
 
-    def take_rest(self) -> bytes:
-        """Return what is left after the proper end of the stream."""
+        :returns: blank lines and comments after the last event.
+        :raises StreamEndedInsideEvent: it broke off: an event has begun and is not whole.
+        """
+        if any(line.strip() and not line.startswith(COMMENT) for line in self._rest.splitlines()):
+            raise StreamEndedInsideEvent(f"the stream ended {len(self._rest)} bytes into an event")
         rest = bytes(self._rest)
         self._rest.clear()
         return rest
+
+    def drop_rest(self) -> None:
+        """Forget the event that is not whole: another run sends it again."""
+        self._rest.clear()
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -9,12 +9,18 @@
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken, HttpError
-from loomwind.http.messages import Framing, HttpRequest
+from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.serving.choose import Candidate, choose
 from loomwind.serving.demand import DemandKey
-from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, SendFailed, StreamCut
+from loomwind.serving.errors import (
+    RETRY_SOON_SECONDS,
+    Refused,
+    SendFailed,
+    StreamCut,
+    StreamEndedInsideEvent,
+)
 from loomwind.serving.event_stream import EventCutter
 from loomwind.serving.forwarder import OpenAnswer, Outgoing
 from loomwind.serving.model_wait import ModelWait
@@ -356,30 +362,28 @@
                 await self._exchange.send(self._cutter.feed(piece))
                 if first and self._cutter.events:
                     self._note_first_event(entry)
-            self._note_end(entry, answer)
-            await self._exchange.send(self._cutter.take_rest())
+            await self._exchange.send(self._end_stream(entry, answer))
             await self._exchange.finish()
             self._note_pause(entry, gaps)
         except BaseException:
             connection.close()
-            self._cutter.take_rest()
+            self._cutter.drop_rest()
             raise
         self._serving.forwarder.release(connection)
 
-    def _note_end(self, entry: ServerEntry, answer: OpenAnswer) -> None:
-        """Say how a stream ended that only its connection's end or an event's end can tell of."""
+    def _end_stream(self, entry: ServerEntry, answer: OpenAnswer) -> bytes:
+        """Take in that a stream's body has ended, as its framing says; returns what is left.
+
+        :raises SendFailed: it ended inside an event.
+        """
         framing = answer.head.framing
         self._serving.metrics.streams_ended.labels(framing.value).inc()
-        if framing is not Framing.CLOSE and not self._cutter.rest_bytes:
-            return
-        log_decision(
-            "stream-ended",
-            self._caller.request_id,
-            server=entry.instance,
-            framing=framing.value,
-            events=self._cutter.events,
-            rest_bytes=self._cutter.rest_bytes,
-        )
+        try:
+            return self._cutter.end()
+        except StreamEndedInsideEvent as error:
+            raise SendFailed(
+                f"{entry.instance}: {error}, framed by {framing.value}", True
+            ) from error
 
     def _note_pause(self, entry: ServerEntry, gaps: StreamGaps) -> None:
         """Say that a whole stream has paused for longer than its route allows."""
