Hold streams of the own interface to the same end: none inside an event

The same cause elsewhere: the relay of loomwind's own interface took the end of an unframed body for the end of the answer, too. Callers got 200, part of the events and a body that ended in order. Both scenarios of whole_answer failed before (an engine that breaks off an unframed stream, with and without resuming); the rest of the feature passes. What tells whole streams from cut ones is one module for both ways of a request (http/event_stream.py); the relay, which looks for no events, keeps the last bytes. In passing: what went to the caller so far is one object, so that the two nested loops of the relay are one.

--- a/features/steps/event_stream_steps.py
+++ b/features/steps/event_stream_steps.py
@@ -4,8 +4,8 @@
 
 from behave import then, when
 
-from loomwind.serving.errors import StreamEndedInsideEvent
-from loomwind.serving.event_stream import EventCutter
+from loomwind.http.errors import StreamEndedInsideEvent
+from loomwind.http.event_stream import EventCutter, StreamTail
 
 
 @when("a stream ends with the bytes {tail}")
@@ -22,6 +22,14 @@
     assert (context.cutter.last_event_id or "none") == last, context.cutter.last_event_id
 
 
+def tail_of(context: Any) -> StreamTail:
+    """Return the tail of the stream, as a relay that looks for no events has it."""
+    tail = StreamTail()
+    for byte in context.stream:
+        tail.note(bytes([byte]))
+    return tail
+
+
 @then("the stream is whole")
 def step_whole(context: Any) -> None:
     assert context.passed + context.cutter.end() == context.stream
@@ -29,8 +37,9 @@
 
 @then("the stream broke off")
 def step_broke_off(context: Any) -> None:
-    try:
-        context.cutter.end()
-    except StreamEndedInsideEvent:
-        return
-    raise AssertionError("the end was taken for a proper one")
+    for end in (context.cutter.end, tail_of(context).end):
+        try:
+            end()
+        except StreamEndedInsideEvent:
+            continue
+        raise AssertionError(f"the end was taken for a proper one: {end}")
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -53,6 +53,18 @@
     context.replies = context.site.callers.finish()
 
 
+@when("engines cut unframed streams after {count:d} bytes")
+def step_cut_unframed_streams(context: Any, count: int) -> None:
+    for engine in context.site.engines.values():
+        engine.fault(cut_after_bytes=count, unframed=True)
+
+
+@when("engines cut unframed streams after {count:d} bytes and cannot resume")
+def step_end_unframed_streams(context: Any, count: int) -> None:
+    for engine in context.site.engines.values():
+        engine.fault(cut_after_bytes=count, unframed=True, cannot_resume=True)
+
+
 @when("engines cut streams after {count:d} bytes and cannot resume")
 def step_cut_streams(context: Any, count: int) -> None:
     for engine in context.site.engines.values():
--- a/features/steps/pool_decision_steps.py
+++ b/features/steps/pool_decision_steps.py
@@ -4,10 +4,10 @@
 
 from behave import given, then, when
 
+from loomwind.http.event_stream import EventCutter
 from loomwind.leadership.lease import Lease, LeaseAction, LeaseHolder
 from loomwind.placement.load_window import LoadWindow
 from loomwind.serving.budget import RetryBudget
-from loomwind.serving.event_stream import EventCutter
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.routes import RouteTable, WeightedTurns
 from loomwind.serving.views import (
--- a/features/whole_answer.feature
+++ b/features/whole_answer.feature
@@ -24,6 +24,20 @@
     Then no answer is whole
     And every answer that is not whole says so
 
+  Scenario: an unframed stream that breaks off inside an event is resumed where it ended
+    When 1 callers ask each daemon for tutor
+    And engines cut unframed streams after 400 bytes
+    And 10 callers ask each daemon for tutor as streams
+    Then every reply has status 200
+    And every answer is whole and the caller's own
+
+  Scenario: an unframed stream that breaks off inside an event and cannot be resumed ends visibly
+    When 1 callers ask each daemon for tutor
+    And engines cut unframed streams after 400 bytes and cannot resume
+    And 10 callers ask each daemon for tutor as streams
+    Then no answer is whole
+    And every answer that is not whole says so
+
   Scenario: a plain answer that is cut is not passed on as a short success
     When 1 callers ask each daemon for tutor
     And the back end each has the fault cut_after_bytes = 1
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -28,6 +28,10 @@
     """The answer's head came, but its body ended before the announced end."""
 
 
+class StreamEndedInsideEvent(HttpError):
+    """A body ended as its framing says, but in the middle of a server-sent event."""
+
+
 class ExchangeTimeout(HttpError):
     """The peer did not answer in time after bytes were handed over."""
 
--- a/loomwind/serving/event_stream.py
+++ b/loomwind/http/event_stream.py
@@ -1,11 +1,11 @@
-"""Cuts a stream of server-sent events into whole events, and knows the last one's id.
+"""Where server-sent events end, and whether a stream of them has ended between two.
 
 Pure and without I/O. Format: https://html.spec.whatwg.org/multipage/server-sent-events.html
 """
 
 import re
 
-from loomwind.serving.errors import StreamEndedInsideEvent
+from loomwind.http.errors import StreamEndedInsideEvent
 
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 LONGEST_EVENT_END = len(b"\r\n\r\n")
@@ -58,3 +58,23 @@
     def drop_rest(self) -> None:
         """Forget the event that is not whole: another run sends it again."""
         self._rest.clear()
+
+
+class StreamTail:
+    """The last bytes of a stream that is passed on as it comes, without looking for its events."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def note(self, data: bytes) -> None:
+        """Take in the next bytes."""
+        self._tail = (self._tail + data)[-LONGEST_EVENT_END:]
+
+    def end(self) -> None:
+        """Take in that the stream has ended in order, however it was framed.
+
+        :raises StreamEndedInsideEvent: its last bytes end no event.
+        """
+        ends = [match.end() for match in EVENT_END.finditer(self._tail)]
+        if self._tail and len(self._tail) not in ends:
+            raise StreamEndedInsideEvent("the stream ended inside an event")
--- a/loomwind/pipeline/relay.py
+++ b/loomwind/pipeline/relay.py
@@ -13,6 +13,7 @@
 from loomwind import constants
 from loomwind.http.client import HttpClient
 from loomwind.http.errors import ConnectionBroken, HttpError
+from loomwind.http.event_stream import StreamTail
 from loomwind.http.messages import Headers
 from loomwind.http.server import Exchange
 from loomwind.pipeline.errors import AttemptFailed, Problem, RequestRefused
@@ -40,6 +41,19 @@
         self.sent = sent
 
 
+class PassedOn:
+    """What went to the caller of a stream so far, over all connections that it came by."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.tail = StreamTail()
+
+    def note(self, piece: bytes) -> None:
+        """Count a piece that was sent."""
+        self.sent_bytes += len(piece)
+        self.tail.note(piece)
+
+
 class Relay:
     """Passes answers from back ends to callers."""
 
@@ -97,20 +111,21 @@
         :raises RequestRefused: the stream was cut and could not be resumed; nothing was sent.
         :raises ConnectionBroken: the caller is gone.
         """
-        sent = 0
+        passed = PassedOn()
         resumes = 0
         if prefix:
             await exchange.start(response.status, _headers(response, request_id))
             await exchange.send(prefix)
-            sent = len(prefix)
+            passed.note(prefix)
         while True:
             try:
-                sent = await self._pass_on(exchange, response, request_id, sent)
+                await self._pass_on(exchange, response, request_id, passed)
                 await exchange.finish()
                 return
             except AnswerCutShort as cut:
-                sent = cut.sent
-                resumed = await self._resume(response, sent) if resumes < MAX_RESUMES else None
+                resumed = None
+                if resumes < MAX_RESUMES:
+                    resumed = await self._resume(response, passed.sent_bytes)
                 resumes += 1
                 if resumed is None:
                     await self._end_visibly(exchange, request_id, cut)
@@ -118,41 +133,41 @@
                 response = resumed
 
     async def _pass_on(
-        self, exchange: Exchange, response: ForwardedResponse, request_id: str, sent: int
-    ) -> int:
-        """Pass one connection's part of the body on; returns the bytes sent so far."""
+        self, exchange: Exchange, response: ForwardedResponse, request_id: str, passed: PassedOn
+    ) -> None:
+        """Pass one connection's part of the body on.
+
+        :raises AnswerCutShort: it ended too soon.
+        """
         connection = response.connection
+        sent_before_bytes = passed.sent_bytes
         try:
             with StallWatch(self._stall_seconds, connection.abort_reading) as watch:
-                return await self._pass_pieces(exchange, response, request_id, sent, watch)
+                while piece := await self._next_piece(response, passed):
+                    watch.note()
+                    await self._start_once(exchange, response, request_id)
+                    await exchange.send(piece)
+                    passed.note(piece)
+            await self._start_once(exchange, response, request_id)
         finally:
+            self._relayed.inc(passed.sent_bytes - sent_before_bytes)
             self._client.release(connection)
 
-    async def _pass_pieces(
-        self,
-        exchange: Exchange,
-        response: ForwardedResponse,
-        request_id: str,
-        sent: int,
-        watch: StallWatch,
-    ) -> int:
-        connection = response.connection
-        already_sent = sent
+    @staticmethod
+    async def _next_piece(response: ForwardedResponse, passed: PassedOn) -> bytes:
+        """Return the next piece of a body; empty at its end."""
         try:
-            while True:
-                try:
-                    piece = await connection.read_body()
-                except HttpError as error:
-                    raise AnswerCutShort(str(error), sent) from error
-                watch.note()
-                if not exchange.started:
-                    await exchange.start(response.status, _headers(response, request_id))
-                if not piece:
-                    return sent
-                await exchange.send(piece)
-                sent += len(piece)
-        finally:
-            self._relayed.inc(sent - already_sent)
+            piece = await response.connection.read_body()
+            if not piece and response.streamed:
+                passed.tail.end()
+        except HttpError as error:
+            raise AnswerCutShort(str(error), passed.sent_bytes) from error
+        return piece
+
+    @staticmethod
+    async def _start_once(exchange: Exchange, response: ForwardedResponse, request_id: str) -> None:
+        if not exchange.started:
+            await exchange.start(response.status, _headers(response, request_id))
 
     async def _resume(self, response: ForwardedResponse, sent: int) -> ForwardedResponse | None:
         """Ask the same engine to go on from an offset; None when it cannot."""
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -36,10 +36,6 @@
         self.unreachable = unreachable
 
 
-class StreamEndedInsideEvent(ServingError):
-    """A server ended a stream of events before the end of one."""
-
-
 class StreamCut(ServingError):
     """A stream ended before its proper end."""
 
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -8,20 +8,14 @@
 from typing import TYPE_CHECKING
 
 from loomwind.clock import MS_PER_SECOND
-from loomwind.http.errors import ConnectionBroken, HttpError
+from loomwind.http.errors import ConnectionBroken, HttpError, StreamEndedInsideEvent
+from loomwind.http.event_stream import EventCutter
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.serving.choose import Candidate, choose
 from loomwind.serving.demand import DemandKey
-from loomwind.serving.errors import (
-    RETRY_SOON_SECONDS,
-    Refused,
-    SendFailed,
-    StreamCut,
-    StreamEndedInsideEvent,
-)
-from loomwind.serving.event_stream import EventCutter
+from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, SendFailed, StreamCut
 from loomwind.serving.forwarder import OpenAnswer, Outgoing
 from loomwind.serving.model_wait import ModelWait
 from loomwind.serving.silence import allowed_silence_seconds
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -37,6 +37,7 @@
 from standins.batching import Batch
 from standins.faults import Faults, decode_faults, json_response, pause
 from standins.replicas import Replicas
+from standins.unframed import start_unframed
 
 LOAD_REPORT_LAG_SECONDS = 0.3
 CACHE_EVENT_LAG_SECONDS = 0.5
@@ -250,7 +251,11 @@
         if self.faults.lose_answers and "/v1/chat/completions".startswith(self.faults.matches):
             exchange.abort()
             return
-        await exchange.start(200, (*headers, ("content-type", generation.content_type)))
+        headers = (*headers, ("content-type", generation.content_type))
+        if self.faults.unframed:
+            await self._stream_unframed(exchange, generation, headers, skip_bytes, cut)
+            return
+        await exchange.start(200, headers)
         sent = 0
         for piece in generation.pieces:
             fresh = piece[max(0, skip_bytes - sent) :]
@@ -265,6 +270,19 @@
                 await asyncio.sleep(pause_seconds)
         await exchange.finish()
 
+    async def _stream_unframed(
+        self,
+        exchange: Exchange,
+        generation: Generation,
+        headers: Headers,
+        skip_bytes: int,
+        cut: int,
+    ) -> None:
+        whole = b"".join(generation.pieces)
+        start_unframed(exchange, headers)
+        exchange.send_raw(whole[skip_bytes : cut or len(whole)])
+        exchange.abort()
+
     def _note_prefix(self, request: HttpRequest) -> None:
         self._event_count += 1
         event = CacheEvent(self._event_count, request.body[:PREFIX_CHARACTERS].hex(), True)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -15,6 +15,7 @@
     :param delay_seconds: wait before acting.
     :param lose_answers: act, then close without an answer.
     :param matches: only for paths that start with this.
+    :param unframed: streams have neither a length nor chunks; a cut one ends inside an event.
     """
 
     down: bool = False
@@ -23,6 +24,7 @@
     matches: str = ""
     leaving: bool = False
     cut_after_bytes: int = 0
+    unframed: bool = False
     wrong_request_id: bool = False
     cannot_resume: bool = False
     refuse: bool = False
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -21,6 +21,7 @@
 from loomwind.http.server import Exchange, HttpServer
 from standins.faults import json_response
 from standins.pool.holdings import Holdings, ModelSize, OrderBody
+from standins.unframed import start_unframed
 
 HEARTBEAT_SECONDS = 0.2
 EVENT_SECONDS = 0.01
@@ -227,7 +228,7 @@
             await asyncio.sleep(self.faults.work_seconds)
             body = f"{request.method} {request.target} ".encode() + request.body
             if self.faults.unframed:
-                _start_unframed(exchange, headers)
+                start_unframed(exchange, headers)
                 exchange.send_raw(body)
                 exchange.abort()
             else:
@@ -257,7 +258,7 @@
         self, exchange: Exchange, headers: Headers, numbers: Iterable[int]
     ) -> None:
         """Send events whose end is told by the connection's end alone."""
-        _start_unframed(exchange, headers)
+        start_unframed(exchange, headers)
         for sent, number in enumerate(numbers):
             await asyncio.sleep(self.faults.event_seconds)
             event = _event(number)
@@ -276,12 +277,6 @@
     return f"id: {number}\ndata: token-{number}\n\n".encode()
 
 
-def _start_unframed(exchange: Exchange, headers: Headers) -> None:
-    """Send a head without a length; h11 would announce chunks."""
-    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
-    exchange.send_raw("\r\n".join([*lines, "", ""]).encode("latin-1"))
-
-
 async def _serve(server: PoolServer, held: str, host: str, port: int) -> None:
     if server.holdings is not None:
         server.holdings.held = {name: [] for name in held.split("+") if name}
--- /dev/null
+++ b/standins/unframed.py
@@ -0,0 +1,10 @@
+"""Answers without a length or chunks, whose end is the end of their connection."""
+
+from loomwind.http.messages import Headers
+from loomwind.http.server import Exchange
+
+
+def start_unframed(exchange: Exchange, headers: Headers) -> None:
+    """Send the head of a success past h11, which would announce chunks."""
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
+    exchange.send_raw("\r\n".join([*lines, "", ""]).encode("latin-1"))
