Log what an order is for and whether it draws on the weight store; count models asked for in vain

The leader says every two seconds which models are asked for while no server holds them (demand unserved, the eight most asked for), and how many they are. No decision is changed.

--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -102,7 +102,13 @@
         )
         self.lease_fence = gauge("loomwind_lease_fence", "Fence under which this daemon leads")
         self.store_loads = counter(
-            "loomwind_store_loads", "Loads that this daemon began from the weight store"
+            "loomwind_store_loads",
+            "Loads that this daemon began from the weight store, by what they are for",
+            ["purpose"],
+        )
+        self.models_unserved = gauge(
+            "loomwind_models_unserved",
+            "Models asked for more than once since any server last held them, as the leader knows",
         )
         self.log_lines_dropped = gauge(
             "loomwind_log_lines_dropped", "Log lines that found the buffer full"
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -35,6 +35,7 @@
 ORDER_TIMEOUT_SECONDS = 0.4
 TELL_ALL_SECONDS = 2.0
 STAGE_AFTER_SECONDS = 2.0
+MOST_UNSERVED_LOGGED = 8
 
 
 class PlacementController:
@@ -145,6 +146,15 @@
         if self._now() - self._told_all_at > self._exchange.paced(TELL_ALL_SECONDS):
             self._told_all_at = self._now()
             self._tell_holdings(list(self._ledgers.values()))
+            self._log_unserved()
+
+    def _log_unserved(self) -> None:
+        """Say which models are asked for while no server holds them."""
+        unserved = self._demand.asked_in_vain()
+        self._metrics.models_unserved.set(len(unserved))
+        if unserved:
+            most = [f"{key.target} {count:.0f}" for key, count in unserved[:MOST_UNSERVED_LOGGED]]
+            log_state("demand", "unserved", models=len(unserved), most=most)
 
     def _update_ledgers(self, configuration: Configuration) -> None:
         listed: dict[str, ServerEntry] = {}
@@ -279,7 +289,7 @@
                 if not window.allows(now):
                     continue
                 window.note(now)
-                self._metrics.store_loads.inc()
+                self._metrics.store_loads.labels(planned.purpose.value).inc()
             if given.may_stage and planned.kind is OrderKind.LOAD and not planned.target.adapter:
                 self._ledgers[planned.instance].staged += 1
             self._begin_order(planned)
@@ -316,9 +326,9 @@
         ledger.in_flight = order
         if planned.makes_way_for:
             ledger.reserve_room(planned.makes_way_for, self._now())
-        self._spawn(self._give(ledger, order))
+        self._spawn(self._give(ledger, order, planned))
 
-    async def _give(self, ledger: ServerLedger, order: Order) -> None:
+    async def _give(self, ledger: ServerLedger, order: Order, planned: PlannedOrder) -> None:
         answer = await self._control.order(ledger.entry, order, ORDER_TIMEOUT_SECONDS)
         now = self._now()
         ledger.note_answer(order, answer, now, self._is_in_use(order, now))
@@ -329,6 +339,9 @@
             server=order.instance,
             kind=order.kind.value,
             target=str(order.target),
+            purpose=planned.purpose.value,
+            from_store=planned.from_store,
+            makes_way_for=planned.makes_way_for,
             fence=order.fence,
             revision=order.expected_revision,
         )
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -124,11 +124,16 @@
         ]
         wants += [
             Want(key, 0, self._heat[key].objective_seconds, 0.0, 0, unserved, now)
-            for key, unserved in self._unserved.items()
-            if unserved >= ASKED_IN_VAIN and key not in waiting
+            for key, unserved in self.asked_in_vain()
+            if key not in waiting
         ]
         return sorted(wants, key=lambda want: want.rank)
 
+    def asked_in_vain(self) -> list[tuple[DemandKey, float]]:
+        """Return the models asked for more than once in vain, with how often, the most first."""
+        found = [(key, n) for key, n in self._unserved.items() if n >= ASKED_IN_VAIN]
+        return sorted(found, key=lambda item: -item[1])
+
     def note_available(self, service: str, names: Iterable[str]) -> None:
         """Begin to count anew for models that a server holds."""
         for name in names:
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -4,7 +4,7 @@
 
 from loomwind.placement.adapters import AdapterPlanner
 from loomwind.placement.ledger import ServerLedger
-from loomwind.placement.plan import DraftPlan, PlanInput
+from loomwind.placement.plan import DraftPlan, PlanInput, Purpose
 from loomwind.placement.valuation import LoadChoice, Valuation
 from loomwind.serving.views import ModelKey
 
@@ -43,7 +43,8 @@
             if name is None or model is None or server.free_mb() < model.memory_mb:
                 continue
             if self._given.store_load_allowed or not server.loads_from_store(name):
-                self._draft.load(server, ModelKey(name))
+                purpose = Purpose.FURTHER_COPY if self._given.holders(name) else Purpose.WANTED
+                self._draft.load(server, ModelKey(name), purpose)
 
     # What requests wait for.
 
@@ -62,7 +63,7 @@
                 self.queued.append(name)
             return
         if self._draft.is_free(best.server):
-            self._carry_out(best, name)
+            self._carry_out(best, name, Purpose.WANTED)
         else:
             self._draft.reserve(best.server, name)
 
@@ -84,15 +85,16 @@
     def _cost_with_wait(self, choice: LoadChoice) -> float:
         return self._cost(choice) + self._draft.busy_seconds(choice.server)
 
-    def _carry_out(self, choice: LoadChoice, name: str) -> None:
+    def _carry_out(self, choice: LoadChoice, name: str, purpose: Purpose) -> None:
         """Load a model; adapters first, since a server that loads weights takes no other order."""
         server = choice.server
         if not self._adapters.is_waited_for() and self._adapters.fill(server):
             return
         if choice.victims:
-            self._draft.unload(server, ModelKey(choice.victims[0]), makes_way_for=name)
+            victim = ModelKey(choice.victims[0])
+            self._draft.unload(server, victim, purpose, makes_way_for=name)
         else:
-            self._draft.load(server, ModelKey(name))
+            self._draft.load(server, ModelKey(name), purpose)
 
     # Ahead of need.
 
@@ -120,7 +122,7 @@
         ]
         best = _cheapest(worthwhile, self._cost)
         if best is not None:
-            self._carry_out(best, name)
+            self._carry_out(best, name, Purpose.FURTHER_COPY)
 
     def stage(self) -> None:
         """Load models that no server has a copy of, once: later loads come from that copy."""
@@ -132,7 +134,7 @@
             if name is None or choice is None:
                 continue
             if all(self._may_be_staged_over(server, victim) for victim in choice.victims):
-                self._carry_out(choice, name)
+                self._carry_out(choice, name, Purpose.STAGED)
 
     def _may_be_staged_over(self, server: ServerLedger, name: str) -> bool:
         """Whether a model may make way before anyone has asked: it comes back fast, and is rare."""
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -1,5 +1,6 @@
 """What a plan is made from, and the plan while it is made: orders, reserved turns, free servers."""
 
+import enum
 from collections.abc import Iterator, Sequence
 
 import attrs
@@ -15,10 +16,20 @@
 NO_LIMIT = 1_000_000
 
 
+class Purpose(enum.Enum):
+    """What an order is for."""
+
+    WANTED = "wanted"
+    FURTHER_COPY = "further-copy"
+    AHEAD = "ahead"
+    STAGED = "staged"
+
+
 @attrs.frozen
 class PlannedOrder:
     """An order that should be given next to a server.
 
+    :ivar purpose: what the load is for; for an unload, the load that it makes way for.
     :ivar from_store: whether the load comes from the weight store.
     :ivar makes_way_for: for an unload: the model that the room is for.
     """
@@ -26,6 +37,7 @@
     instance: str
     kind: OrderKind
     target: ModelKey
+    purpose: Purpose
     from_store: bool = False
     makes_way_for: str = ""
 
@@ -98,18 +110,22 @@
         self._making_way: set[str] = set()
         self._store_loads = 0
 
-    def load(self, server: ServerLedger, target: ModelKey) -> None:
+    def load(self, server: ServerLedger, target: ModelKey, purpose: Purpose) -> None:
         """Order a model or an adapter to be loaded."""
         from_store = not target.adapter and server.loads_from_store(target.model)
         instance = server.entry.instance
         if from_store and server.room_reserved_for(self._given.now) != target.model:
             self._store_loads += 1
-        self._add(PlannedOrder(instance, OrderKind.LOAD, target, from_store))
+        self._add(PlannedOrder(instance, OrderKind.LOAD, target, purpose, from_store))
 
-    def unload(self, server: ServerLedger, target: ModelKey, makes_way_for: str = "") -> None:
+    def unload(
+        self, server: ServerLedger, target: ModelKey, purpose: Purpose, makes_way_for: str = ""
+    ) -> None:
         """Order a model or an adapter to be unloaded."""
         instance = server.entry.instance
-        order = PlannedOrder(instance, OrderKind.UNLOAD, target, makes_way_for=makes_way_for)
+        order = PlannedOrder(
+            instance, OrderKind.UNLOAD, target, purpose, makes_way_for=makes_way_for
+        )
         if makes_way_for and server.loads_from_store(makes_way_for):
             self._store_loads += 1
         self._add(order)
