Order a further copy of a model at one server a step, not at two

Cause: the planner looks for further copies twice in a step, and the second look did not count what the first had ordered.

--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -103,7 +103,7 @@
         for model in self._given.models():
             key = ModelKey(model.name)
             rate = self._given.rate(key)
-            if rate < COPIES_WANTED_RATE or self._draft.has_reserved_room(model.name):
+            if rate < COPIES_WANTED_RATE or self._draft.plans_load_of(model.name):
                 continue
             index = self._given.index
             copies = len(index.holders[model.name]) + len(index.arriving[model.name])
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -159,6 +159,10 @@
         """Return the time until a model is loaded for which a turn is kept; None without one."""
         return self._turns.get(name)
 
+    def plans_load_of(self, name: str) -> bool:
+        """Whether this plan orders a model to be loaded, or another one makes way for it."""
+        return ModelKey(name) in self._ordered or self.has_reserved_room(name)
+
     def is_free(self, server: ServerLedger) -> bool:
         """Whether a server can take an order now."""
         if not server.idle or server.entry.instance in self._taken:
