Let further copies wait for the weight store until each wanted model is held or on its way

Cause: a model that is asked for often could begin a load from the weight store although as many as it bears were under way, for a further copy as for a first. Eight loads at once share what serves four, and leave no place for a model that nobody holds. Class of fault: a way round an admission limit for work that is not needed at once, without a bound, which starves what is behind the limit. Fix: only a model that no server holds may go round the limit; a further copy takes a place when no wanted model is left without a load.

--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -1,7 +1,7 @@
 """What a plan is made from, and the plan while it is made: orders, reserved turns, free servers."""
 
 import enum
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 
@@ -100,7 +100,11 @@
 class DraftPlan:
     """The orders of one step, at most one for each server, and the turns that are reserved."""
 
-    def __init__(self, given: PlanInput) -> None:
+    def __init__(self, given: PlanInput, wanted: Iterable[str] = ()) -> None:
+        """Begin a plan.
+
+        :param wanted: the models that requests wait for, or have asked for in vain.
+        """
         self.orders: list[PlannedOrder] = []
         self._given = given
         self._taken: set[str] = set()
@@ -109,6 +113,7 @@
         self._ordered: set[ModelKey] = set()
         self._making_way: set[str] = set()
         self._store_loads = 0
+        self._missing = {name for name in wanted if not self.is_available(ModelKey(name))}
 
     def load(self, server: ServerLedger, target: ModelKey, purpose: Purpose) -> None:
         """Order a model or an adapter to be loaded."""
@@ -133,25 +138,31 @@
     def may_load_from_store(self, name: str) -> bool:
         """Whether one more load from the weight store may be planned.
 
-        A model that is asked for all the time need not wait until another load is done.
+        A model that no server holds and that is asked for all the time need not wait until another
+        load is done. A further copy waits until each wanted model is held or on its way.
         """
         if not self._given.store_load_allowed:
             return False
-        often = self._given.rate(ModelKey(name)) >= OFTEN_ASKED_RATE
-        return often or self._store_loads < self._given.store_loads_left
+        has_place = self._store_loads < self._given.store_loads_left
+        if self._given.holders(name):
+            return has_place and not self._missing
+        return has_place or self._given.rate(ModelKey(name)) >= OFTEN_ASKED_RATE
 
     def _add(self, order: PlannedOrder) -> None:
         self._taken.add(order.instance)
         if order.kind is OrderKind.LOAD:
             self._ordered.add(order.target)
+            self._missing.discard(order.target.model)
         if order.makes_way_for:
             self._making_way.add(order.makes_way_for)
+            self._missing.discard(order.makes_way_for)
         self.orders.append(order)
 
     def reserve(self, server: ServerLedger, name: str) -> None:
         """Keep a turn of a busy server for a load of a model."""
         instance = server.entry.instance
         seconds = server.load_seconds(name)
+        self._missing.discard(name)
         self._turns[name] = self.busy_seconds(server) + seconds
         self._reserved[instance] = self._reserved.get(instance, 0.0) + seconds
 
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -26,7 +26,7 @@
         wants = [w for w in given.demand.wants(given.now) if w.key.service == given.service]
         self._given = given
         self._wants = wants
-        self._draft = DraftPlan(given)
+        self._draft = DraftPlan(given, (want.key.target.model for want in wants))
         valuation = Valuation(given, wants, self._draft)
         self._adapters = AdapterPlanner(given, wants, self._draft, valuation)
         self._models = ModelPlanner(given, self._draft, valuation, self._adapters)
