Take each start of a server as a life of its own, and nothing from entries that name no server

What callers saw on the code before, in a scenario with real processes (it failed): 503, 'the model cannot be loaded in time', for as long as the restarted server's count of orders stood below the old one, since its reports were taken for old ones. An entry without a state, or with an address that is none, got work; one that could not be read left the older one in use; a value that is no base64 stopped the whole list (read from the code: the follower failed on the same rows again and again). The code's instance is name and start together, so that all that is believed of a life ends with it; what goes over the wire is the name. An entry or report of an earlier life changes nothing. Entries are read strictly at the boundary: two states, an address with a port; what cannot be read is logged and names no server. In passing: the directory is keyed by name, and what nothing used (leaving_in, replace_all) is gone.

--- a/features/pool_promises.feature
+++ b/features/pool_promises.feature
@@ -133,6 +133,15 @@
     Then the last reply is whole with 3 events in order
     And no server was ordered beyond its memory
 
+  Scenario: a model server that starts again under its name is loaded anew
+    Given a model server one that holds m1
+    And 1 pool daemons
+    When a model request on draft for m2 is sent
+    And server one starts again under its name, with nothing loaded
+    And a model request on draft for m1 is sent
+    Then the last reply is whole with 3 events in order
+    And no server was ordered beyond its memory
+
   Scenario: a request whose only server has died is served by another that loads the model
     Given a model server one that holds m1
     And a model server two that holds nothing
--- a/features/steps/pool_steps.py
+++ b/features/steps/pool_steps.py
@@ -288,6 +288,11 @@
     )
 
 
+@when("server {name} starts again under its name, with nothing loaded")
+def step_restart_server(context: Any, name: str) -> None:
+    pool(context).restart_model_server(name)
+
+
 @when("server {name} is killed")
 def step_kill_server(context: Any, name: str) -> None:
     pool(context).servers.pop(name).process.close()
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -76,7 +76,7 @@
 @given("a server that lists m1 and refuses it, and a budget without room")
 def step_refusing(context: Any) -> None:
     context.pool_state = ServerPool(BoundSettings(retry_ratio=0.0, retry_allowance=0.0))
-    context.pool_state.directory.put(lister(), 0.0)
+    context.pool_state.directory.put(lister())
     context.forwarder = RefusingForwarder()
 
 
--- /dev/null
+++ b/features/steps/server_entries_steps.py
@@ -0,0 +1,114 @@
+"""Steps about entries of servers, as the store or another writer may have them."""
+
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+
+from features.steps.server_list_steps import beliefs
+from loomwind.platform.store import rows_of
+from loomwind.serving.ports import Snapshot, StoredRow
+from loomwind.serving.residency import ServerHolding
+from loomwind.serving.views import HeldModel, ModelKey
+
+SERVICE = "tutor"
+
+
+def now() -> float:
+    """Return the time of the loops that the steps run."""
+    return time.monotonic()
+
+
+def write(context: Any, name: str, value: bytes) -> None:
+    """Let the daemon read an entry."""
+    context.version = getattr(context, "version", 0) + 1
+    row = StoredRow(name, context.version, value)
+    asyncio.run(_read(context, Snapshot((row,), context.version)))
+
+
+async def _read(context: Any, snapshot: Snapshot) -> None:
+    context.beliefs.on_server_rows(snapshot, False)
+
+
+def entry(born_ms: int, model: str, **changes: object) -> bytes:
+    """Return an entry as a server writes it."""
+    fields = {"service": SERVICE, "address": "a:1", "zone": "z", "state": "ready"}
+    models = [{"name": model}]
+    return msgspec.json.encode(fields | {"born": born_ms, "models": models} | changes)
+
+
+def usable(context: Any) -> list[Any]:
+    """Return the servers that may get work."""
+    found: list[Any] = context.beliefs.pool.able(SERVICE, None, now())
+    return found
+
+
+@given("a daemon that lists {name:w}, started at {born:d} ms, with {model}")
+def step_lists(context: Any, name: str, born: int, model: str) -> None:
+    context.beliefs = beliefs()
+    write(context, name, entry(born, model))
+
+
+@given("the leader has told it that {name:w} holds {first:w} and {second:w}")
+def step_told(context: Any, name: str, first: str, second: str) -> None:
+    held = (HeldModel(first), HeldModel(second))
+    instance = usable(context)[0].instance
+    context.beliefs.pool.residency.tell(ServerHolding(instance, 4, held), now())
+
+
+@when("{name:w} is listed as started at {born:d} ms, with {model}")
+def step_listed(context: Any, name: str, born: int, model: str) -> None:
+    write(context, name, entry(born, model))
+
+
+@when("{name:w} is listed as draining for {left:d} ms more")
+def step_draining(context: Any, name: str, left: int) -> None:
+    write(context, name, entry(1000, "m1", state="draining", **{"remaining-ms": left}))
+
+
+@when("another server answers at the address of {name:w}")
+def step_replaced(context: Any, name: str) -> None:
+    context.beliefs.pool.directory.note_replaced(usable(context)[0])
+
+
+@when("{name:w} is listed as {text}")
+def step_listed_as(context: Any, name: str, text: str) -> None:
+    raw = text.encode().decode("unicode_escape").encode("latin-1")
+    write(context, name, b"" if text == "nothing" else raw)
+
+
+@then("{name:w} is listed once")
+def step_once(context: Any, name: str) -> None:
+    assert [found.name for found in usable(context)] == [name]
+
+
+@then("{name:w} can run {model:w}, and neither {first:w} nor {second:w}")
+def step_can_run(context: Any, name: str, model: str, first: str, second: str) -> None:
+    pool = context.beliefs.pool
+    assert [e.name for e in pool.able(SERVICE, ModelKey(model), now())] == [name]
+    assert not pool.able(SERVICE, ModelKey(first), now())
+    assert not pool.able(SERVICE, ModelKey(second), now())
+
+
+@then("only {name:w} may get work")
+def step_only(context: Any, name: str) -> None:
+    assert [found.name for found in usable(context)] == [name]
+
+
+@then("no server may get work")
+def step_none(context: Any) -> None:
+    assert usable(context) == []
+
+
+@when("the store lists {first:w} in order and {second:w} with a value that is no base64")
+def step_base64(context: Any, first: str, second: str) -> None:
+    rows = [{"key": first, "ver": 1, "value": "e30="}, {"key": second, "ver": 2, "value": "e30=="}]
+    context.rows = rows_of(msgspec.json.encode({"ver": 2, "rows": rows}))
+
+
+@then("the rows are {first:w} with its entry and {second:w} with nothing")
+def step_rows(context: Any, first: str, second: str) -> None:
+    found = [(row.key, row.value) for row in context.rows]
+    assert found == [(first, b"{}"), (second, b"")], found
--- a/features/steps/server_list_steps.py
+++ b/features/steps/server_list_steps.py
@@ -152,7 +152,7 @@
 @then("it knows server {name:w}")
 def step_knows(context: Any, name: str) -> None:
     assert context.beliefs.server_version == 2
-    assert context.beliefs._pool.directory.get(name) is not None
+    assert context.beliefs.pool.directory.get(name) is not None
 
 
 def rows(version: int, **documents: bytes | None) -> Snapshot:
@@ -188,7 +188,7 @@
 
 @then("a peer at version 4 is sent s2 alone, and told of both")
 def step_sent(context: Any) -> None:
-    assert [server.instance for server in context.copy.servers] == ["s2"], context.copy
+    assert [server.name for server in context.copy.servers] == ["s2"], context.copy
     assert sorted(context.copy.listed) == ["s1", "s2"], context.copy
 
 
@@ -200,7 +200,7 @@
 @then("a peer that had both knows s2 alone, as draining")
 def step_peer_knows(context: Any) -> None:
     assert context.listed == ("s2",), context.listed
-    entry = context.peer._pool.directory.get("s2")
+    entry = context.peer.pool.directory.get("s2")
     assert entry is not None and entry.state is ServerState.DRAINING
 
 
@@ -270,13 +270,13 @@
 
 @when("s1 is listed as {state:w}, and its entry goes at {now:f} s while the store is {health}")
 def step_entry_goes(context: Any, state: str, now: float, health: str) -> None:
-    context.directory.put(listed_as(state), now - 5.0)
+    context.directory.put(listed_as(state))
     context.directory.remove("s1", now, health == "in trouble")
 
 
 @when("s1 is listed as ready again")
 def step_listed_again(context: Any) -> None:
-    context.directory.put(listed_as("ready"), 12.0)
+    context.directory.put(listed_as("ready"))
 
 
 @then("s1 may get work at {now:f} s")
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -198,13 +198,23 @@
 
     # Processes.
 
-    def add_model_server(self, name: str, held: str) -> None:
-        """Start a model server that holds some models."""
+    def restart_model_server(self, name: str) -> None:
+        """End a model server at once, and start it again under its name, with nothing loaded."""
+        server = self.servers[name]
+        instance = server.state()["instance"]
+        server.process.kill()
+        self.add_model_server(name, "", instance)
+
+    def add_model_server(self, name: str, held: str, instance: str = "") -> None:
+        """Start a model server that holds some models.
+
+        :param instance: the name of an earlier life; empty for a new one.
+        """
         sizes = self.folder / "models.json"
         sizes.write_text(json.dumps(self.models))
         arguments = ["--service", MODEL_SERVICE, "--store", self.store_address]
         arguments += ["--models", str(sizes), "--held", held, "--memory_mb", str(self.memory_mb)]
-        arguments += ["--adapter_slots", "2"]
+        arguments += ["--adapter_slots", "2", "--instance", instance]
         self._add_server(name, arguments)
 
     def add_plain_server(self, name: str) -> None:
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -104,7 +104,7 @@
 class ServerDocument(Message, frozen=True, tag=True, array_like=True):
     """One server's entry as it stands in the store."""
 
-    instance: str
+    name: str
     document: bytes
 
 
@@ -112,7 +112,7 @@
     """The servers' entries for a peer: all that are listed, and those that it does not know.
 
     :param version: the store's version that they stand at.
-    :param listed: the instances of all entries; one that is missing is gone.
+    :param listed: the names of all entries; one that is missing is gone.
     :param servers: the entries that changed since the peer's version.
     :param store_in_trouble: whether entries may be missing without a cause.
     """
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -43,7 +43,7 @@
     def server_headers(
         self,
         request: HttpRequest,
-        instance: str,
+        server_name: str,
         remaining_seconds: float,
         priority: int | None,
         last_event_id: str | None,
@@ -55,7 +55,7 @@
         own: Headers = (
             ("host", request.header("host") or ""),
             (DEADLINE_MS, str(max(1, int(remaining_seconds * 1000)))),
-            (EXPECT_INSTANCE, instance),
+            (EXPECT_INSTANCE, server_name),
         )
         if priority is not None:
             own += ((PRIORITY, str(min(priority, LOWEST_PRIORITY))),)
@@ -63,7 +63,7 @@
             own += ((LAST_EVENT_ID, last_event_id),)
         return own + kept
 
-    def judge(self, request_id: str, instance: str, head: HttpResponse) -> AnswerVerdict:
+    def judge(self, request_id: str, server_name: str, head: HttpResponse) -> AnswerVerdict:
         """Return what the head of an answer says; see :meth:`Dialect.judge`."""
         ours = head.header(REQUEST_ID) == request_id
         misdirected = head.status == MISDIRECTED
@@ -73,7 +73,7 @@
             ran=not refused,
             genuine=head.header(STAMP) is not None,
             missing_target=misdirected,
-            other_instance=head.header(INSTANCE) not in (None, instance),
+            other_instance=head.header(INSTANCE) not in (None, server_name),
         )
 
     def answer_headers(self, head: HttpResponse) -> Headers:
--- a/loomwind/platform/documents.py
+++ b/loomwind/platform/documents.py
@@ -1,6 +1,7 @@
 """The configuration and the servers' entries of the platform, as the product's views."""
 
 import math
+from typing import Literal
 
 import msgspec
 from msgspec import Struct
@@ -19,12 +20,17 @@
     ServiceProfile,
     WeightedService,
 )
+from loomwind.settings import Address
 
+HIGHEST_PORT = 65_535
 LEAST_PATIENCE_MS = 2000.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_PAUSES = 8.0
 
 
+WireState = Literal["ready", "draining"]
+
+
 class WirePart(Struct):
     """A part of a split."""
 
@@ -110,13 +116,14 @@
     """A server's entry."""
 
     service: str
-    address: str
+    address: Address
     zone: str
+    state: WireState
     slots: int = 1
-    state: str = "ready"
     seq: int = 0
     models: list[WireHeld] = []
     remaining_ms: float | None = None
+    born: int | None = None
 
 
 class PlatformDocuments(Documents):
@@ -140,22 +147,25 @@
         except (msgspec.MsgspecError, ValueError) as error:
             raise MalformedDocument(f"configuration: {error}") from error
 
-    def server(self, instance: str, value: bytes) -> ServerEntry:
+    def server(self, name: str, value: bytes) -> ServerEntry:
         """Return a server's entry; see :meth:`Documents.server`."""
         try:
             wire = msgspec.json.decode(value, type=WireServer)
-        except msgspec.MsgspecError as error:
-            raise MalformedDocument(f"server {instance}: {error}") from error
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise MalformedDocument(f"server {name}: {error}") from error
+        if int(wire.address.rpartition(":")[2]) > HIGHEST_PORT:
+            raise MalformedDocument(f"server {name}: no port in {wire.address}")
         return ServerEntry(
-            instance=instance,
+            name=name,
             service=wire.service,
             address=wire.address,
             zone=wire.zone,
             slots=wire.slots,
-            state=ServerState.READY if wire.state == "ready" else ServerState.DRAINING,
+            state=ServerState(wire.state),
             revision=wire.seq,
             held=held_models(wire.models),
             remaining_seconds=None if wire.remaining_ms is None else wire.remaining_ms / 1000,
+            born_ms=wire.born,
         )
 
 
--- a/loomwind/platform/engine.py
+++ b/loomwind/platform/engine.py
@@ -46,6 +46,7 @@
     kv_total: int = 0
     pending: list[str] = []
     available: WireCopies = msgspec.field(default_factory=WireCopies)
+    born: int | None = None
 
 
 class PlatformEngineControl(EngineControl):
@@ -56,14 +57,15 @@
 
     async def report(self, entry: ServerEntry, timeout: float) -> ServerReport | None:
         """Return what a server holds; see :meth:`EngineControl.report`."""
-        headers = ((EXPECT_INSTANCE, entry.instance),)
+        headers = ((EXPECT_INSTANCE, entry.name),)
         try:
             response = await self._http.request(
                 entry.address, HttpRequest("GET", "/report", headers), timeout
             )
             if response.status != 200 or _is_other(response, entry):
                 return None
-            return _report(msgspec.json.decode(response.body, type=WireReport))
+            wire = msgspec.json.decode(response.body, type=WireReport)
+            return None if _is_other_life(wire, entry) else _report(wire)
         except (HttpError, msgspec.MsgspecError):
             return None
 
@@ -78,7 +80,7 @@
         }
         if order.target.adapter:
             body["adapter"] = order.target.adapter
-        headers = ((EXPECT_INSTANCE, entry.instance), ("content-type", "application/json"))
+        headers = ((EXPECT_INSTANCE, entry.name), ("content-type", "application/json"))
         request = HttpRequest("POST", "/order", headers, msgspec.json.encode(body))
         try:
             response = await self._http.request(entry.address, request, timeout)
@@ -90,7 +92,12 @@
 
 
 def _is_other(response: HttpResponse, entry: ServerEntry) -> bool:
-    return response.header(INSTANCE) not in (None, entry.instance)
+    return response.header(INSTANCE) not in (None, entry.name)
+
+
+def _is_other_life(wire: WireReport, entry: ServerEntry) -> bool:
+    """Whether the server has started again, under its name, since it was listed."""
+    return None not in (wire.born, entry.born_ms) and wire.born != entry.born_ms
 
 
 def _report(wire: WireReport) -> ServerReport:
@@ -105,6 +112,7 @@
         pending_adapters=tuple(_pending(text) for text in wire.pending),
         in_memory=frozenset(wire.available.resident),
         on_disk=frozenset(wire.available.disk_cached),
+        born_ms=wire.born,
     )
 
 
--- a/loomwind/platform/store.py
+++ b/loomwind/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store behind :class:`loomwind.serving.ports.Store`."""
 
 import base64
+import binascii
 from urllib.parse import urlencode
 
 import msgspec
@@ -9,6 +10,7 @@
 from loomwind.http.client import HttpClient
 from loomwind.http.errors import ConnectFailed, HttpError
 from loomwind.http.messages import HttpRequest, HttpResponse
+from loomwind.logs import log_state
 from loomwind.serving.ports import (
     HistoryLost,
     Snapshot,
@@ -119,6 +121,11 @@
         return response
 
 
+def rows_of(body: bytes) -> list[StoredRow]:
+    """Return the rows of an answer's body."""
+    return [_row(row) for row in msgspec.json.decode(body, type=RowsAnswer).rows]
+
+
 def _decode(response: HttpResponse) -> RowsAnswer:
     try:
         return msgspec.json.decode(response.body, type=RowsAnswer)
@@ -127,4 +134,13 @@
 
 
 def _row(row: WireRow) -> StoredRow:
-    return StoredRow(row.key, row.ver, base64.b64decode(row.value or ""), row.gone)
+    return StoredRow(row.key, row.ver, _value(row), row.gone)
+
+
+def _value(row: WireRow) -> bytes:
+    """Return a row's value; empty, which no document is, where it cannot be read."""
+    try:
+        return base64.b64decode(row.value, validate=True)
+    except binascii.Error as error:
+        log_state("row", "unreadable", key=row.key, version=row.ver, error=str(error))
+        return b""
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -37,7 +37,7 @@
     ) -> None:
         self._documents = documents
         self._configuration_key = configuration_key
-        self._pool = pool
+        self.pool = pool
         self._health = health
         self._metrics = metrics
         self._configuration_document = b""
@@ -83,7 +83,7 @@
         self.limits = _server_limits(configuration)
         self._metrics.catalog_version.set(configuration.version)
         log_state("configuration", "in-force", version=configuration.version, source=source)
-        self._pool.demand.wake()
+        self.pool.demand.wake()
 
     def configuration_copy(self, than_version: int) -> ConfigurationCopy | None:
         """Return the configuration for a peer that has an older one; None when it has not."""
@@ -112,13 +112,13 @@
         trouble = copy.store_in_trouble or self._health.in_trouble(self._now())
         self._drop_all_but(copy.listed, trouble)
         for server in copy.servers:
-            self._put(server.instance, server.document, copy.version)
+            self._put(server.name, server.document, copy.version)
         self._note_servers(copy.version)
 
     @property
     def server_version(self) -> int:
         """Return the store's version that the list of servers stands at."""
-        return self._pool.directory.version
+        return self.pool.directory.version
 
     def directory_copy(self, than_version: int) -> DirectoryCopy | None:
         """Return what a peer lacks that the store does not serve; None when this daemon is no
@@ -159,39 +159,50 @@
 
     def _drop_all_but(self, listed: Iterable[str], trouble: bool) -> None:
         kept = set(listed)
-        for instance in [name for name in self._server_documents if name not in kept]:
-            self._drop(instance, trouble)
+        for name in [name for name in self._server_documents if name not in kept]:
+            self._drop(name, trouble)
 
-    def _drop(self, instance: str, trouble: bool) -> None:
-        self._server_documents.pop(instance, None)
-        self._server_changes.pop(instance, None)
+    def _drop(self, name: str, trouble: bool) -> None:
+        self._server_documents.pop(name, None)
+        self._server_changes.pop(name, None)
         self._note_server_change()
-        self._pool.directory.remove(instance, self._now(), trouble)
-        log_state("server", "unlisted", server=instance, store_in_trouble=trouble)
+        self.pool.directory.remove(name, self._now(), trouble)
+        log_state("server", "unlisted", server=name, store_in_trouble=trouble)
 
-    def _put(self, instance: str, document: bytes, version: int) -> None:
+    def _put(self, name: str, document: bytes, version: int) -> None:
         try:
-            entry = self._documents.server(instance, document)
+            entry = self._documents.server(name, document)
         except MalformedDocument as error:
-            log_state("server", "unreadable", server=instance, error=str(error))
+            log_state("server", "unreadable", server=name, error=str(error))
+            if name in self._server_documents:
+                self._drop(name, trouble=False)
             return
-        known = self._pool.directory.get(instance)
-        new = instance not in self._server_documents
+        directory = self.pool.directory
+        known = directory.get(name)
+        if known is not None and entry.is_older_than(known):
+            log_state("server", "outdated", server=entry.instance, newer=known.instance)
+            return
+        if known is not None and known.instance != entry.instance:
+            log_state("server", "started-again", server=entry.instance, earlier=known.instance)
+            known = None
+        new = name not in self._server_documents
         if new or known is None or _standing(known) != _standing(entry):
-            self._server_changes[instance] = version
+            self._server_changes[name] = version
             self._note_server_change()
         if known is None or known.state is not entry.state:
             state = entry.state.value
-            log_state("server", state, server=instance, service=entry.service, zone=entry.zone)
-        self._server_documents[instance] = document
-        self._pool.directory.put(entry, self._now())
+            log_state(
+                "server", state, server=entry.instance, service=entry.service, zone=entry.zone
+            )
+        self._server_documents[name] = document
+        directory.put(entry)
 
     def _note_servers(self, version: int) -> None:
-        directory = self._pool.directory
+        directory = self.pool.directory
         directory.version = max(directory.version, version)
         self._metrics.servers.set(len(directory.entries()))
         self._metrics.servers_usable.set(directory.usable_count(self._now()))
-        self._pool.refresh()
+        self.pool.refresh()
 
     @staticmethod
     def _now() -> float:
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -2,11 +2,9 @@
 
 An entry that vanishes is a server that leaves, unless the store itself was in trouble: then the
 entry may be gone though the server is well, so it is kept for a while and each send still names
-the instance that it is meant for.
+the server that it is meant for.
 """
 
-from collections.abc import Iterable
-
 from msgspec import Struct
 
 from loomwind.serving.views import ServerEntry, ServerState
@@ -17,12 +15,11 @@
 class _Listed(Struct):
     entry: ServerEntry
     vanished_at: float | None = None
-    leaves_at: float | None = None
     replaced: bool = False
 
 
 class ServerDirectory:
-    """Servers by instance.
+    """Servers by name, each in its newest life.
 
     :ivar version: the store's version that the directory stands at.
     """
@@ -40,43 +37,32 @@
         """Change how soon a server that leaves gets no new work."""
         self._vanished_grace = VANISHED_GRACE_PART * drain_seconds
 
-    def put(self, entry: ServerEntry, now: float) -> None:
+    def put(self, entry: ServerEntry) -> None:
         """Take in an entry as listed now."""
-        known = self._servers.get(entry.instance)
-        leaves_at = known.leaves_at if known else None
-        if entry.remaining_seconds is not None and leaves_at is None:
-            leaves_at = now + entry.remaining_seconds
-        replaced = known.replaced if known else False
-        self._servers[entry.instance] = _Listed(entry, None, leaves_at, replaced)
-
-    def remove(self, instance: str, now: float, store_in_trouble: bool) -> None:
+        known = self._servers.get(entry.name)
+        same_life = known is not None and known.entry.instance == entry.instance
+        replaced = same_life and known is not None and known.replaced
+        self._servers[entry.name] = _Listed(entry, None, replaced)
+
+    def remove(self, name: str, now: float, store_in_trouble: bool) -> None:
         """Take in that an entry has gone."""
-        known = self._servers.get(instance)
+        known = self._servers.get(name)
         if known is None:
             return
         if store_in_trouble and known.entry.state is ServerState.READY:
             known.vanished_at = known.vanished_at or now
         else:
-            del self._servers[instance]
-
-    def replace_all(
-        self, entries: Iterable[ServerEntry], now: float, store_in_trouble: bool
-    ) -> None:
-        """Take in the whole list."""
-        listed = {entry.instance: entry for entry in entries}
-        for instance in [name for name in self._servers if name not in listed]:
-            self.remove(instance, now, store_in_trouble)
-        for entry in listed.values():
-            self.put(entry, now)
-
-    def note_replaced(self, instance: str) -> None:
-        """Another life answers at the address of this one: it is gone."""
-        if instance in self._servers:
-            self._servers[instance].replaced = True
-
-    def get(self, instance: str) -> ServerEntry | None:
+            del self._servers[name]
+
+    def note_replaced(self, entry: ServerEntry) -> None:
+        """Another server answers at the address of this one: this life of it is gone."""
+        known = self._servers.get(entry.name)
+        if known is not None and known.entry.instance == entry.instance:
+            known.replaced = True
+
+    def get(self, name: str) -> ServerEntry | None:
         """Return a server that is known, whatever its state."""
-        known = self._servers.get(instance)
+        known = self._servers.get(name)
         return known.entry if known else None
 
     def usable(self, service: str, now: float) -> list[ServerEntry]:
@@ -91,13 +77,6 @@
         """Return how many servers of all services may get new work."""
         return sum(1 for known in self._servers.values() if self._may_get_work(known, now))
 
-    def leaving_in(self, instance: str, now: float) -> float | None:
-        """Return the time until a server is gone, if it leaves at short notice."""
-        known = self._servers.get(instance)
-        if known is None or known.leaves_at is None:
-            return None
-        return known.leaves_at - now
-
     def entries(self) -> list[ServerEntry]:
         """Return all servers that are known."""
         return [known.entry for known in self._servers.values() if not known.replaced]
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -85,7 +85,7 @@
         request = outgoing.request
         priority = outgoing.route.priority if outgoing.caller.target else None
         headers = self._dialect.server_headers(
-            request, entry.instance, outgoing.deadline - now, priority, last_event_id
+            request, entry.name, outgoing.deadline - now, priority, last_event_id
         )
         return HttpRequest(request.method, request.target, headers, request.body)
 
@@ -100,7 +100,7 @@
         request_id = outgoing.caller.request_id
         for _ in range(1 + MAX_SURPLUS_ANSWERS):
             head = await connection.read_head()
-            verdict = self._dialect.judge(request_id, entry.instance, head)
+            verdict = self._dialect.judge(request_id, entry.name, head)
             connection.note_keep_alive(head)
             if verdict.ours:
                 return self._checked(head, verdict, entry), verdict
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -83,7 +83,7 @@
     ) -> None:
         """Learn from a send that failed."""
         if failure.other_instance:
-            self.directory.note_replaced(entry.instance)
+            self.directory.note_replaced(entry)
         elif failure.missing_target and target is not None:
             self.residency.note_absent(entry.instance, target, now)
         elif failure.unreachable:
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -132,7 +132,7 @@
         """
 
     @abstractmethod
-    def server(self, instance: str, value: bytes) -> ServerEntry:
+    def server(self, name: str, value: bytes) -> ServerEntry:
         """Return a server's entry.
 
         :raises MalformedDocument: it is none.
@@ -146,7 +146,7 @@
     :param ran: whether the server may have run the request.
     :param genuine: whether it carries the server's mark.
     :param missing_target: the server does not hold what the request needs, or is another life.
-    :param other_instance: the server is another life than the one that was meant.
+    :param other_instance: another server answers at the address than the one that was meant.
     """
 
     ours: bool
@@ -167,7 +167,7 @@
     def server_headers(
         self,
         request: HttpRequest,
-        instance: str,
+        server_name: str,
         remaining_seconds: float,
         priority: int | None,
         last_event_id: str | None,
@@ -175,7 +175,7 @@
         """Return the headers of a request as a server gets it, with the caller's host."""
 
     @abstractmethod
-    def judge(self, request_id: str, instance: str, head: HttpResponse) -> AnswerVerdict:
+    def judge(self, request_id: str, server_name: str, head: HttpResponse) -> AnswerVerdict:
         """Return what the head of an answer says about the request."""
 
     @abstractmethod
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -154,13 +154,14 @@
 class ServerEntry(Struct, frozen=True):
     """A server as the directory lists it.
 
-    :param instance: names one life of the server's process.
+    :param name: stays when the server's process starts again.
     :param revision: how many orders it has taken in this life.
     :param held: the models it holds, with their adapters.
     :param remaining_seconds: for one that leaves at short notice: the time until it is gone.
+    :param born_ms: when its process started, since 1970; None where servers do not say.
     """
 
-    instance: str
+    name: str
     service: str
     address: str
     zone: str
@@ -169,6 +170,18 @@
     revision: int = 0
     held: tuple["HeldModel", ...] = ()
     remaining_seconds: float | None = None
+    born_ms: int | None = None
+
+    @property
+    def instance(self) -> str:
+        """Return what names this one life of the server's process."""
+        return self.name if self.born_ms is None else f"{self.name}@{self.born_ms}"
+
+    def is_older_than(self, other: "ServerEntry") -> bool:
+        """Whether this is an earlier life of the same server."""
+        if self.born_ms is None or other.born_ms is None:
+            return False
+        return self.name == other.name and self.born_ms < other.born_ms
 
 
 class HeldModel(Struct, frozen=True, array_like=True):
@@ -185,6 +198,7 @@
     :param pending_adapters: adapters on their way, as ``(model, adapter)``.
     :param in_memory: models with a copy in host memory.
     :param on_disk: models with a copy on its disk.
+    :param born_ms: when its process started, since 1970; None where servers do not say.
     """
 
     revision: int
@@ -197,6 +211,7 @@
     pending_adapters: tuple["ModelKey", ...] = ()
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    born_ms: int | None = None
 
 
 class ModelKey(Struct, frozen=True, order=True, array_like=True):
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import contextlib
+import time
 import uuid
 from collections import Counter
 from collections.abc import Iterable
@@ -55,8 +56,11 @@
 class PoolServer:
     """One server."""
 
-    def __init__(self, service: str, zone: str, store: str, holdings: Holdings | None) -> None:
-        self.instance = f"i-{uuid.uuid4().hex[:10]}"
+    def __init__(
+        self, service: str, zone: str, store: str, holdings: Holdings | None, instance: str = ""
+    ) -> None:
+        self.instance = instance or f"i-{uuid.uuid4().hex[:10]}"
+        self.born_ms = time.time_ns() // 1_000_000
         self.service = service
         self.zone = zone
         self.holdings = holdings
@@ -99,6 +103,7 @@
             "state": self.faults.state,
             "seq": holdings.revision if holdings else 0,
             "models": self._models(),
+            "born": self.born_ms,
         }
 
     def _models(self) -> list[dict[str, object]]:
@@ -150,6 +155,7 @@
         holdings = self.holdings
         return {
             "stage": "both",
+            "born": self.born_ms,
             "models": models,
             "busy": bool(holdings and holdings.work),
             "seq": holdings.revision if holdings else 0,
@@ -296,6 +302,7 @@
     adapter_slots: int = 8,
     port: int = 0,
     host: str = "127.0.0.1",
+    instance: str = "",
 ) -> None:
     """Run the server stand-in until it is killed.
 
@@ -309,13 +316,14 @@
         adapter_slots: how many adapters it can hold.
         port: where it listens; 0 takes any free one.
         host: its address.
+        instance: the name that it had in an earlier life; empty for a new one.
     """
     holdings = None
     if models:
         with open(models, "rb") as file:
             sizes = msgspec.json.decode(file.read(), type=list[ModelSize])
         holdings = Holdings(sizes, memory_mb, adapter_slots)
-    server = PoolServer(service, zone, store, holdings)
+    server = PoolServer(service, zone, store, holdings, instance)
     asyncio.run(_serve(server, held, host, port))
 
 
