Keep room for orders that an earlier life of a server left unanswered

An order without an answer may be carried out seconds later, while the server is at the revision that it expects. After a restart under the same name revisions count anew, so an old order can fit the new life and load a model beyond its memory (LIMIT). The ledger of a new life takes over what the earlier one left unanswered and keeps that memory and those adapter places free, until a later revision makes the order void or 15 s have passed. The scenario failed by absence of it.

--- a/features/server_entries.feature
+++ b/features/server_entries.feature
@@ -46,6 +46,19 @@
       | a start that is text | {"service": "tutor", "address": "a:1", "zone": "z", "state": "ready", "born": "now"} |
       | a list               | [1, 2]                                                                    |
 
+  Scenario: room is kept for an order to an earlier life that may still be carried out
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one leaves an order to load c unanswered at 10.0 s, at revision 0
+    And one starts again and says at 11.0 s that it holds nothing, at revision 0
+    Then one has room for 1 model
+    When one starts again and says at 12.0 s that it holds nothing, at revision 1
+    Then one has room for 2 models
+    When one starts again and says at 13.0 s that it holds nothing, at revision 0
+    Then one has room for 1 model
+    When one says at 30.0 s that it holds nothing, at revision 0
+    Then one has room for 2 models
+
   Scenario: a row whose value is no base64 does not stop the list
     When the store lists s1 in order and s2 with a value that is no base64
     Then the rows are s1 with its entry and s2 with nothing
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -189,6 +189,31 @@
     context.loading = model
 
 
+@when("{name:w} leaves an order to load {model} unanswered at {now:f} s, at revision 0")
+def step_unanswered(context: Any, name: str, model: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    ledger.note_answer(_order(ledger, OrderKind.LOAD, model), OrderAnswer.UNKNOWN, now)
+
+
+@when("{name:w} starts again and says at {now:f} s that it holds nothing, at revision {revision:d}")
+def step_starts_again(context: Any, name: str, now: float, revision: int) -> None:
+    earlier: ServerLedger = context.ledgers[name]
+    context.ledgers[name] = ServerLedger(earlier.entry, earlier.profile)
+    context.ledgers[name].late_orders.inherit(earlier.late_orders)
+    step_says_nothing_held(context, name, now, revision)
+
+
+@when("{name:w} says at {now:f} s that it holds nothing, at revision {revision:d}")
+def step_says_nothing_held(context: Any, name: str, now: float, revision: int) -> None:
+    context.ledgers[name].note_report(report([], set(), revision), now)
+
+
+@then("{name:w} has room for {count:d} model")
+@then("{name:w} has room for {count:d} models")
+def step_room(context: Any, name: str, count: int) -> None:
+    assert context.ledgers[name].free_mb() // MODEL_MB == count, context.ledgers[name].free_mb()
+
+
 def holds_after(context: Any, name: str, now: float, running: int) -> bool:
     """Let a server's loads settle, and return whether it holds what it was loading."""
     ledger: ServerLedger = context.ledgers[name]
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -166,6 +166,9 @@
                 ledger = self._ledgers.get(entry.instance)
                 if ledger is None:
                     ledger = ServerLedger(entry, service.engine)
+                    for earlier in self._ledgers.values():
+                        if entry.name == earlier.entry.name:
+                            ledger.late_orders.inherit(earlier.late_orders)
                     self._ledgers[entry.instance] = ledger
                 ledger.entry = entry
                 ledger.profile = service.engine
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from loomwind.clock import MS_PER_SECOND
+from loomwind.placement.late_orders import LateOrders
 from loomwind.placement.store_pace import FinishedLoad
 from loomwind.serving.residency import holds
 from loomwind.serving.views import (
@@ -83,6 +84,7 @@
         self._reserved_at = -1e9
         self._assumed_at = -1e9
         self._adapters_ordered: dict[ModelKey, float] = {}
+        self.late_orders = LateOrders()
         self.quiet_until = 0.0
         self.failed_reads = 0
 
@@ -90,6 +92,7 @@
         """Take in a report; returns whether what the server holds has changed."""
         self.read_at = now
         self.failed_reads = 0
+        self.late_orders.forget_old(now)
         known = self.report
         if known is not None and report.revision < known.revision:
             return False
@@ -227,6 +230,7 @@
             self.read_at = -1e9
         else:
             self.quiet_until = now + UNKNOWN_PAUSE_SECONDS
+            self.late_orders.note_unanswered(order, now)
 
     def _apply(self, order: Order, answer: OrderAnswer, now: float, in_use: bool) -> None:
         report = self.report
@@ -292,7 +296,9 @@
         """Return the accelerator memory that nothing holds, in MB."""
         if self.report is None:
             return 0.0
-        return self.profile.memory_mb - used_mb(self.profile, self.report) - self._coming_mb()
+        late_mb = self.late_orders.memory_mb(self.profile, self.report.revision)
+        taken_mb = used_mb(self.profile, self.report) + self._coming_mb() + late_mb
+        return self.profile.memory_mb - taken_mb
 
     def _coming_mb(self) -> float:
         operation = self.operation
@@ -306,7 +312,8 @@
         if self.report is None:
             return 0
         loaded = sum(len(model.adapters) for model in self.report.held)
-        return self.profile.adapter_slots - loaded - len(self.report.pending_adapters)
+        taken = loaded + len(self.report.pending_adapters)
+        return self.profile.adapter_slots - taken - self.late_orders.adapters(self.report.revision)
 
     def pending_adapters(self) -> int:
         """Return how many adapters are on their way."""
