Log how far the weight store is used, and how much waits for it

The leader now says once a second, while something waits for the weight store: loads under way, how many it takes to be served at once, how many models wait, and which servers load.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -36,6 +36,7 @@
 TELL_ALL_SECONDS = 2.0
 STAGE_AFTER_SECONDS = 2.0
 MOST_UNSERVED_LOGGED = 8
+TELL_USE_SECONDS = 1.0
 
 
 class PlacementController:
@@ -69,6 +70,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
         self._told_all_at = -1e9
+        self._told_use_at = -1e9
         self._leading = False
         self._led_since = 0.0
 
@@ -285,6 +287,7 @@
         )
         planner = Planner(given)
         orders = planner.plan()
+        self._log_store_use(service, store_loads, pace.limit, planner.queued())
         self._demand.note_available(service, given.index.holders)
         self._tell_expectations(service, planner.expectations())
         for planned in orders:
@@ -297,6 +300,26 @@
                 self._ledgers[planned.instance].staged += 1
             self._begin_order(planned)
 
+    def _log_store_use(self, service: str, under_way: int, limit: int, queued: int) -> None:
+        """Say now and then how far the weight store is used, and how much waits for it."""
+        if not queued or self._now() - self._told_use_at < TELL_USE_SECONDS:
+            return
+        self._told_use_at = self._now()
+        loading = [
+            f"{each.entry.instance} {each.coming or '?'}"
+            for each in self._ledgers.values()
+            if each.loads_from_store_now
+        ]
+        log_state(
+            "weight-store",
+            "used",
+            service=service,
+            under_way=under_way,
+            loads_at_once=limit,
+            queued=queued,
+            loading=loading,
+        )
+
     def _tell_expectations(self, service: str, expected: tuple[ExpectedTarget, ...]) -> None:
         """Answer the reports of this step: when should be there what their requests wait for."""
         fence = self._election.lease.fence
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -48,6 +48,10 @@
             self._models.stage()
         return self._draft.orders
 
+    def queued(self) -> int:
+        """Return how many models wait for the weight store."""
+        return len(self._models.queued)
+
     def expectations(self) -> tuple[ExpectedTarget, ...]:
         """Return when what requests wait for should be ready, by the plan that was made."""
         outlook = Outlook(self._given, self._draft, self._models.queued)
