Probe every connection, and end those that fall silent: to the store, to servers, between daemons

Cause: a call of the store's feed waits for up to 25 s, a connection that only waits has nothing unacknowledged, so the user timeout never struck; links between daemons had none at all. Now each of them is probed after a second without a word, and ends when nothing is acknowledged for 1.5 s.

--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import enum
-import socket
 from collections import deque
 
 import h11
@@ -21,6 +20,7 @@
     map_exceptions,
 )
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
+from loomwind.http.sockets import end_when_silent
 
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 KEEP_ALIVE_TIMEOUT = "timeout="
@@ -46,11 +46,11 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to a back end."""
 
-    def __init__(self, address: str, user_timeout_seconds: float | None = None) -> None:
+    def __init__(self, address: str, silence_ms: float | None = None) -> None:
         self.address = address
         self.state = ClientState.IDLE
         self.idle_until: float | None = None
-        self._user_timeout_seconds = user_timeout_seconds
+        self._silence_ms = silence_ms
         self._h11 = _new_parser()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -64,8 +64,13 @@
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        if self._user_timeout_seconds is not None:
-            limit_silence(transport, self._user_timeout_seconds)
+        if self._silence_ms is not None:
+            end_when_silent(transport, self._silence_ms)
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Return what carries the connection; None before it is made."""
+        return self._transport
 
     def data_received(self, data: bytes) -> None:
         """Feed h11 and wake the reader; stop reading while much is unread.
@@ -249,25 +254,18 @@
     )
 
 
-def limit_silence(transport: asyncio.Transport, seconds: float) -> None:
-    """End a connection whose peer acknowledges nothing for so long."""
-    raw = transport.get_extra_info("socket")
-    if raw is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
-
-
 class Connector:
     """Opens connections; an operator may direct an address elsewhere by ``overrides``."""
 
     def __init__(
-        self, overrides: dict[str, str] | None = None, user_timeout_seconds: float | None = None
+        self, overrides: dict[str, str] | None = None, silence_ms: float | None = None
     ) -> None:
         """Make a connector.
 
-        :param user_timeout_seconds: ends a connection whose peer acknowledges nothing for so long.
+        :param silence_ms: ends a connection whose peer acknowledges nothing for so long, if given.
         """
         self._overrides = overrides or {}
-        self.user_timeout_seconds = user_timeout_seconds
+        self.silence_ms = silence_ms
 
     def redirect(self, overrides: dict[str, str]) -> None:
         """Use other addresses from now on; links that are open stay open."""
@@ -288,7 +286,7 @@
         with map_exceptions(CONNECT_EXCEPTIONS):
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(address, self.user_timeout_seconds), host, port
+                    lambda: ClientConnection(address, self.silence_ms), host, port
                 )
         return connection
 
--- a/loomwind/peering/transport.py
+++ b/loomwind/peering/transport.py
@@ -9,6 +9,7 @@
 
 from loomwind import constants
 from loomwind.http.client import Connector
+from loomwind.http.sockets import end_when_silent
 from loomwind.messages import AnyMessage
 from loomwind.metrics import Metrics
 from loomwind.peering.errors import BadFrame, PeerUnreachable
@@ -30,6 +31,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._peers.incoming.add(transport)
+        self._peers.end_when_silent(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._transport is not None:
@@ -60,7 +62,8 @@
 class _OutgoingLink(asyncio.Protocol):
     """The sending end: writes messages and matches answers to calls."""
 
-    def __init__(self) -> None:
+    def __init__(self, transport: "PeerTransport") -> None:
+        self._peers = transport
         self._reader = FrameReader()
         self.transport: asyncio.Transport | None = None
         self.calls: dict[int, asyncio.Future[AnyMessage]] = {}
@@ -68,6 +71,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._peers.end_when_silent(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -98,6 +102,11 @@
         self._connecting: asyncio.Task[_OutgoingLink] | None = None
         self._next_call = 1
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Return the connection; None while there is none."""
+        return self._link.transport if self._link is not None else None
+
     async def _connected(self) -> _OutgoingLink:
         link = self._link
         if link is not None and link.transport is not None and not link.transport.is_closing():
@@ -111,7 +120,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(constants.PEER_CONNECT_TIMEOUT_SECONDS):
-                _, link = await loop.create_connection(_OutgoingLink, host, port)
+                _, link = await loop.create_connection(
+                    lambda: _OutgoingLink(self._peers), host, port
+                )
         except ConnectionRefusedError as error:
             raise PeerUnreachable(f"{self._address} refused", refused=True) from error
         except OSError as error:
@@ -191,6 +202,11 @@
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
+    def end_when_silent(self, transport: asyncio.Transport) -> None:
+        """End a link whose peer acknowledges nothing for too long, if this daemon limits that."""
+        if self.connector.silence_ms is not None:
+            end_when_silent(transport, self.connector.silence_ms)
+
     def count(self, message: AnyMessage, size: int) -> None:
         """Count a sent message of ``size`` bytes."""
         self._metrics.peer_messages.labels(type(message).__name__).inc()
@@ -227,6 +243,10 @@
         """
         return await self._link(address).call(message, timeout)
 
+    def outgoing(self, address: str) -> asyncio.Transport | None:
+        """Return the connection to an address; None while there is none."""
+        return self._link(address).transport
+
     def forget(self, address: str) -> None:
         """End the link to an address that is no longer spoken to."""
         link = self._links.pop(address, None)
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -119,7 +119,7 @@
         """Make what speaks to peers, and what works while this daemon leads."""
         self._transport = PeerTransport(
             self._on_message,
-            Connector(user_timeout_seconds=constants.POOL_USER_TIMEOUT_SECONDS),
+            Connector(silence_ms=constants.POOL_SILENCE_MS),
             self.metrics,
         )
         self._watch = LeaderWatch(
