--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -13,6 +13,7 @@
 from loomwind.placement.load_window import LoadWindow
 from loomwind.placement.plan import PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
+from loomwind.placement.shortage_log import ShortageLog
 from loomwind.placement.store_pace import StorePace
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.demand import DemandKey
@@ -35,8 +36,6 @@
 ORDER_TIMEOUT_SECONDS = 0.4
 TELL_ALL_SECONDS = 2.0
 STAGE_AFTER_SECONDS = 2.0
-MOST_UNSERVED_LOGGED = 8
-TELL_USE_SECONDS = 1.0
 
 
 class PlacementController:
@@ -70,7 +69,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
         self._told_all_at = -1e9
-        self._told_use_at = -1e9
+        self._shortages = ShortageLog(metrics)
         self._leading = False
         self._led_since = 0.0
 
@@ -107,6 +106,7 @@
         self._demand = DemandView()
         self._ledgers.clear()
         self._windows.clear()
+        self._shortages.note_unserved(())
         self._metrics.leading.set(leads)
         self._metrics.lease_fence.set(self._election.lease.fence or 0)
         if leads:
@@ -148,15 +148,7 @@
         if self._now() - self._told_all_at > self._exchange.paced(TELL_ALL_SECONDS):
             self._told_all_at = self._now()
             self._tell_holdings(list(self._ledgers.values()))
-            self._log_unserved()
-
-    def _log_unserved(self) -> None:
-        """Say which models are asked for while no server holds them."""
-        unserved = self._demand.asked_in_vain()
-        self._metrics.models_unserved.set(len(unserved))
-        if unserved:
-            most = [f"{key.target} {count:.0f}" for key, count in unserved[:MOST_UNSERVED_LOGGED]]
-            log_state("demand", "unserved", models=len(unserved), most=most)
+            self._shortages.note_unserved(self._demand.asked_in_vain())
 
     def _update_ledgers(self, configuration: Configuration) -> None:
         listed: dict[str, ServerEntry] = {}
@@ -168,15 +160,19 @@
                 ledger = self._ledgers.get(entry.instance)
                 if ledger is None:
                     ledger = ServerLedger(entry, service.engine)
-                    for earlier in self._ledgers.values():
-                        if entry.name == earlier.entry.name:
-                            ledger.late_orders.inherit(earlier.late_orders)
+                    self._inherit_orders(ledger)
                     self._ledgers[entry.instance] = ledger
                 ledger.entry = entry
                 ledger.profile = service.engine
         for instance in [name for name in self._ledgers if name not in listed]:
             del self._ledgers[instance]
 
+    def _inherit_orders(self, ledger: ServerLedger) -> None:
+        """Let a new life of a server count on orders that an earlier one left unanswered."""
+        for earlier in self._ledgers.values():
+            if ledger.entry.name == earlier.entry.name:
+                ledger.late_orders.inherit(earlier.late_orders)
+
     def _settle_loads(self) -> None:
         """Take loads as done whose time is over, and look again when the next one's is."""
         now = self._now()
@@ -287,7 +283,10 @@
         )
         planner = Planner(given)
         orders = planner.plan()
-        self._log_store_use(service, store_loads, pace.limit, planner.queued())
+        loading = (server for server in servers if server.loads_from_store_now)
+        self._shortages.note_store_use(
+            service, loading, pace.limit, planner.queued(), now * MS_PER_SECOND
+        )
         self._demand.note_available(service, given.index.holders)
         self._tell_expectations(service, planner.expectations())
         for planned in orders:
@@ -300,26 +299,6 @@
                 self._ledgers[planned.instance].staged += 1
             self._begin_order(planned)
 
-    def _log_store_use(self, service: str, under_way: int, limit: int, queued: int) -> None:
-        """Say now and then how far the weight store is used, and how much waits for it."""
-        if not queued or self._now() - self._told_use_at < TELL_USE_SECONDS:
-            return
-        self._told_use_at = self._now()
-        loading = [
-            f"{each.entry.instance} {each.coming or '?'}"
-            for each in self._ledgers.values()
-            if each.loads_from_store_now
-        ]
-        log_state(
-            "weight-store",
-            "used",
-            service=service,
-            under_way=under_way,
-            loads_at_once=limit,
-            queued=queued,
-            loading=loading,
-        )
-
     def _tell_expectations(self, service: str, expected: tuple[ExpectedTarget, ...]) -> None:
         """Answer the reports of this step: when should be there what their requests wait for."""
         fence = self._election.lease.fence
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
+import attrs
 from msgspec import Struct
 
 from loomwind.messages.serving import PoolDemand
@@ -38,6 +39,17 @@
         return (self.urgency_seconds, self.returning == 0, -self.unserved, self.since)
 
 
+@attrs.frozen
+class UnservedModel:
+    """A model that no server has held since it was first asked for.
+
+    :ivar requests: requests for it since then.
+    """
+
+    key: DemandKey
+    requests: float
+
+
 class Heat(Struct):
     """Recent use of a target: a rate that decays, and the last request."""
 
@@ -123,16 +135,16 @@
             for key, count in waiting.items()
         ]
         wants += [
-            Want(key, 0, self._heat[key].objective_seconds, 0.0, 0, unserved, now)
-            for key, unserved in self.asked_in_vain()
-            if key not in waiting
+            Want(each.key, 0, self._heat[each.key].objective_seconds, 0.0, 0, each.requests, now)
+            for each in self.asked_in_vain()
+            if each.key not in waiting
         ]
         return sorted(wants, key=lambda want: want.rank)
 
-    def asked_in_vain(self) -> list[tuple[DemandKey, float]]:
-        """Return the models asked for more than once in vain, with how often, the most first."""
-        found = [(key, n) for key, n in self._unserved.items() if n >= ASKED_IN_VAIN]
-        return sorted(found, key=lambda item: -item[1])
+    def asked_in_vain(self) -> list[UnservedModel]:
+        """Return the models asked for more than once in vain, the most asked for first."""
+        found = [UnservedModel(key, n) for key, n in self._unserved.items() if n >= ASKED_IN_VAIN]
+        return sorted(found, key=lambda each: -each.requests)
 
     def note_available(self, service: str, names: Iterable[str]) -> None:
         """Begin to count anew for models that a server holds."""
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -7,9 +7,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from loomwind.clock import MS_PER_SECOND
-from loomwind.http.errors import ConnectionBroken, HttpError, StreamEndedInsideEvent
-from loomwind.http.event_stream import EventCutter
+from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
@@ -19,7 +17,7 @@
 from loomwind.serving.forwarder import OpenAnswer, Outgoing
 from loomwind.serving.model_wait import ModelWait
 from loomwind.serving.silence import allowed_silence_seconds
-from loomwind.serving.stream_gaps import StreamGaps
+from loomwind.serving.stream_relay import StreamRelay
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 if TYPE_CHECKING:
@@ -28,7 +26,6 @@
 DEADLINE_MARGIN_SECONDS = 0.02
 EXTRA_UNSTARTED_SENDS = 3
 REFUSED_PAUSE_SECONDS = 0.03
-EVENT_SILENCE_SECONDS = 0.8
 SERVED = "served"
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -66,7 +63,15 @@
         self._owes_repeat = False
         self._server = ""
         self._candidates: list[Candidate] = []
-        self._cutter = EventCutter(caller.last_event_id)
+        self._stream = StreamRelay(
+            exchange,
+            caller,
+            route,
+            serving.dialect,
+            serving.metrics,
+            self._allowed_silence,
+            self._note_first_event,
+        )
 
     # The request as a whole.
 
@@ -111,7 +116,7 @@
             may_have_run=self._may_have_run or self._handed_over,
             server=self._server,
             passed_over=self._passed_over(),
-            events=self._cutter.events,
+            events=self._stream.events,
             configuration=self._serving.configuration_version(),
             servers=self._pool.directory.version,
         )
@@ -167,7 +172,7 @@
             passed_over=self._passed_over(),
             reason=str(failure),
             ran=failure.ran,
-            events=self._cutter.events,
+            events=self._stream.events,
         )
 
     def _may_retry(self, failure: SendFailed) -> bool:
@@ -301,7 +306,7 @@
 
     async def _exchange_with(self, entry: ServerEntry) -> None:
         forwarder = self._serving.forwarder
-        resume_from = self._cutter.last_event_id
+        resume_from = self._stream.last_event_id
         silence = self._allowed_silence(entry)
         try:
             async with asyncio.timeout(silence):
@@ -313,7 +318,8 @@
             raise SendFailed(f"{entry.instance}: silent for {silence} s", ran=True) from error
         self._pool.health(entry.instance).heard(self._serving.now())
         if body is None:
-            await self._relay(entry, answer)
+            await self._stream.pass_on(entry, answer, self._pool.health(entry.instance))
+            forwarder.release(answer.connection)
         else:
             await self._answer_whole(entry, answer, body)
 
@@ -336,65 +342,6 @@
         headers = self._serving.dialect.answer_headers(answer.head)
         await self._exchange.respond(status, headers, body)
 
-    async def _relay(self, entry: ServerEntry, answer: OpenAnswer) -> None:
-        """Pass whole events on as they come.
-
-        :raises SendFailed: the stream ended before its proper end.
-        """
-        connection = answer.connection
-        health = self._pool.health(entry.instance)
-        try:
-            if not self._exchange.started:
-                headers = self._serving.dialect.answer_headers(answer.head)
-                await self._exchange.start(answer.head.status, headers)
-            gaps = StreamGaps()
-            while piece := await self._next_piece(entry, answer):
-                now = self._serving.now()
-                health.heard(now)
-                gaps.note_event(now * MS_PER_SECOND)
-                first = self._cutter.events == 0
-                await self._exchange.send(self._cutter.feed(piece))
-                if first and self._cutter.events:
-                    self._note_first_event(entry)
-            await self._exchange.send(self._end_stream(entry, answer))
-            await self._exchange.finish()
-            self._note_pause(entry, gaps)
-        except BaseException:
-            connection.close()
-            self._cutter.drop_rest()
-            raise
-        self._serving.forwarder.release(connection)
-
-    def _end_stream(self, entry: ServerEntry, answer: OpenAnswer) -> bytes:
-        """Take in that a stream's body has ended, as its framing says; returns what is left.
-
-        :raises SendFailed: it ended inside an event.
-        """
-        framing = answer.head.framing
-        self._serving.metrics.streams_ended.labels(framing.value).inc()
-        try:
-            return self._cutter.end()
-        except StreamEndedInsideEvent as error:
-            raise SendFailed(
-                f"{entry.instance}: {error}, framed by {framing.value}", True
-            ) from error
-
-    def _note_pause(self, entry: ServerEntry, gaps: StreamGaps) -> None:
-        """Say that a whole stream has paused for longer than its route allows."""
-        allowed_ms = self._route.gap_objective_seconds * MS_PER_SECOND
-        if not 0 < allowed_ms < gaps.longest_ms:
-            return
-        log_decision(
-            "paused",
-            self._caller.request_id,
-            server=entry.instance,
-            target=str(self._caller.target),
-            longest_gap_ms=round(gaps.longest_ms, 1),
-            allowed_ms=allowed_ms,
-            in_flight=self._pool.health(entry.instance).in_flight,
-            prompt_tokens=self._caller.prompt_tokens,
-        )
-
     def _note_first_event(self, entry: ServerEntry) -> None:
         """Say what a late first event was waiting for."""
         seconds = self._serving.now() - self._arrived
@@ -409,15 +356,3 @@
                 waited_for_model=round(self._waited_seconds, 3),
                 sends=self._sends,
             )
-
-    async def _next_piece(self, entry: ServerEntry, answer: OpenAnswer) -> bytes:
-        silence = EVENT_SILENCE_SECONDS if self._allowed_silence(entry) is not None else None
-        if silence is not None and self._cutter.events == 0:
-            silence = self._allowed_silence(entry)
-        try:
-            async with asyncio.timeout(silence):
-                return await answer.connection.read_body()
-        except TimeoutError as error:
-            raise SendFailed(f"{entry.instance}: stream silent for {silence} s", True) from error
-        except HttpError as error:
-            raise SendFailed(f"{entry.instance}: {error}", ran=True) from error
--- /dev/null
+++ b/loomwind/serving/stream_relay.py
@@ -0,0 +1,128 @@
+"""Passes the whole events of a stream on, over all the runs that it takes."""
+
+import asyncio
+from collections.abc import Callable
+
+from loomwind.clock import MS_PER_SECOND
+from loomwind.http.errors import HttpError, StreamEndedInsideEvent
+from loomwind.http.event_stream import EventCutter
+from loomwind.http.server import Exchange
+from loomwind.logs import log_decision
+from loomwind.metrics import Metrics
+from loomwind.serving.breaker import ServerHealth
+from loomwind.serving.errors import SendFailed
+from loomwind.serving.forwarder import OpenAnswer
+from loomwind.serving.ports import Dialect
+from loomwind.serving.stream_gaps import StreamGaps
+from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
+
+EVENT_SILENCE_SECONDS = 0.8
+
+
+class StreamRelay:
+    """The stream of one request."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        caller: CallerRequest,
+        route: RouteRule,
+        dialect: Dialect,
+        metrics: Metrics,
+        allowed_silence: Callable[[ServerEntry], float | None],
+        on_first_event: Callable[[ServerEntry], None],
+    ) -> None:
+        """Make a relay.
+
+        :param allowed_silence: returns how many seconds a server may say nothing before the request
+            goes elsewhere; None when it has to wait.
+        """
+        self._exchange = exchange
+        self._caller = caller
+        self._route = route
+        self._dialect = dialect
+        self._metrics = metrics
+        self._allowed_silence = allowed_silence
+        self._on_first_event = on_first_event
+        self._cutter = EventCutter(caller.last_event_id)
+
+    @property
+    def last_event_id(self) -> str | None:
+        """Return the id of the last event that was passed on; None before the first."""
+        return self._cutter.last_event_id
+
+    @property
+    def events(self) -> int:
+        """Return how many events were passed on."""
+        return self._cutter.events
+
+    async def pass_on(self, entry: ServerEntry, answer: OpenAnswer, health: ServerHealth) -> None:
+        """Pass whole events on as they come.
+
+        :raises SendFailed: the stream ended before its proper end; its connection is closed.
+        """
+        try:
+            if not self._exchange.started:
+                headers = self._dialect.answer_headers(answer.head)
+                await self._exchange.start(answer.head.status, headers)
+            gaps = StreamGaps()
+            while piece := await self._next_piece(entry, answer):
+                now = self._now()
+                health.heard(now)
+                gaps.note_event(now * MS_PER_SECOND)
+                first = self.events == 0
+                await self._exchange.send(self._cutter.feed(piece))
+                if first and self.events:
+                    self._on_first_event(entry)
+            await self._exchange.send(self._end(entry, answer))
+            await self._exchange.finish()
+            self._note_pause(entry, gaps, health)
+        except BaseException:
+            answer.connection.close()
+            self._cutter.drop_rest()
+            raise
+
+    async def _next_piece(self, entry: ServerEntry, answer: OpenAnswer) -> bytes:
+        silence = self._allowed_silence(entry)
+        if silence is not None and self.events:
+            silence = EVENT_SILENCE_SECONDS
+        try:
+            async with asyncio.timeout(silence):
+                return await answer.connection.read_body()
+        except TimeoutError as error:
+            raise SendFailed(f"{entry.instance}: stream silent for {silence} s", True) from error
+        except HttpError as error:
+            raise SendFailed(f"{entry.instance}: {error}", ran=True) from error
+
+    def _end(self, entry: ServerEntry, answer: OpenAnswer) -> bytes:
+        """Take in that a stream's body has ended, as its framing says; returns what is left.
+
+        :raises SendFailed: it ended inside an event.
+        """
+        framing = answer.head.framing.value
+        self._metrics.streams_ended.labels(framing).inc()
+        try:
+            return self._cutter.end()
+        except StreamEndedInsideEvent as error:
+            detail = f"{entry.instance}: {error}, framed by {framing}"
+            raise SendFailed(detail, ran=True) from error
+
+    def _note_pause(self, entry: ServerEntry, gaps: StreamGaps, health: ServerHealth) -> None:
+        """Say that a whole stream has paused for longer than its route allows."""
+        allowed_ms = self._route.gap_objective_seconds * MS_PER_SECOND
+        if not 0 < allowed_ms < gaps.longest_ms:
+            return
+        log_decision(
+            "paused",
+            self._caller.request_id,
+            server=entry.instance,
+            target=str(self._caller.target),
+            longest_gap_ms=round(gaps.longest_ms, 1),
+            allowed_ms=allowed_ms,
+            in_flight=health.in_flight,
+            prompt_tokens=self._caller.prompt_tokens,
+        )
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
