--- a/loomwind/constants.py
+++ b/loomwind/constants.py
@@ -69,6 +69,7 @@
 POOL_DEMAND_INTERVAL_SECONDS: Final = 0.25
 POOL_DIGEST_INTERVAL_SECONDS: Final = 0.5
 SMALL_FLEET_DAEMONS: Final = 25
+# Under the shortest bound on putting a configuration in force, 2 s, by the deployments' sheets.
 POOL_SILENCE_MS: Final = 1500.0
 
 # Operators.
--- a/loomwind/pipeline/relay.py
+++ b/loomwind/pipeline/relay.py
@@ -41,7 +41,7 @@
         self.sent = sent
 
 
-class PassedOn:
+class RelayProgress:
     """What went to the caller of a stream so far, over all connections that it came by."""
 
     def __init__(self) -> None:
@@ -111,21 +111,21 @@
         :raises RequestRefused: the stream was cut and could not be resumed; nothing was sent.
         :raises ConnectionBroken: the caller is gone.
         """
-        passed = PassedOn()
+        progress = RelayProgress()
         resumes = 0
         if prefix:
             await exchange.start(response.status, _headers(response, request_id))
             await exchange.send(prefix)
-            passed.note(prefix)
+            progress.note(prefix)
         while True:
             try:
-                await self._pass_on(exchange, response, request_id, passed)
+                await self._pass_on(exchange, response, request_id, progress)
                 await exchange.finish()
                 return
             except AnswerCutShort as cut:
                 resumed = None
                 if resumes < MAX_RESUMES:
-                    resumed = await self._resume(response, passed.sent_bytes)
+                    resumed = await self._resume(response, progress.sent_bytes)
                 resumes += 1
                 if resumed is None:
                     await self._end_visibly(exchange, request_id, cut)
@@ -133,35 +133,39 @@
                 response = resumed
 
     async def _pass_on(
-        self, exchange: Exchange, response: ForwardedResponse, request_id: str, passed: PassedOn
+        self,
+        exchange: Exchange,
+        response: ForwardedResponse,
+        request_id: str,
+        progress: RelayProgress,
     ) -> None:
         """Pass one connection's part of the body on.
 
         :raises AnswerCutShort: it ended too soon.
         """
         connection = response.connection
-        sent_before_bytes = passed.sent_bytes
+        sent_before_bytes = progress.sent_bytes
         try:
             with StallWatch(self._stall_seconds, connection.abort_reading) as watch:
-                while piece := await self._next_piece(response, passed):
+                while piece := await self._next_piece(response, progress):
                     watch.note()
                     await self._start_once(exchange, response, request_id)
                     await exchange.send(piece)
-                    passed.note(piece)
+                    progress.note(piece)
             await self._start_once(exchange, response, request_id)
         finally:
-            self._relayed.inc(passed.sent_bytes - sent_before_bytes)
+            self._relayed.inc(progress.sent_bytes - sent_before_bytes)
             self._client.release(connection)
 
     @staticmethod
-    async def _next_piece(response: ForwardedResponse, passed: PassedOn) -> bytes:
+    async def _next_piece(response: ForwardedResponse, progress: RelayProgress) -> bytes:
         """Return the next piece of a body; empty at its end."""
         try:
             piece = await response.connection.read_body()
             if not piece and response.streamed:
-                passed.tail.end()
+                progress.tail.end()
         except HttpError as error:
-            raise AnswerCutShort(str(error), passed.sent_bytes) from error
+            raise AnswerCutShort(str(error), progress.sent_bytes) from error
         return piece
 
     @staticmethod
--- a/loomwind/placement/adapters.py
+++ b/loomwind/placement/adapters.py
@@ -4,7 +4,7 @@
 
 from loomwind.placement.demand_view import Want
 from loomwind.placement.ledger import ServerLedger
-from loomwind.placement.plan import DraftPlan, PlanInput, Purpose
+from loomwind.placement.plan import DraftPlan, OrderPurpose, PlanInput
 from loomwind.placement.valuation import Valuation
 from loomwind.serving.views import ModelKey, ModelProfile
 
@@ -43,11 +43,11 @@
 
     def _bring_to(self, server: ServerLedger, target: ModelKey) -> None:
         if self._has_room(server, target.model):
-            self._draft.load(server, target, Purpose.WANTED)
+            self._draft.load(server, target, OrderPurpose.WANTED)
             return
         victim = self._victim(server)
         if victim is not None:
-            self._draft.unload(server, victim, Purpose.WANTED)
+            self._draft.unload(server, victim, OrderPurpose.WANTED)
 
     def _has_room(self, server: ServerLedger, name: str) -> bool:
         model = server.profile.model(name)
@@ -101,7 +101,7 @@
             return False
         target = self._next(server)
         if target is not None:
-            self._draft.load(server, target, Purpose.AHEAD)
+            self._draft.load(server, target, OrderPurpose.AHEAD)
         return target is not None
 
     def _next(self, server: ServerLedger) -> ModelKey | None:
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -4,7 +4,7 @@
 
 from loomwind.placement.adapters import AdapterPlanner
 from loomwind.placement.ledger import ServerLedger
-from loomwind.placement.plan import DraftPlan, PlanInput, Purpose
+from loomwind.placement.plan import DraftPlan, OrderPurpose, PlanInput
 from loomwind.placement.valuation import LoadChoice, Valuation
 from loomwind.serving.views import ModelKey
 
@@ -43,7 +43,9 @@
             if name is None or model is None or server.free_mb() < model.memory_mb:
                 continue
             if self._given.store_load_allowed or not server.loads_from_store(name):
-                purpose = Purpose.FURTHER_COPY if self._given.holders(name) else Purpose.WANTED
+                purpose = (
+                    OrderPurpose.FURTHER_COPY if self._given.holders(name) else OrderPurpose.WANTED
+                )
                 self._draft.load(server, ModelKey(name), purpose)
 
     # What requests wait for.
@@ -63,7 +65,7 @@
                 self.queued.append(name)
             return
         if self._draft.is_free(best.server):
-            self._carry_out(best, name, Purpose.WANTED)
+            self._carry_out(best, name, OrderPurpose.WANTED)
         else:
             self._draft.reserve(best.server, name)
 
@@ -85,7 +87,7 @@
     def _cost_with_wait(self, choice: LoadChoice) -> float:
         return self._cost(choice) + self._draft.busy_seconds(choice.server)
 
-    def _carry_out(self, choice: LoadChoice, name: str, purpose: Purpose) -> None:
+    def _carry_out(self, choice: LoadChoice, name: str, purpose: OrderPurpose) -> None:
         """Load a model; adapters first, since a server that loads weights takes no other order."""
         server = choice.server
         if not self._adapters.is_waited_for() and self._adapters.fill(server):
@@ -122,7 +124,7 @@
         ]
         best = _cheapest(worthwhile, self._cost)
         if best is not None:
-            self._carry_out(best, name, Purpose.FURTHER_COPY)
+            self._carry_out(best, name, OrderPurpose.FURTHER_COPY)
 
     def stage(self) -> None:
         """Load models that no server has a copy of, once: later loads come from that copy."""
@@ -134,7 +136,7 @@
             if name is None or choice is None:
                 continue
             if all(self._may_be_staged_over(server, victim) for victim in choice.victims):
-                self._carry_out(choice, name, Purpose.STAGED)
+                self._carry_out(choice, name, OrderPurpose.STAGED)
 
     def _may_be_staged_over(self, server: ServerLedger, name: str) -> bool:
         """Whether a model may make way before anyone has asked: it comes back fast, and is rare."""
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -16,7 +16,7 @@
 NO_LIMIT = 1_000_000
 
 
-class Purpose(enum.Enum):
+class OrderPurpose(enum.Enum):
     """What an order is for."""
 
     WANTED = "wanted"
@@ -37,7 +37,7 @@
     instance: str
     kind: OrderKind
     target: ModelKey
-    purpose: Purpose
+    purpose: OrderPurpose
     from_store: bool = False
     makes_way_for: str = ""
 
@@ -113,9 +113,9 @@
         self._ordered: set[ModelKey] = set()
         self._making_way: set[str] = set()
         self._store_loads = 0
-        self._missing = {name for name in wanted if not self.is_available(ModelKey(name))}
+        self._missing_models = {name for name in wanted if not self.is_available(ModelKey(name))}
 
-    def load(self, server: ServerLedger, target: ModelKey, purpose: Purpose) -> None:
+    def load(self, server: ServerLedger, target: ModelKey, purpose: OrderPurpose) -> None:
         """Order a model or an adapter to be loaded."""
         from_store = not target.adapter and server.loads_from_store(target.model)
         instance = server.entry.instance
@@ -124,7 +124,7 @@
         self._add(PlannedOrder(instance, OrderKind.LOAD, target, purpose, from_store))
 
     def unload(
-        self, server: ServerLedger, target: ModelKey, purpose: Purpose, makes_way_for: str = ""
+        self, server: ServerLedger, target: ModelKey, purpose: OrderPurpose, makes_way_for: str = ""
     ) -> None:
         """Order a model or an adapter to be unloaded."""
         instance = server.entry.instance
@@ -145,24 +145,24 @@
             return False
         has_place = self._store_loads < self._given.store_loads_left
         if self._given.holders(name):
-            return has_place and not self._missing
+            return has_place and not self._missing_models
         return has_place or self._given.rate(ModelKey(name)) >= OFTEN_ASKED_RATE
 
     def _add(self, order: PlannedOrder) -> None:
         self._taken.add(order.instance)
         if order.kind is OrderKind.LOAD:
             self._ordered.add(order.target)
-            self._missing.discard(order.target.model)
+            self._missing_models.discard(order.target.model)
         if order.makes_way_for:
             self._making_way.add(order.makes_way_for)
-            self._missing.discard(order.makes_way_for)
+            self._missing_models.discard(order.makes_way_for)
         self.orders.append(order)
 
     def reserve(self, server: ServerLedger, name: str) -> None:
         """Keep a turn of a busy server for a load of a model."""
         instance = server.entry.instance
         seconds = server.load_seconds(name)
-        self._missing.discard(name)
+        self._missing_models.discard(name)
         self._turns[name] = self.busy_seconds(server) + seconds
         self._reserved[instance] = self._reserved.get(instance, 0.0) + seconds
 
