Count a load as done when the server takes the next order, also beside an older report

Ruled out: adapters, orders carried out late, runs of the unloaded model (that gives 409). A server carries out one order at a time, so one that it takes shows that the load before is done.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -18,6 +18,16 @@
     When a report of one at 14.8 s still shows the load
     Then one does not hold c
 
+  Scenario: an order that a server takes shows that the load before it is done
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When one begins to load c from the weight store at 10.0 s
+    Then one does not hold c at 14.0 s, and holds it at 14.1 s
+    When one is sent an order to unload a, and an older report comes at 14.6 s that still shows the load
+    And one takes that order at 14.7 s
+    Then one holds c
+    And one has room for 1 model
+
   Scenario: a load takes longer beside many runs
     Given model servers one and two of 100 GB
     And one holds a, two holds b
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -240,6 +240,23 @@
     ledger.note_report(ServerReport(ledger.report.revision, True, (HeldModel("a"),)), now)
 
 
+@when(
+    "{name:w} is sent an order to unload {model}, and an older report comes at {now:f} s "
+    "that still shows the load"
+)
+def step_report_beside_order(context: Any, name: str, model: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    context.sent_order = _order(ledger, OrderKind.UNLOAD, model)
+    ledger.in_flight = context.sent_order
+    step_old_report(context, name, now)
+
+
+@when("{name:w} takes that order at {now:f} s")
+def step_takes_order(context: Any, name: str, now: float) -> None:
+    ledger: ServerLedger = context.ledgers[name]
+    ledger.note_answer(context.sent_order, OrderAnswer.ACCEPTED, now, in_use=False)
+
+
 @then("{name:w} holds c")
 def step_holds_now(context: Any, name: str) -> None:
     assert context.ledgers[name].holds(ModelKey("c"))
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -235,6 +235,8 @@
     def _apply(self, order: Order, answer: OrderAnswer, now: float, in_use: bool) -> None:
         report = self.report
         assert report is not None
+        if answer is OrderAnswer.ACCEPTED:
+            report = self._with_finished_load(report)
         if answer is OrderAnswer.ALREADY and order.kind is OrderKind.LOAD:
             self.read_at = -1e9
             return
@@ -261,6 +263,16 @@
             self.quiet_until = now + UNLOAD_SETTLES_SECONDS
         self.report = replace(report, revision=revision, busy=busy, held=held)
 
+    def _with_finished_load(self, report: ServerReport) -> ServerReport:
+        """Return a report after the load before an order that was taken.
+
+        A server carries out one order at a time, so it is done, though an older report shows it.
+        """
+        operation = self.operation
+        if operation is None or operation.kind is not OrderKind.LOAD:
+            return report
+        return _with_loaded(report, operation.target)
+
     @property
     def idle(self) -> bool:
         """Whether the server can take an order for a model's weights now."""
