--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -10,11 +10,11 @@
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.placement.late_orders import LateOrders
+from loomwind.placement.report_changes import with_adapter, with_adapter_order, with_loaded
 from loomwind.placement.store_pace import FinishedLoad
 from loomwind.serving.residency import holds
 from loomwind.serving.views import (
     EngineProfile,
-    HeldModel,
     ModelKey,
     Order,
     OrderAnswer,
@@ -156,7 +156,7 @@
         self.operation = None
         self._settled = operation
         self._assumed_at = now
-        self.report = _with_loaded(report, operation.target)
+        self.report = with_loaded(report, operation.target)
         return True
 
     def settle_adapters(self, now: float) -> bool:
@@ -176,7 +176,7 @@
         for target, ordered_at in self._adapters_ordered.items():
             due = now - ordered_at >= ADAPTER_SETTLES_SECONDS
             if due and target in report.pending_adapters:
-                report = _with_adapter(report, target)
+                report = with_adapter(report, target)
         return report
 
     def settles_at(self, running: int) -> float:
@@ -242,7 +242,7 @@
             return
         revision = report.revision + 1
         if order.target.adapter:
-            self.report = _with_adapter_order(replace(report, revision=revision), order)
+            self.report = with_adapter_order(replace(report, revision=revision), order)
             if order.kind is OrderKind.LOAD:
                 self._adapters_ordered[order.target] = now
             return
@@ -271,7 +271,7 @@
         operation = self.operation
         if operation is None or operation.kind is not OrderKind.LOAD:
             return report
-        return _with_loaded(report, operation.target)
+        return with_loaded(report, operation.target)
 
     @property
     def idle(self) -> bool:
@@ -373,39 +373,3 @@
     return FinishedLoad(
         load.began * MS_PER_SECOND, done * MS_PER_SECOND, load.expected_seconds * MS_PER_SECOND
     )
-
-
-def _with_loaded(report: ServerReport, target: ModelKey) -> ServerReport:
-    """Return a report after a load of weights: the model is held, and copies were left."""
-    held = report.held
-    if not holds(held, target):
-        held = (*held, HeldModel(target.model))
-    in_memory = report.in_memory | {target.model}
-    on_disk = report.on_disk | {target.model}
-    return replace(report, busy=False, held=held, in_memory=in_memory, on_disk=on_disk)
-
-
-def _with_adapter_order(report: ServerReport, order: Order) -> ServerReport:
-    target = order.target
-    if order.kind is OrderKind.LOAD:
-        return replace(report, pending_adapters=(*report.pending_adapters, target))
-    held = tuple(_without_adapter(model, target) for model in report.held)
-    return replace(report, held=held)
-
-
-def _with_adapter(report: ServerReport, target: ModelKey) -> ServerReport:
-    """Return a report in which a pending adapter is loaded."""
-    pending = tuple(key for key in report.pending_adapters if key != target)
-    held = tuple(
-        HeldModel(model.name, (*model.adapters, target.adapter))
-        if model.name == target.model
-        else model
-        for model in report.held
-    )
-    return replace(report, pending_adapters=pending, held=held)
-
-
-def _without_adapter(model: HeldModel, target: ModelKey) -> HeldModel:
-    if model.name != target.model:
-        return model
-    return HeldModel(model.name, tuple(a for a in model.adapters if a != target.adapter))
