Found a new generation also when the earlier set of an unsettled change of voters has lost its majority

Cause: a change of voters counts on a majority of the old set and of the new one. When a daemon of the old set ended before the change was settled, those that had accepted it could never settle it, and whether a majority had ended was asked of the new set alone: two of three lived there, so nobody founded a generation. Class: the rule that settles a value and the rule that gives it up counted on different sets. Founding one in that case is safe: no value of the old generation can be settled any more, and engines are fenced by the generation.

--- a/loomwind/control/register_service.py
+++ b/loomwind/control/register_service.py
@@ -9,7 +9,7 @@
 from loomwind.control.errors import RegisterUnavailable
 from loomwind.control.generation import Generation, GenerationStore
 from loomwind.control.voter import Voter
-from loomwind.control.voter_set import choose_voters
+from loomwind.control.voter_set import choose_voters, has_lost_majority
 from loomwind.logs import log_state
 from loomwind.membership.detector import MemberState
 from loomwind.membership.service import Membership
@@ -54,6 +54,7 @@
         self.claims = claims
         self.generation = 0
         self.voters: tuple[VoterId, ...] = ()
+        self._joint: tuple[VoterId, ...] = ()
         self.seen = Stamp()
         self.peers_seen = Stamp()
         self.on_lead: Callable[[], None] = lambda: None
@@ -169,6 +170,7 @@
             return
         self.generation = known.number
         self.voters = tuple(sorted(info.identity for info in known.voters))
+        self._joint = ()
         self.note_infos(known.voters)
         log_state("generation", "known", generation=known.number)
 
@@ -186,11 +188,11 @@
 
     def _majority_has_ended(self) -> bool:
         """Whether too few voters are left for any majority. Silence alone is no proof."""
-        ended = sum(self._has_ended(voter) for voter in self.voters)
         up_seconds = self._membership.now - self._started_at
         if self.peers_seen > self.seen or up_seconds < constants.NEW_GENERATION_AFTER_SECONDS:
             return False
-        return 2 * (len(self.voters) - ended) <= len(self.voters)
+        ended = {voter for voter in (*self.voters, *self._joint) if self._has_ended(voter)}
+        return not self.voters or has_lost_majority(self.voters, self._joint, ended)
 
     def _has_ended(self, voter: VoterId) -> bool:
         member = self._membership.detector.members.get(voter)
@@ -294,7 +296,7 @@
         answer = self.voter.on_accept(message)
         value = message.value
         if isinstance(answer, Accepted):
-            self.note_register(value.stamp, value.voters)
+            self.note_register(value.stamp, value.voters, value.joint)
             if value.epoch == 0 and self.voter.identity in value.voters:
                 self.claims.found(value.stamp.generation, self._membership.now)
         return answer
@@ -313,18 +315,24 @@
             )
         return self.voter.on_prepare(message)
 
-    def note_register(self, stamp: Stamp, voters: tuple[VoterId, ...]) -> None:
-        """Learn a newer register stamp and its voter set from a peer."""
+    def note_register(
+        self, stamp: Stamp, voters: tuple[VoterId, ...], joint: tuple[VoterId, ...] = ()
+    ) -> None:
+        """Learn a newer register stamp and its voter set from a peer.
+
+        :param joint: the earlier voter set while the change is not settled.
+        """
         if stamp <= self.seen:
             return
         self.seen = stamp
         if stamp.generation >= self.generation:
             self.generation = stamp.generation
             self.voters = voters
+            self._joint = joint
             self._metrics.generation.set(stamp.generation)
             self._metrics.voter.set(self._membership.own.identity in voters)
-        own = (self.candidate.generation, self.candidate.ballot)
-        if self.leading and (stamp.generation, stamp.ballot) > own:
+        term = (self.candidate.generation, self.candidate.ballot)
+        if self.leading and (stamp.generation, stamp.ballot) > term:
             self.step_down()
 
     def note_infos(self, infos: tuple[MemberInfo, ...]) -> None:
@@ -360,7 +368,7 @@
         self._note_committed()
 
     def _note_committed(self) -> None:
-        self.note_register(self.committed.stamp, self.committed.voters)
+        self.note_register(self.committed.stamp, self.committed.voters, self.committed.joint)
 
     async def change_voters(self, voters: tuple[VoterId, ...]) -> None:
         """Put another voter set on a majority of the old one and of itself.
--- a/loomwind/control/voter_set.py
+++ b/loomwind/control/voter_set.py
@@ -1,5 +1,7 @@
 """Which daemons should vote. Pure functions."""
 
+from collections.abc import Collection
+
 from loomwind.messages import MemberInfo, VoterId
 
 
@@ -32,3 +34,15 @@
     """Return whether a majority of the present voters is alive, so that a change can settle."""
     identities = {info.identity for info in alive}
     return 2 * len(identities & set(present)) > len(present)
+
+
+def has_lost_majority(
+    voters: tuple[VoterId, ...], joint: tuple[VoterId, ...], ended: Collection[VoterId]
+) -> bool:
+    """Whether no value of a voter set can ever be settled again, since too many have ended.
+
+    :param joint: the earlier voter set while a change is not settled: it has to agree as well.
+    """
+    return any(
+        2 * sum(v not in ended for v in each) <= len(each) for each in (voters, joint) if each
+    )
