--- a/features/voter_changes.feature
+++ b/features/voter_changes.feature
@@ -5,3 +5,10 @@
     And it has accepted that a new life of daemon-2 votes in place of the earlier one
     When the earlier life of daemon-2 and daemon-3 have ended
     Then it founds the next generation
+
+  Scenario: a new voter does not say that it votes before the change is settled
+    Given a daemon that is to vote with daemon-2 and daemon-3
+    When it has accepted that it votes in place of its earlier life
+    Then it does not say that it votes
+    When it has accepted that the change is settled
+    Then it says that it votes
--- a/loomwind/control/register_service.py
+++ b/loomwind/control/register_service.py
@@ -329,8 +329,10 @@
             self.generation = stamp.generation
             self.voters = voters
             self._joint = joint
+            own = self._membership.own.identity
             self._metrics.generation.set(stamp.generation)
-            self._metrics.voter.set(self._membership.own.identity in voters)
+            # An operator replaces the next voter once this one votes, so not before that is settled.
+            self._metrics.voter.set(own in voters and (not joint or own in joint))
         term = (self.candidate.generation, self.candidate.ballot)
         if self.leading and (stamp.generation, stamp.ballot) > term:
             self.step_down()
