Tell the routers who votes before the table service is told

Cause: after a change of voters was settled, the leader read and wrote the row of the generation before it sent the routes; until those came, routers asked voters of the earlier epoch, which grant nothing, and a claim gives up after 1 s. The row is for daemons that start when no peer answers, and can come later. A new leader waited for it too.

--- a/features/steps/voter_change_steps.py
+++ b/features/steps/voter_change_steps.py
@@ -23,6 +23,7 @@
 from loomwind.metrics import Metrics
 from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
+from loomwind.ports.base import Row
 from loomwind.ports.local import LocalTableService
 from loomwind.settings import ControlSettings
 
@@ -57,6 +58,15 @@
         """Drop the message."""
 
 
+class HangingTable(LocalTableService):
+    """A table service that never answers."""
+
+    async def read(self, key: str) -> Row:
+        """Wait for ever."""
+        await asyncio.Event().wait()
+        raise AssertionError("waited for ever")
+
+
 class MovedMembership(Membership):
     """A membership whose time can be moved on."""
 
@@ -86,6 +96,7 @@
 
     def __init__(self, voters: tuple[VoterId, ...]) -> None:
         self.voters = voters
+        self.table = LocalTableService()
         self.accepted: list[RegisterValue] = []
         self.ended: tuple[VoterId, ...] = ()
 
@@ -95,7 +106,6 @@
         metrics = Metrics()
         membership = MovedMembership(member(OWN), ("seed",), ControlSettings(), transport, metrics)
         self.membership = membership
-        self.table = LocalTableService()
         claims = ClaimStore(OWN, RETENTION_SECONDS)
         register = RegisterService(membership, transport, self.table, SEATS, claims, metrics)
         register.note_register(value(0, self.voters).stamp, self.voters)
@@ -109,6 +119,16 @@
         membership.detector.tick(membership.now)
         return register
 
+    async def lead(self) -> None:
+        """Wait until the daemon begins its term as leader."""
+        register = self.make()
+        begun = asyncio.Event()
+        register.on_lead = begun.set
+        running = asyncio.create_task(register.run())
+        async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+            await begun.wait()
+        running.cancel()
+
     async def next_generation(self) -> int:
         """Return the generation that the table has in the end."""
         register = self.make()
@@ -138,6 +158,22 @@
     context.case = VoterCase((OWN_EARLIER, OTHER, LEADER))
 
 
+@given("a daemon that votes alone, and a table service that never answers")
+def step_votes_alone(context: Any) -> None:
+    context.case = VoterCase((OWN,))
+    context.case.table = HangingTable()
+
+
+@when("it seeks the role")
+def step_seeks(context: Any) -> None:
+    context.leading = context.case.lead
+
+
+@then("it begins its term")
+def step_begins(context: Any) -> None:
+    asyncio.run(context.leading())
+
+
 @given("it has accepted that a new life of daemon-2 votes in place of the earlier one")
 def step_accepts_other(context: Any) -> None:
     change = value(1, (OWN, OTHER, LEADER), joint=(OWN, OTHER_EARLIER, LEADER))
--- a/features/voter_changes.feature
+++ b/features/voter_changes.feature
@@ -12,3 +12,8 @@
     Then it does not say that it votes
     When it has accepted that the change is settled
     Then it says that it votes
+
+  Scenario: a leader begins its term while the table service does not answer
+    Given a daemon that votes alone, and a table service that never answers
+    When it seeks the role
+    Then it begins its term
--- a/loomwind/control/controller.py
+++ b/loomwind/control/controller.py
@@ -116,6 +116,7 @@
                     if await self._voter_changes.repair():
                         # Routers must learn the new voters at once: the old ones grant no claims.
                         self._publish()
+                        await self._register.publish_voters()
                     next_repair = self._membership.now + REPAIR_INTERVAL_SECONDS
                 await self._wait()
         except RegisterUnavailable:
--- a/loomwind/control/register_service.py
+++ b/loomwind/control/register_service.py
@@ -228,6 +228,7 @@
         except RegisterUnavailable:
             return
         self.on_lead()
+        await self.publish_voters()
 
     def step_down(self) -> None:
         """Give up the role, if held."""
@@ -331,7 +332,7 @@
             self._joint = joint
             own = self._membership.own.identity
             self._metrics.generation.set(stamp.generation)
-            # An operator replaces the next voter once this one votes, so not before that is settled.
+            # Operators replace the next voter once this one votes: not before that is settled.
             self._metrics.voter.set(own in voters and (not joint or own in joint))
         term = (self.candidate.generation, self.candidate.ballot)
         if self.leading and (stamp.generation, stamp.ballot) > term:
@@ -384,4 +385,7 @@
                 lambda: self.candidate.propose_placements(value.intents, value.fenced_engines)
             )
         log_state("voters", "changed", voters=[voter.name for voter in voters])
+
+    async def publish_voters(self) -> None:
+        """Name the voters in the table service, for daemons that start when no peer answers."""
         await self._generations.publish(Generation(self.generation, self.voter_infos()))
