Leave the lease of a large fleet to the daemons that hear each renewal

Cause: other daemons ask the leader the more rarely the larger the fleet is (every 3.1 s at 195), but took the lease for silent after 1.8 + 0.7 s whatever the fleet. At 69 daemons the two just fit, so it did not show there. A vacant lease was not waited for at all before the first row was seen. Change: a daemon that is no standby waits longer by what it hears more rarely; standbys, told of each renewal, take it as before. One that does not know the fleet yet is no standby. Questions to the leader are spread by a jitter: all daemons of a fleet start at once and asked at the same moments for ever. Scenarios: 190 of 190 and 315 of 315 others tried to take it on the rule before; none now.

--- /dev/null
+++ b/features/steps/lease_standby_steps.py
@@ -0,0 +1,104 @@
+"""Steps about which daemons of a fleet try to take the lease; times are passed in."""
+
+from typing import Any, cast
+
+import msgspec
+from behave import given, then, when
+
+from loomwind import constants
+from loomwind.leadership.election import Election
+from loomwind.leadership.lease import Lease, LeaseAction, LeaseHolder
+from loomwind.serving.follower import StoreHealth
+from loomwind.serving.leader_watch import QUESTION_JITTER, QUESTION_TIMEOUT_SECONDS
+from loomwind.serving.peers import PEER_KEY_PREFIX, PeerEntry, PeerTable
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.ports import Snapshot, Store, StoredRow
+from loomwind.settings import BoundSettings
+
+LEASE_SECONDS = 1.8
+RENEW_SECONDS = 0.45
+MARGIN_SECONDS = 0.3
+STORE_ANSWERS_SECONDS = 100.0
+START_SECONDS = 1000.0
+HOLDER = LeaseHolder("holder", "life-holder", "a:0")
+
+
+class FleetDaemon:
+    """One daemon's view of the fleet and of the lease."""
+
+    def __init__(self, name: str, rows: tuple[StoredRow, ...] | None) -> None:
+        """Make a daemon.
+
+        :param rows: the rows of all daemons; None when it has not read them.
+        """
+        own = LeaseHolder(name, f"life-{name}", "a:1")
+        self.lease = Lease(own, LEASE_SECONDS, RENEW_SECONDS, MARGIN_SECONDS)
+        store = cast(Store, None)
+        self.election = Election(store, "lease", own, self.lease, StoreHealth())
+        pool = ServerPool(BoundSettings())
+        self.peers = PeerTable(store, "daemons", own, "z", self.election, pool)
+        if rows is not None:
+            self.peers.on_rows(Snapshot(rows, 1), whole=True)
+
+    @property
+    def is_standby(self) -> bool:
+        """Whether the leader tells this daemon of each renewal."""
+        return self.election.longer_seconds == 0.0
+
+    @property
+    def hears_every_seconds(self) -> float:
+        """Return the longest time between two words of a leader that answers."""
+        pause = self.peers.paced(constants.LEADER_QUESTION_SECONDS) * (1 + QUESTION_JITTER)
+        return pause + QUESTION_TIMEOUT_SECONDS
+
+    def action_after(self, seconds: float) -> LeaseAction:
+        """Return what the daemon does about the lease so long after the scenario's start."""
+        now = START_SECONDS + seconds
+        return self.lease.action(now, STORE_ANSWERS_SECONDS, self.election.longer_seconds)
+
+
+@given("a fleet of {count:d} daemons")
+def step_fleet(context: Any, count: int) -> None:
+    names = [f"front-{number}" for number in range(count)]
+    value = msgspec.json.encode(PeerEntry("a:1", "z", "life"))
+    rows = tuple(StoredRow(PEER_KEY_PREFIX + name, 1, value, False) for name in names)
+    context.fleet = [FleetDaemon(name, rows) for name in names]
+
+
+@given("a daemon that has read no list of daemons")
+def step_alone(context: Any) -> None:
+    context.fleet = [FleetDaemon("front-0", None)]
+
+
+@when("the leader renews its lease, and each other daemon hears of it as rarely as it asks")
+@when("neither the leader nor a standby renews the lease any more")
+def step_heard(context: Any) -> None:
+    for daemon in context.fleet:
+        daemon.lease.note_row(5, HOLDER, START_SECONDS)
+
+
+@when("the lease is vacant")
+def step_vacant(context: Any) -> None:
+    context.fleet[0].lease.note_no_row(1, START_SECONDS)
+
+
+@then("only standbys may try to take the lease")
+def step_only_standbys(context: Any) -> None:
+    others = [d for d in context.fleet if not d.is_standby]
+    assert others
+    takers = [d for d in others if d.action_after(d.hears_every_seconds) is not LeaseAction.WAIT]
+    assert not takers, f"{len(takers)} of {len(others)} try to take a lease that is renewed"
+
+
+@then("each other daemon may take it once it would have heard of a renewal")
+def step_takes(context: Any) -> None:
+    for daemon in context.fleet:
+        late = daemon.hears_every_seconds + LEASE_SECONDS
+        assert daemon.action_after(late) is LeaseAction.TAKE
+
+
+@then("it waits a moment before it takes it")
+def step_waits(context: Any) -> None:
+    daemon = context.fleet[0]
+    assert daemon.action_after(0.0) is LeaseAction.WAIT
+    assert daemon.action_after(daemon.hears_every_seconds + LEASE_SECONDS) is LeaseAction.TAKE
--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -16,7 +16,6 @@
 SECOND_WRITE_SECONDS = 0.9
 PAUSE_SECONDS = 0.5
 CONFIRMATION_SECONDS = 1.0
-LATER_TAKER_SECONDS = 0.7
 
 
 class PeerConfirmations:
@@ -63,7 +62,7 @@
     """Takes, renews and gives up the lease.
 
     :ivar wrote: set when this daemon wrote the row, or failed to: others want to know.
-    :ivar waits_longer: whether other daemons should take a lease that was not renewed first.
+    :ivar longer_seconds: how much longer this daemon waits for a renewal than the lease asks.
     :ivar daemons: how many daemons there are.
     """
 
@@ -84,7 +83,7 @@
         self._stopping = False
         self._unanswered_since: float | None = None
         self.wrote = asyncio.Event()
-        self.waits_longer = False
+        self.longer_seconds = 0.0
         self.confirmations = PeerConfirmations()
         self.daemons = 1
 
@@ -131,8 +130,7 @@
 
     async def _step(self) -> None:
         now = self._now()
-        longer = LATER_TAKER_SECONDS if self.waits_longer else 0.0
-        action = self.lease.action(now, self._health.answers_for(now), longer)
+        action = self.lease.action(now, self._health.answers_for(now), self.longer_seconds)
         if action is LeaseAction.WAIT:
             return
         write = Write(LEASE_KEY, msgspec.json.encode(self._own), self.lease.expected_version)
--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -105,6 +105,7 @@
         if not self._known:
             self._known = True
             self._seen_at = now
+            self._vacant_since = now
         elif self._exists:
             self.note_row(version, None, now)
 
--- a/loomwind/serving/leader_watch.py
+++ b/loomwind/serving/leader_watch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 
 from loomwind import constants
 from loomwind.leadership.election import Election
@@ -20,6 +21,8 @@
 
 QUESTION_TIMEOUT_SECONDS = 0.4
 ROW_READ_PAUSE_SECONDS = 0.4
+# Daemons that start together would all ask the leader at the same moment for ever.
+QUESTION_JITTER = 0.2
 
 
 class LeaderWatch:
@@ -91,11 +94,16 @@
             except Exception as error:
                 log_state("election", "watch-failed", error=repr(error))
             try:
-                async with asyncio.timeout(self._peers.paced(constants.LEADER_QUESTION_SECONDS)):
+                async with asyncio.timeout(self._pause_seconds()):
                     await self._doubted.wait()
             except TimeoutError:
                 pass
 
+    def _pause_seconds(self) -> float:
+        """Return the time until the leader is asked again."""
+        jitter = random.uniform(1 - QUESTION_JITTER, 1 + QUESTION_JITTER)
+        return jitter * self._peers.paced(constants.LEADER_QUESTION_SECONDS)
+
     async def _look(self) -> None:
         """Ask the holder, and read the row when that does not settle who leads."""
         holder = self._election.lease.holder
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -23,6 +23,8 @@
 PEER_KEY_PREFIX = "daemon/"
 REGISTER_RETRY_SECONDS = 0.5
 STANDBYS = 5
+# So that a standby, which hears of each renewal, takes a lease before any other daemon tries.
+LATER_TAKER_SECONDS = 0.7
 REST_SECONDS_A_DAEMON = 0.01
 LONGEST_REST_SECONDS = 0.5
 LEAST_MIRRORS = 3
@@ -60,6 +62,7 @@
         self._pool = pool
         self._peers: dict[str, PeerEntry] = {}
         self._ranked: list[str] = []
+        self._election.longer_seconds = self._longer_seconds()
 
     def others(self) -> list[PeerEntry]:
         """Return the other daemons."""
@@ -83,8 +86,17 @@
         self._ranked = sorted(self._peers, key=_rank)
         self._pool.set_daemons(len(self._peers))
         self._election.daemons = max(1, len(self._peers))
-        standbys = self._ranked[:STANDBYS]
-        self._election.waits_longer = bool(standbys) and self._own.name not in standbys
+        self._election.longer_seconds = self._longer_seconds()
+
+    def _longer_seconds(self) -> float:
+        """Return how much longer than a standby this daemon waits for a renewal of the lease.
+
+        It hears of one only when it asks the leader: more rarely the larger the fleet is.
+        """
+        if self._own.name in self._ranked[:STANDBYS]:
+            return 0.0
+        question = constants.LEADER_QUESTION_SECONDS
+        return LATER_TAKER_SECONDS + self.paced(question) - question
 
     def rest_seconds(self) -> float:
         """Return the pause between two looks at the rows: all daemons of a fleet start at once."""
