Keep demand in the leader's sight, and its word with the daemons, however rarely those report

What callers of a large fleet saw: requests that waited with no word of when their model would be there, held until their callers had left. Cause: daemons report every 0.25 s in a small fleet and every 1.95 s at 195 daemons, 3.2 s at 320, while the leader dropped a report after 2 s whatever the fleet: at 195 the want of a request flickered with each late report, at 320 it was gone for a third of the time. The leader said when models should be there only in answer to a report, and that word counts for 1.5 s: between two reports a request had none, and one that has none waits. Change: a report says when the next one is due, and counts until 1.75 s after that (2 s in a small fleet, as before); the leader also tells daemons without being asked when the time has moved by 250 ms, and before its word is outdated. Evidence: scenarios; on the rule before, the reports of 1.95 s and 3.2 s were forgotten at 12.0 s.

--- /dev/null
+++ b/features/steps/large_fleet_demand_steps.py
@@ -0,0 +1,63 @@
+"""Steps about reports that come rarely; times are passed in."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.planner_steps import SERVICE
+from loomwind.clock import MS_PER_SECOND
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.demand_view import DemandView
+from loomwind.placement.expectation_notices import ExpectationNotices
+from loomwind.serving.demand import DemandKey, TargetDemand
+from loomwind.serving.expectations import ExpectedTarget
+from loomwind.serving.views import ModelKey
+
+KEY = DemandKey(SERVICE, ModelKey("m1"))
+DAEMON = "daemon-1"
+
+
+def due(context: Any, now: float, ready_in: float, reported: bool = False) -> bool:
+    """Return whether the daemon is told now that the model should be there."""
+    expected = {KEY: ExpectedTarget(KEY, ready_in * MS_PER_SECOND)}
+    names = {DAEMON} if reported else set()
+    return bool(context.notices.due({DAEMON: [KEY]}, expected, names, now * MS_PER_SECOND))
+
+
+@given("daemons that report every {interval:f} s")
+def step_interval(context: Any, interval: float) -> None:
+    context.interval_ms = interval * MS_PER_SECOND
+
+
+@when("one reports at {now:f} s that a request waits for m1")
+def step_reports(context: Any, now: float) -> None:
+    context.demand = DemandView()
+    waits = TargetDemand(SERVICE, KEY.target, 1, 1.0, 4.0, 4.0)
+    report = PoolDemand(DAEMON, (waits,), (), next_in_ms=context.interval_ms)
+    context.demand.note(report, now)
+
+
+@then("the leader knows of it at {now:f} s")
+def step_knows(context: Any, now: float) -> None:
+    assert [want.waiting for want in context.demand.wants(now)] == [1]
+
+
+@then("the leader does not know of it any more at {now:f} s")
+def step_knows_not(context: Any, now: float) -> None:
+    assert context.demand.wants(now) == []
+
+
+@given("a daemon was told at {now:f} s that m1 should be there in {ready_in:f} s")
+def step_told(context: Any, now: float, ready_in: float) -> None:
+    context.notices = ExpectationNotices()
+    assert due(context, now, ready_in, reported=True)
+
+
+@then("at {now:f} s it is told that m1 should be there in {ready_in:f} s")
+def step_told_again(context: Any, now: float, ready_in: float) -> None:
+    assert due(context, now, ready_in)
+
+
+@then("at {now:f} s it is not told again while m1 should be there in {ready_in:f} s")
+def step_not_told(context: Any, now: float, ready_in: float) -> None:
+    assert not due(context, now, ready_in)
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -12,12 +12,14 @@
 
     :param sender: the daemon's name.
     :param store_answers: whether the daemon reaches the store.
+    :param next_in_ms: the time until the daemon's next report; longer in a large fleet.
     """
 
     sender: str
     demand: tuple[TargetDemand, ...]
     running: tuple[RunningCount, ...]
     store_answers: bool = True
+    next_in_ms: float = 0.0
 
 
 class LeaderQuestion(Message, frozen=True, tag=True, array_like=True):
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -9,6 +9,7 @@
 from loomwind.messages.serving import PoolDemand, PoolExpectations, PoolHoldings
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import DemandView
+from loomwind.placement.expectation_notices import ExpectationNotices
 from loomwind.placement.ledger import ADAPTER_SETTLES_SECONDS, ServerLedger
 from loomwind.placement.load_window import LoadWindow
 from loomwind.placement.plan import PlanInput, PlannedOrder
@@ -16,7 +17,6 @@
 from loomwind.placement.shortage_log import ShortageLog
 from loomwind.placement.store_pace import StorePace
 from loomwind.serving.beliefs import Beliefs
-from loomwind.serving.demand import DemandKey
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.pool import ServerPool
@@ -64,7 +64,8 @@
         self._demand = DemandView()
         self._ledgers: dict[str, ServerLedger] = {}
         self._windows: dict[str, LoadWindow] = {}
-        self._unanswered: dict[str, PoolDemand] = {}
+        self._reported: set[str] = set()
+        self._notices: dict[str, ExpectationNotices] = {}
         self._paces: dict[str, StorePace] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
@@ -82,7 +83,7 @@
         for report in self._exchange.inbox.take():
             self._demand.note(report, self._now())
             self._doubt_holders(report)
-            self._unanswered[report.sender] = report
+            self._reported.add(report.sender)
 
     def _doubt_holders(self, report: PoolDemand) -> None:
         """Read servers soon that should have what a daemon waits for: it may not reach them."""
@@ -106,6 +107,7 @@
         self._demand = DemandView()
         self._ledgers.clear()
         self._windows.clear()
+        self._notices.clear()
         self._shortages.note_unserved(())
         self._metrics.leading.set(leads)
         self._metrics.lease_fence.set(self._election.lease.fence or 0)
@@ -144,7 +146,7 @@
         for service in configuration.services:
             if service.engine is not None:
                 self._plan(service.name, service.engine.loads_per_second)
-        self._unanswered.clear()
+        self._reported.clear()
         if self._now() - self._told_all_at > self._exchange.paced(TELL_ALL_SECONDS):
             self._told_all_at = self._now()
             self._tell_holdings(list(self._ledgers.values()))
@@ -300,15 +302,20 @@
             self._begin_order(planned)
 
     def _tell_expectations(self, service: str, expected: tuple[ExpectedTarget, ...]) -> None:
-        """Answer the reports of this step: when should be there what their requests wait for."""
+        """Tell daemons when should be there what their requests wait for."""
         fence = self._election.lease.fence
-        by_key = {each.key: each for each in expected}
-        for report in self._unanswered.values() if fence is not None else ():
-            keys = [DemandKey(d.service, d.target) for d in report.demand if d.waiting]
-            known = tuple(by_key[key] for key in keys if key.service == service and key in by_key)
-            if known and fence is not None:
-                message = PoolExpectations(fence, known)
-                self._exchange.tell_expectations(report.sender, message)
+        if fence is None:
+            return
+        now = self._now()
+        notices = self._notices.setdefault(service, ExpectationNotices())
+        due = notices.due(
+            self._demand.waiting_by_daemon(now),
+            {each.key: each for each in expected},
+            self._reported,
+            now * MS_PER_SECOND,
+        )
+        for daemon, known in due.items():
+            self._exchange.tell_expectations(daemon, PoolExpectations(fence, known))
 
     def _may_stage(self, now: float) -> bool:
         """Whether no request for a model has been heard of since this daemon began to lead."""
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -7,11 +7,13 @@
 import attrs
 from msgspec import Struct
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.messages.serving import PoolDemand
 from loomwind.serving.demand import DECAY_PER_SECOND, DemandKey
 from loomwind.serving.views import ModelKey
 
-REPORT_LIFETIME_SECONDS = 2.0
+# How long a report counts once the next one is due: some are lost or late.
+REPORT_GRACE_SECONDS = 1.75
 ASKED_IN_VAIN = 2.0
 
 
@@ -97,12 +99,20 @@
                     heat.objective_seconds = demand.urgency_seconds
 
     def _fresh(self, now: float) -> list[PoolDemand]:
+        """Return the reports that no newer one should have replaced by now."""
         return [
             report
             for sender, report in self._reports.items()
-            if now - self._heard[sender] < REPORT_LIFETIME_SECONDS
+            if now - self._heard[sender] < REPORT_GRACE_SECONDS + report.next_in_ms / MS_PER_SECOND
         ]
 
+    def waiting_by_daemon(self, now: float) -> dict[str, list[DemandKey]]:
+        """Return what requests wait for, by the name of their daemon."""
+        return {
+            report.sender: [DemandKey(d.service, d.target) for d in report.demand if d.waiting]
+            for report in self._fresh(now)
+        }
+
     def wants(self, now: float) -> list[Want]:
         """Return what is waited for or was promised, in the order in which it is taken on.
 
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from loomwind import constants
+from loomwind.clock import MS_PER_SECOND
 from loomwind.leadership.election import Election
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import (
@@ -183,7 +184,7 @@
         """Wait until a request begins to wait, or the interval is over."""
         new_demand = self._pool.demand.new_demand
         try:
-            async with asyncio.timeout(self._peers.paced(constants.POOL_DEMAND_INTERVAL_SECONDS)):
+            async with asyncio.timeout(self._report_interval_seconds()):
                 await new_demand.wait()
         except TimeoutError:
             pass
@@ -196,8 +197,12 @@
             demand.take_report(self._now(), to_new_leader),
             demand.running(),
             not self._health.is_away(self._now()),
+            self._report_interval_seconds() * MS_PER_SECOND,
         )
 
+    def _report_interval_seconds(self) -> float:
+        return self._peers.paced(constants.POOL_DEMAND_INTERVAL_SECONDS)
+
     async def send_digests(self) -> None:
         """Let a peer know what this daemon knows, so that it sends what is newer."""
         while True:
