Let the daemons of a large fleet look rarely at the list of daemons, and at a store that is away

Each change of a daemon's row answers the feed of all 195, up to twice a second, and each of their three feeds asks a store that fails every 0.6 s. Change: only standbys and the leader, which tells daemons what it decides, look twice a second; the others at most every 5 s. Daemons that read for others keep the pause of 0.6 s after a failed call; the others pause up to 2 s, which is under the time after which they count as in touch again.

--- a/features/lease_standbys.feature
+++ b/features/lease_standbys.feature
@@ -1,4 +1,4 @@
-Feature: A large fleet leaves the lease to a few daemons
+Feature: A large fleet leaves the lease, and the store, to a few daemons
 
   Scenario Outline: daemons that ask the leader rarely do not try to take a lease that is renewed
     Given a fleet of <daemons> daemons
@@ -20,3 +20,15 @@
     Given a daemon that has read no list of daemons
     When the lease is vacant
     Then it waits a moment before it takes it
+
+  Scenario Outline: daemons of a large fleet look at the list of daemons, and at a store that is away, rarely
+    Given a fleet of <daemons> daemons
+    Then the store is asked for the list at most <looks> times a second while daemons come and go
+    And the store is asked at most <retries> times a second by each kind of reader while it is away
+    And standbys look at the list every 0.5 s at the latest
+
+    Examples:
+      | daemons | looks | retries |
+      | 6       | 120   | 10      |
+      | 195     | 50    | 120     |
+      | 320     | 75    | 190     |
--- a/features/steps/lease_standby_steps.py
+++ b/features/steps/lease_standby_steps.py
@@ -60,8 +60,11 @@
 @given("a fleet of {count:d} daemons")
 def step_fleet(context: Any, count: int) -> None:
     names = [f"front-{number}" for number in range(count)]
-    value = msgspec.json.encode(PeerEntry("a:1", "z", "life"))
-    rows = tuple(StoredRow(PEER_KEY_PREFIX + name, 1, value, False) for name in names)
+    entries = {name: PeerEntry("a:1", "z", f"life-{name}") for name in names}
+    rows = tuple(
+        StoredRow(PEER_KEY_PREFIX + name, 1, msgspec.json.encode(entry), False)
+        for name, entry in entries.items()
+    )
     context.fleet = [FleetDaemon(name, rows) for name in names]
 
 
@@ -97,6 +100,24 @@
         assert daemon.action_after(late) is LeaseAction.TAKE
 
 
+@then("the store is asked for the list at most {most:d} times a second while daemons come and go")
+def step_looks(context: Any, most: int) -> None:
+    looks = sum(1 / daemon.peers.rest_seconds() for daemon in context.fleet)
+    assert looks <= most, looks
+
+
+@then("the store is asked at most {most:d} times a second by each kind of reader while it is away")
+def step_retries(context: Any, most: int) -> None:
+    retries = sum(1 / daemon.peers.retry_seconds() for daemon in context.fleet)
+    assert retries <= most, retries
+
+
+@then("standbys look at the list every 0.5 s at the latest")
+def step_standbys_look(context: Any) -> None:
+    rests = [daemon.peers.rest_seconds() for daemon in context.fleet if daemon.is_standby]
+    assert rests and max(rests) <= 0.5, rests
+
+
 @then("it waits a moment before it takes it")
 def step_waits(context: Any) -> None:
     daemon = context.fleet[0]
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -105,14 +105,27 @@
         )
         self._followers = (
             TableFollower(
-                store, store.configuration_table, self._health, self._beliefs.on_configuration_rows
+                store,
+                store.configuration_table,
+                self._health,
+                self._beliefs.on_configuration_rows,
+                longest_retry_seconds=self._peers.retry_seconds,
             ),
             TableFollower(
-                store, OWN_TABLE, self._health, self._peers.on_rows, self._peers.rest_seconds
+                store,
+                OWN_TABLE,
+                self._health,
+                self._peers.on_rows,
+                self._peers.rest_seconds,
+                self._peers.retry_seconds,
             ),
         )
         self._servers = TableFollower(
-            store, store.server_table, self._health, self._beliefs.on_server_rows
+            store,
+            store.server_table,
+            self._health,
+            self._beliefs.on_server_rows,
+            longest_retry_seconds=self._peers.retry_seconds,
         )
 
     def _make_control(self, deployment: Deployment) -> None:
--- a/loomwind/serving/follower.py
+++ b/loomwind/serving/follower.py
@@ -53,6 +53,7 @@
 
     :param on_rows: called with rows and whether they are the whole table.
     :param rest_seconds: returns the pause before the next call; changes of it come together.
+    :param longest_retry_seconds: returns the longest pause after a call that failed.
     """
 
     def __init__(
@@ -62,12 +63,14 @@
         health: StoreHealth,
         on_rows: Callable[[Snapshot, bool], None],
         rest_seconds: Callable[[], float] = lambda: 0.0,
+        longest_retry_seconds: Callable[[], float] = lambda: LONGEST_RETRY_SECONDS,
     ) -> None:
         self._store = store
         self._table = table
         self._health = health
         self._on_rows = on_rows
         self._rest = rest_seconds
+        self._longest_retry = longest_retry_seconds
         self._retry = RETRY_SECONDS
         self.version = 0
         self.synchronised = False
@@ -93,7 +96,7 @@
         except StoreUnavailable as error:
             self._health.failed(self._now(), str(error))
             await asyncio.sleep(self._retry)
-            self._retry = min(2 * self._retry, LONGEST_RETRY_SECONDS)
+            self._retry = min(2 * self._retry, self._longest_retry())
         except Exception as error:
             log_state("feed", "failed", table=self._table, error=repr(error))
             await asyncio.sleep(self._retry)
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -26,7 +26,13 @@
 # So that a standby, which hears of each renewal, takes a lease before any other daemon tries.
 LATER_TAKER_SECONDS = 0.7
 REST_SECONDS_A_DAEMON = 0.01
+# The leader has to tell new daemons what it decides; standbys may lead next.
 LONGEST_REST_SECONDS = 0.5
+# The others need the list to find peers alone, some of which may be outdated.
+LONGEST_FOLLOWER_REST_SECONDS = 5.0
+RETRY_SECONDS = 0.6
+# Under the time after which a daemon counts as in touch again, 3 s, by the deployments' sheets.
+LONGEST_RETRY_SECONDS = 2.0
 LEAST_MIRRORS = 3
 DAEMONS_A_MIRROR = 25
 
@@ -99,8 +105,26 @@
         return LATER_TAKER_SECONDS + self.paced(question) - question
 
     def rest_seconds(self) -> float:
-        """Return the pause between two looks at the rows: all daemons of a fleet start at once."""
-        return min(LONGEST_REST_SECONDS, REST_SECONDS_A_DAEMON * len(self._peers))
+        """Return the pause between two looks at the rows.
+
+        Each change answers the feed of each daemon, and all daemons of a fleet may start at once.
+        """
+        rest = REST_SECONDS_A_DAEMON * len(self._peers)
+        if self._own.name in self._ranked[:STANDBYS] or self._leads():
+            return min(LONGEST_REST_SECONDS, rest)
+        return min(LONGEST_FOLLOWER_REST_SECONDS, self.paced(rest))
+
+    def _leads(self) -> bool:
+        return self._election.lease.fence is not None
+
+    def retry_seconds(self) -> float:
+        """Return the longest pause between two calls while the store does not answer.
+
+        The daemons that read for others keep the pace of a small fleet.
+        """
+        if any(mirror.life == self._own.life for mirror in self.mirrors()):
+            return RETRY_SECONDS
+        return min(LONGEST_RETRY_SECONDS, self.paced(RETRY_SECONDS))
 
     def standbys(self) -> list[PeerEntry]:
         """Return the daemons that take the lease first; told of each renewal."""
