Let a new leader begin with the loads under way and the pace that the one before has told of

Cause: a report says that a server is busy, not with what; and each leader learned the pace of the weight store anew, from four loads at once. Change: daemons keep what the leader tells of loads (model, and since when) and of the pace, and a new leader begins with it. A load that should have ended long ago is not taken for the one that goes on. Rejected: a row of the store for each load (a call a load, and none when the store is away); asking the daemons anew (a question to 195 peers before the first order).

--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -4,7 +4,7 @@
 from loomwind.messages.identity import Message
 from loomwind.serving.demand import RunningCount, TargetDemand
 from loomwind.serving.expectations import ExpectedTarget
-from loomwind.serving.residency import ServerHolding
+from loomwind.serving.residency import LearnedPace, ServerHolding
 
 
 class PoolDemand(Message, frozen=True, tag=True, array_like=True):
@@ -56,10 +56,12 @@
     """Told by the leader: what servers hold, as it has read it.
 
     :param fence: the leader's fence; a lower one than was heard is ignored.
+    :param paces: what it has learned of the weight store, for the next leader.
     """
 
     fence: int
     holdings: tuple[ServerHolding, ...]
+    paces: tuple[LearnedPace, ...] = ()
 
 
 class PoolExpectations(Message, frozen=True, tag=True, array_like=True):
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -107,6 +107,7 @@
         self._demand = DemandView()
         self._ledgers.clear()
         self._windows.clear()
+        self._paces.clear()
         self._notices.clear()
         self._shortages.note_unserved(())
         self._metrics.leading.set(leads)
@@ -161,7 +162,8 @@
                 listed[entry.instance] = entry
                 ledger = self._ledgers.get(entry.instance)
                 if ledger is None:
-                    ledger = ServerLedger(entry, service.engine)
+                    heard = self._residency.load_under_way(entry.instance)
+                    ledger = ServerLedger(entry, service.engine, heard)
                     self._inherit_orders(ledger)
                     self._ledgers[entry.instance] = ledger
                 ledger.entry = entry
@@ -253,7 +255,8 @@
             if ledger.report is not None
         )
         if holdings:
-            self._exchange.tell_holdings(PoolHoldings(fence, holdings))
+            paces = tuple(pace.learned(service) for service, pace in self._paces.items())
+            self._exchange.tell_holdings(PoolHoldings(fence, holdings, paces))
 
     # Orders.
 
@@ -265,7 +268,7 @@
             seen = self._residency.loads_since(now - seconds)
             window = LoadWindow(loads_per_second, seconds, now, seen)
             self._windows[service] = window
-        pace = self._paces.setdefault(service, StorePace())
+        pace = self._pace_of(service, now)
         servers = [
             ledger
             for ledger in self._ledgers.values()
@@ -301,6 +304,13 @@
                 self._ledgers[planned.instance].staged += 1
             self._begin_order(planned)
 
+    def _pace_of(self, service: str, now: float) -> StorePace:
+        """Return the weight store's pace; the first is what the leader before has learned."""
+        if service not in self._paces:
+            learned = self._residency.paces.get(service)
+            self._paces[service] = StorePace(learned, now * MS_PER_SECOND)
+        return self._paces[service]
+
     def _tell_expectations(self, service: str, expected: tuple[ExpectedTarget, ...]) -> None:
         """Tell daemons when should be there what their requests wait for."""
         fence = self._election.lease.fence
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -12,7 +12,7 @@
 from loomwind.placement.late_orders import LateOrders
 from loomwind.placement.report_changes import with_adapter, with_adapter_order, with_loaded
 from loomwind.placement.store_pace import FinishedLoad
-from loomwind.serving.residency import holds
+from loomwind.serving.residency import LoadUnderWay, holds
 from loomwind.serving.views import (
     EngineProfile,
     ModelKey,
@@ -38,6 +38,8 @@
 LATE_STEP_SECONDS = 0.03
 MOST_LATE_SECONDS = 0.3
 ADAPTER_BELIEF_SECONDS = 0.5
+# A load of an earlier leader that should have ended longer ago than it takes is another one.
+LATEST_HEARD_PART = 2.0
 
 
 class Operation(Struct, frozen=True):
@@ -67,7 +69,13 @@
     :ivar in_flight: the order that is on its way and not answered.
     """
 
-    def __init__(self, entry: ServerEntry, profile: EngineProfile) -> None:
+    def __init__(
+        self, entry: ServerEntry, profile: EngineProfile, heard_load: LoadUnderWay | None = None
+    ) -> None:
+        """Begin to follow a server.
+
+        :param heard_load: a load that an earlier leader has ordered and told of.
+        """
         self.entry = entry
         self.profile = profile
         self.report: ServerReport | None = None
@@ -77,6 +85,7 @@
         self.reading = False
         self.doubted = False
         self.staged = 0
+        self._heard_load = heard_load
         self._settled: Operation | None = None
         self._late_by = 0.0
         self._finished: FinishedLoad | None = None
@@ -98,10 +107,25 @@
             return False
         if report.busy and now - self._assumed_at < REPORT_LAG_SECONDS:
             return False
+        if known is None and report.busy and self.operation is None:
+            self.operation = self._heard_operation(report, now)
         self._follow_load(report, now)
         self.report = self._with_settled_adapters(self._without_leaving(report), now)
         return known is None or known.held != self.report.held
 
+    def _heard_operation(self, report: ServerReport, now: float) -> Operation | None:
+        """Return the load that an earlier leader has ordered, if it can still go on."""
+        heard = self._heard_load
+        target = ModelKey(heard.model) if heard is not None else None
+        if heard is None or target is None or holds(report.held, target):
+            return None
+        seconds = _load_seconds(self.profile, report, heard.model)
+        if now - heard.since > LATEST_HEARD_PART * seconds:
+            return None
+        from_store = not _has_copy(report, heard.model)
+        done_at = heard.since + seconds
+        return Operation(OrderKind.LOAD, target, heard.since, done_at, seconds, from_store)
+
     def _follow_load(self, report: ServerReport, now: float) -> None:
         """Take in whether a load goes on or is done; one taken as done too soon goes on."""
         settled, self._settled = self._settled, None
@@ -333,24 +357,30 @@
 
     def has_copy(self, name: str) -> bool:
         """Whether a copy of a model's weights lies in host memory or on disk here."""
-        report = self.report
-        return report is not None and (name in report.in_memory or name in report.on_disk)
+        return self.report is not None and _has_copy(self.report, name)
 
     def load_seconds(self, name: str) -> float:
         """Return how long a load of a model takes here, from its nearest copy."""
-        model = self.profile.model(name)
-        if model is None or self.report is None:
-            return 0.0
-        if name in self.report.in_memory:
-            return model.memory_load_seconds
-        if name in self.report.on_disk:
-            return model.disk_load_seconds
-        return model.load_seconds
+        return 0.0 if self.report is None else _load_seconds(self.profile, self.report, name)
 
     def loads_from_store(self, name: str) -> bool:
         """Whether a load of a model would come from the weight store."""
-        report = self.report
-        return report is None or not (name in report.in_memory or name in report.on_disk)
+        return not self.has_copy(name)
+
+
+def _has_copy(report: ServerReport, name: str) -> bool:
+    """Whether a copy of a model's weights lies in host memory or on disk."""
+    return name in report.in_memory or name in report.on_disk
+
+
+def _load_seconds(profile: EngineProfile, report: ServerReport, name: str) -> float:
+    """Return how long a load of a model takes from the nearest copy that a report shows."""
+    model = profile.model(name)
+    if model is None:
+        return 0.0
+    if name in report.in_memory:
+        return model.memory_load_seconds
+    return model.disk_load_seconds if name in report.on_disk else model.load_seconds
 
 
 def used_mb(profile: EngineProfile, report: ServerReport) -> float:
--- a/loomwind/placement/store_pace.py
+++ b/loomwind/placement/store_pace.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from loomwind.serving.residency import LearnedPace
+
 FIRST_LIMIT = 4
 SLOW_FACTOR = 1.15
 # A load that had fewer beside it than this part of the limit says nothing about a higher one.
@@ -61,9 +63,14 @@
 class StorePace:
     """The number of loads at once that is worth having."""
 
-    def __init__(self) -> None:
-        self._limit = float(FIRST_LIMIT)
-        self._last_slow_ms: float | None = None
+    def __init__(self, learned: LearnedPace | None = None, now_ms: float = 0.0) -> None:
+        """Begin to learn.
+
+        :param learned: what an earlier leader has learned.
+        """
+        self._limit = float(FIRST_LIMIT if learned is None else learned.loads_at_once)
+        was_slow = learned is not None and learned.was_slow
+        self._last_slow_ms: float | None = now_ms if was_slow else None
         self._under_way = 0
         self._samples = [_Sample(0.0, 0.0)]
         self._recent: deque[_Seen] = deque(maxlen=ALIKE_LOADS)
@@ -73,6 +80,10 @@
         """Return how many loads may be under way at once."""
         return max(1, round(self._limit))
 
+    def learned(self, service: str) -> LearnedPace:
+        """Return what the next leader should begin with."""
+        return LearnedPace(service, self.limit, self._last_slow_ms is not None)
+
     def observe(self, under_way: int, now_ms: float) -> None:
         """Take in how many loads are under way from now on."""
         last = self._samples[-1]
--- a/loomwind/serving/residency.py
+++ b/loomwind/serving/residency.py
@@ -43,6 +43,27 @@
     coming: str = ""
 
 
+class LearnedPace(Struct, frozen=True, array_like=True):
+    """How many loads at once the weight store of a service serves, as a leader has learned.
+
+    :param was_slow: whether more than that were seen to be slow.
+    """
+
+    service: str
+    loads_at_once: int
+    was_slow: bool
+
+
+class LoadUnderWay(Struct, frozen=True):
+    """A load of a model's weights that a leader has told of.
+
+    :param since: loop time at which it was first told.
+    """
+
+    model: str
+    since: float
+
+
 def holds(held: tuple[HeldModel, ...], target: ModelKey) -> bool:
     """Whether a list of models has the target."""
     for model in held:
@@ -52,12 +73,17 @@
 
 
 class Residency:
-    """Tells where a model can run now."""
+    """Tells where a model can run now.
+
+    :ivar paces: what a leader has learned of the weight store, by service.
+    """
 
     def __init__(self) -> None:
         self._told: dict[str, ServerHolding] = {}
         self._told_at: dict[str, float] = {}
+        self.paces: dict[str, LearnedPace] = {}
         self._loads_seen: deque[float] = deque(maxlen=MOST_LOADS_SEEN)
+        self._loads: dict[str, LoadUnderWay] = {}
         self._absent: dict[tuple[str, ModelKey], Absence] = {}
 
     def loads_since(self, time: float) -> list[float]:
@@ -69,6 +95,7 @@
         known = self._told.get(holding.instance)
         if holding.coming and (known is None or known.coming != holding.coming):
             self._loads_seen.append(now)
+            self._loads[holding.instance] = LoadUnderWay(holding.coming, now)
         if known is not None and known.revision > holding.revision:
             return
         self._told_at[holding.instance] = now
@@ -97,6 +124,11 @@
         """Whether a server loads a model, as far as the leader has told."""
         return any(holding.coming == model for holding in self._told.values())
 
+    def load_under_way(self, instance: str) -> LoadUnderWay | None:
+        """Return the load that a server carries out, as far as the leader has told."""
+        told = self._told.get(instance)
+        return self._loads.get(instance) if told is not None and told.coming else None
+
     def held_by(self, entry: ServerEntry, now: float) -> tuple[HeldModel, ...]:
         """Return what a server holds, by the newest source.
 
@@ -120,4 +152,5 @@
         """Drop what is known of servers that are not among those."""
         self._told = {name: held for name, held in self._told.items() if name in instances}
         self._told_at = {name: at for name, at in self._told_at.items() if name in instances}
+        self._loads = {name: load for name, load in self._loads.items() if name in instances}
         self._absent = {key: known for key, known in self._absent.items() if key[0] in instances}
