--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     relay,
     site,
     sizes,
+    store_calls,
     troubles,
     variants,
 )
@@ -37,6 +38,7 @@
         "pool": pool.run,
         "compare": compare.compare,
         "losses": losses.losses,
+        "store_calls": store_calls.store_calls,
         "troubles": troubles.troubles,
         "variants": variants.variants,
     }
--- a/features/pool_metrics.feature
+++ b/features/pool_metrics.feature
@@ -39,6 +39,10 @@
     Then metric loomwind_store_calls_total with result=unavailable is at least 1
     And metric loomwind_lease_fence is at least 1
 
+  Scenario: the calls of a daemon are told over all its lives
+    Given log lines of a daemon that made 2 calls, then 5, and 3 in its next life
+    Then the table of calls has 8 calls of it
+
   Scenario: servers beyond the first ones share one label
     Given labels for 3 servers
     When 10 servers are counted
--- a/features/steps/pool_metrics_steps.py
+++ b/features/steps/pool_metrics_steps.py
@@ -5,8 +5,10 @@
 
 from behave import given, then, when
 
+from bench.store_calls import CALLS_STATE, STORE_TYPE, calls_by_daemon
 from features.steps.pool_steps import first_daemon
 from features.support.processes import wait_until
+from loomwind.explain import LogLine
 from loomwind.metrics import OTHER_SERVERS, ServerLabels
 
 SAMPLE = re.compile(r"^(\w+)(?:\{(.*)\})? (\S+)$")
@@ -66,3 +68,25 @@
 @then("the labels are the first {count:d} and other")
 def step_labels_are(context: Any, count: int) -> None:
     assert context.seen == {f"i-{number}" for number in range(count)} | {OTHER_SERVERS}
+
+
+@given(
+    "log lines of a daemon that made {first:d} calls, then {then:d}, and {later:d} in its next life"
+)
+def step_call_lines(context: Any, first: int, then: int, later: int) -> None:
+    counts = [("a", first), ("a", then), ("b", later)]
+    context.call_lines = [
+        LogLine(
+            float(number),
+            "daemon-1",
+            STORE_TYPE,
+            {"state": CALLS_STATE, "life": life, "calls": {"read servers answered": count}},
+        )
+        for number, (life, count) in enumerate(counts)
+    ]
+
+
+@then("the table of calls has {count:d} calls of it")
+def step_call_table(context: Any, count: int) -> None:
+    calls = calls_by_daemon(context.call_lines)
+    assert calls["daemon-1"].total() == count, calls
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -92,7 +92,9 @@
             "loomwind_repeats", "Repeated sends that the retry budget allowed or not", ["verdict"]
         )
         self.store_calls = counter(
-            "loomwind_store_calls", "Calls to the store, by call and result", ["call", "result"]
+            "loomwind_store_calls",
+            "Calls to the store, by call, table and result",
+            ["call", "table", "result"],
         )
         self.store_seconds = histogram(
             "loomwind_store_seconds",
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -84,9 +84,9 @@
     def _make_knowledge(self, deployment: Deployment) -> None:
         """Make what follows the store."""
         settings = self.settings
-        store = MeteredStore(deployment.store, self.metrics, Clock())
-        self._store = store
         self._own = LeaseHolder(settings.name, uuid.uuid4().hex[:12], settings.listen.peer)
+        store = MeteredStore(deployment.store, self.metrics, Clock(), self._own.life)
+        self._store = store
         self._health = StoreHealth()
         self._pool = ServerPool(settings.bounds)
         self._beliefs = Beliefs(
@@ -208,6 +208,7 @@
         self._spawn(self._server_list.run())
         self._spawn(self._watch.watch())
         self._spawn(self._watch.tell())
+        self._spawn(self._store.log_calls())
         log_state("daemon", "started", name=self.settings.name, life=self._own.life)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
