Let an entry that lapsed in trouble count on from when it may have gone, not from when that is known

Cause, read from the code: while a call of its own or of its mirror has failed lately, a daemon counts a server whose entry goes on for 0.9 of the bound, 3.6 s, from when it learns of that, so all that is left for learning is 0.4 s; a daemon that asks a mirror learns up to a period of 1.2 s late. At this size calls failed all the time (the crowd of writes of the lease), so the case was common. Ruled out: a mirror that loses the store (a model of both sides in virtual time kept the bound in six cases). Change: it counts from when the list was last known to be fresh; after a longer time without the store, from now, as before. Evidence: the scenario, whose rows of 11.2 s and 2.0 s break the bound by the rule before.

--- a/features/server_list.feature
+++ b/features/server_list.feature
@@ -57,6 +57,19 @@
     When s1 is listed as ready again
     Then s1 may get work at 20.0 s
 
+  Scenario Outline: an entry that lapses counts on from when it may have gone, not from when that is known
+    Given a list of servers under a drain bound of <bound> s
+    When s1 is listed as ready, and its entry goes unnoticed at <gone> s, until <known> s in trouble
+    Then s1 may get work at <last> s
+    And s1 may not get work at <after> s
+
+    Examples: the list was fresh a moment before, or not for so long that the store was away
+      | bound | gone | known | last | after |
+      | 4.0   | 10.0 | 10.1  | 13.5 | 13.7  |
+      | 4.0   | 10.0 | 11.2  | 13.5 | 13.7  |
+      | 4.0   | 10.0 | 20.0  | 23.5 | 23.7  |
+      | 2.0   | 10.0 | 10.6  | 11.7 | 11.9  |
+
   Scenario: an entry that goes while the store is well is gone at once
     Given a list of servers under a drain bound of 2.0 s
     When s1 is listed as ready, and its entry goes at 10.0 s while the store is well
--- a/features/steps/server_list_steps.py
+++ b/features/steps/server_list_steps.py
@@ -271,7 +271,16 @@
 @when("s1 is listed as {state:w}, and its entry goes at {now:f} s while the store is {health}")
 def step_entry_goes(context: Any, state: str, now: float, health: str) -> None:
     context.directory.put(listed_as(state))
-    context.directory.remove("s1", now, health == "in trouble")
+    context.directory.remove("s1", now, health == "in trouble", now)
+
+
+@when(
+    "s1 is listed as ready, and its entry goes unnoticed at {gone:f} s, "
+    "until {known:f} s in trouble"
+)
+def step_unnoticed(context: Any, gone: float, known: float) -> None:
+    context.directory.put(listed_as("ready"))
+    context.directory.remove("s1", known, True, gone)
 
 
 @when("s1 is listed as ready again")
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -25,6 +25,7 @@
 
     :ivar routes: the routes in force; None before a configuration is known.
     :ivar limits: what callers may send; those of the configuration once there is one.
+    :ivar servers_fresh_at: loop time at which the list of servers was as the store has it.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self._servers_changed = asyncio.Event()
         self.routes: RouteTable | None = None
         self.limits = ServerLimits()
+        self.servers_fresh_at = float("-inf")
 
     @property
     def configuration(self) -> Configuration | None:
@@ -166,7 +168,7 @@
         self._server_documents.pop(name, None)
         self._server_changes.pop(name, None)
         self._note_server_change()
-        self.pool.directory.remove(name, self._now(), trouble)
+        self.pool.directory.remove(name, self._now(), trouble, self.servers_fresh_at)
         log_state("server", "unlisted", server=name, store_in_trouble=trouble)
 
     def _put(self, name: str, document: bytes, version: int) -> None:
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -10,6 +10,8 @@
 from loomwind.serving.views import ServerEntry, ServerState
 
 VANISHED_GRACE_PART = 0.9
+# A list that has been older than this part of the bound was not followed: the store was away.
+FOLLOWED_PART = 0.7
 
 
 class _Listed(Struct):
@@ -36,6 +38,7 @@
     def set_drain(self, drain_seconds: float) -> None:
         """Change how soon a server that leaves gets no new work."""
         self._vanished_grace = VANISHED_GRACE_PART * drain_seconds
+        self._followed_age = FOLLOWED_PART * drain_seconds
 
     def put(self, entry: ServerEntry) -> None:
         """Take in an entry as listed now."""
@@ -44,13 +47,19 @@
         replaced = same_life and known is not None and known.replaced
         self._servers[entry.name] = _Listed(entry, None, replaced)
 
-    def remove(self, name: str, now: float, store_in_trouble: bool) -> None:
-        """Take in that an entry has gone."""
+    def remove(self, name: str, now: float, store_in_trouble: bool, fresh_at: float) -> None:
+        """Take in that an entry has gone.
+
+        :param fresh_at: when the list, with the entry in it, was known to be as the store has it.
+            The entry may have gone just after that; one that lapsed while the store was away for
+            longer says nothing, and counts on from now.
+        """
         known = self._servers.get(name)
         if known is None:
             return
         if store_in_trouble and known.entry.state is ServerState.READY:
-            known.vanished_at = known.vanished_at or now
+            gone_at = fresh_at if now - fresh_at < self._followed_age else now
+            known.vanished_at = known.vanished_at or gone_at
         else:
             del self._servers[name]
 
--- a/loomwind/serving/server_list.py
+++ b/loomwind/serving/server_list.py
@@ -22,6 +22,8 @@
 PERIOD_PART = 0.3
 STALE_PART = 0.7
 ANSWER_MARGIN_SECONDS = 0.25
+# Told of a list that was never fresh; a number, since it goes over the wire.
+LONGEST_AGE_MS = 1e9
 
 
 class ServerListFollower:
@@ -41,7 +43,6 @@
         self._transport = transport
         self._peers = peers
         self._beliefs = beliefs
-        self._fresh_at = -1e9
         self.set_bounds(bounds)
 
     def set_bounds(self, bounds: BoundSettings) -> None:
@@ -69,7 +70,7 @@
         began = self._now()
         self._table.adopt(self._beliefs.server_version)
         if await self._table.follow_once(self._period):
-            self._fresh_at = began
+            self._beliefs.servers_fresh_at = began
 
     async def _ask(self, mirror: PeerEntry) -> bool:
         """Ask a daemon that reads the store; returns whether the list is fresh by that."""
@@ -88,8 +89,8 @@
         if answer.copy is not None:
             self._beliefs.on_directory_copy(answer.copy)
         told_at = sent + (answer.held_ms - answer.age_ms) / MS_PER_SECOND
-        self._fresh_at = max(self._fresh_at, told_at)
-        return self._now() - self._fresh_at < self._longest_age
+        self._beliefs.servers_fresh_at = max(self._beliefs.servers_fresh_at, told_at)
+        return self._now() - self._beliefs.servers_fresh_at < self._longest_age
 
     async def answer(self, question: ServerListQuestion) -> ServerListAnswer:
         """Return what changed for a peer, as soon as something has, or after its waiting time."""
@@ -100,7 +101,7 @@
         now = self._now()
         return ServerListAnswer(
             held_ms=(now - began) * MS_PER_SECOND,
-            age_ms=(now - self._fresh_at) * MS_PER_SECOND,
+            age_ms=min(LONGEST_AGE_MS, (now - self._beliefs.servers_fresh_at) * MS_PER_SECOND),
             copy=self._beliefs.directory_changes(question.version),
         )
 
