--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -29,93 +29,126 @@
     """All metrics of a daemon, in a registry of its own so that several can share a process."""
 
     def __init__(self) -> None:
-        registry = CollectorRegistry()
-        self.registry = registry
-        counter = partial(Counter, registry=registry)
-        gauge = partial(Gauge, registry=registry)
-        histogram = partial(Histogram, registry=registry)
+        self.registry = CollectorRegistry()
         self.server_labels = ServerLabels()
-        self.accepted = counter("loomwind_requests_accepted", "Requests read whole from a caller")
-        self.answered = counter("loomwind_requests_answered", "Requests answered by a back end")
-        self.refused = counter(
+        self._counter = partial(Counter, registry=self.registry)
+        self._gauge = partial(Gauge, registry=self.registry)
+        self._histogram = partial(Histogram, registry=self.registry)
+        self._make_request_metrics()
+        self._make_fleet_metrics()
+        self._make_placement_metrics()
+
+    def _make_request_metrics(self) -> None:
+        """Make what is told of requests, their streams and the log."""
+        self.accepted = self._counter(
+            "loomwind_requests_accepted", "Requests read whole from a caller"
+        )
+        self.answered = self._counter(
+            "loomwind_requests_answered", "Requests answered by a back end"
+        )
+        self.refused = self._counter(
             "loomwind_requests_refused",
             "Requests refused, by problem type and outcome",
             ["problem", "outcome"],
         )
-        self.cancelled = counter("loomwind_requests_cancelled", "Requests whose caller went away")
-        self.waiting = gauge("loomwind_requests_waiting", "Requests in the daemon and not finished")
-        self.retries = counter("loomwind_retries", "Attempts after a not-run answer")
-        self.relayed_bytes = counter("loomwind_relayed_bytes", "Body bytes relayed to callers")
-        self.peer_messages = counter(
-            "loomwind_peer_messages", "Messages sent to peers, by type", ["type"]
+        self.cancelled = self._counter(
+            "loomwind_requests_cancelled", "Requests whose caller went away"
         )
-        self.peer_bytes = counter("loomwind_peer_bytes", "Bytes sent to peers")
-        self.orders = counter("loomwind_orders", "Orders sent to engines, by result", ["result"])
-        self.elections = counter("loomwind_controller_terms", "Times this daemon became controller")
-        self.leading = gauge("loomwind_controller", "1 while this daemon is its cell's controller")
-        self.voter = gauge("loomwind_voter", "1 while this daemon is one of its cell's voters")
-        self.generation = gauge("loomwind_generation", "Generation of the cell's register")
-        self.catalog_version = gauge(
-            "loomwind_catalog_version", "Version of the catalog in force here"
+        self.waiting = self._gauge(
+            "loomwind_requests_waiting", "Requests in the daemon and not finished"
+        )
+        self.retries = self._counter("loomwind_retries", "Attempts after a not-run answer")
+        self.relayed_bytes = self._counter(
+            "loomwind_relayed_bytes", "Body bytes relayed to callers"
         )
-        self.members = gauge("loomwind_members", "Members known, by state", ["state"])
-        self.servers = gauge("loomwind_servers", "Servers that the directory lists here")
-        self.servers_usable = gauge("loomwind_servers_usable", "Servers that may get new work")
-        self.request_seconds = histogram(
+        self.request_seconds = self._histogram(
             "loomwind_request_seconds",
             "Time from a request's arrival to its end, by kind of route and end",
             ["kind", "end"],
             buckets=REQUEST_BUCKETS_S,
         )
-        self.first_event_seconds = histogram(
+        self.first_event_seconds = self._histogram(
             "loomwind_first_event_seconds",
             "Time from a stream's arrival to its first event",
             buckets=REQUEST_BUCKETS_S,
         )
-        self.streams_ended = counter(
+        self.streams_ended = self._counter(
             "loomwind_streams_ended",
             "Streams that servers ended, by what marked the end of the body",
             ["framing"],
         )
-        self.model_wait_seconds = histogram(
+        self.model_wait_seconds = self._histogram(
             "loomwind_model_wait_seconds",
             "Time that a request waited for its model or adapter to be loaded",
             buckets=REQUEST_BUCKETS_S,
         )
-        self.waiting_for_model = gauge(
+        self.waiting_for_model = self._gauge(
             "loomwind_waiting_for_model", "Requests that wait for a model or adapter now"
         )
-        self.sends = counter(
+        self.sends = self._counter(
             "loomwind_sends", "Sends of requests to servers, by server and end", ["server", "end"]
         )
-        self.repeats = counter(
+        self.repeats = self._counter(
             "loomwind_repeats", "Repeated sends that the retry budget allowed or not", ["verdict"]
         )
-        self.store_calls = counter(
+        self.log_lines_dropped = self._gauge(
+            "loomwind_log_lines_dropped", "Log lines that found the buffer full"
+        )
+
+    def _make_fleet_metrics(self) -> None:
+        """Make what is told of daemons, of who leads and of the configuration."""
+        self.peer_messages = self._counter(
+            "loomwind_peer_messages", "Messages sent to peers, by type", ["type"]
+        )
+        self.peer_bytes = self._counter("loomwind_peer_bytes", "Bytes sent to peers")
+        self.elections = self._counter(
+            "loomwind_controller_terms", "Times this daemon became controller"
+        )
+        self.leading = self._gauge(
+            "loomwind_controller", "1 while this daemon is its cell's controller"
+        )
+        self.voter = self._gauge(
+            "loomwind_voter", "1 while this daemon is one of its cell's voters"
+        )
+        self.generation = self._gauge("loomwind_generation", "Generation of the cell's register")
+        self.catalog_version = self._gauge(
+            "loomwind_catalog_version", "Version of the catalog in force here"
+        )
+        self.members = self._gauge("loomwind_members", "Members known, by state", ["state"])
+        self.lease_fence = self._gauge(
+            "loomwind_lease_fence", "Fence under which this daemon leads"
+        )
+
+    def _make_placement_metrics(self) -> None:
+        """Make what is told of servers, loads and the store."""
+        self.orders = self._counter(
+            "loomwind_orders", "Orders sent to engines, by result", ["result"]
+        )
+        self.servers = self._gauge("loomwind_servers", "Servers that the directory lists here")
+        self.servers_usable = self._gauge(
+            "loomwind_servers_usable", "Servers that may get new work"
+        )
+        self.store_calls = self._counter(
             "loomwind_store_calls",
             "Calls to the store, by call, table and result",
             ["call", "table", "result"],
         )
-        self.store_seconds = histogram(
+        self.store_seconds = self._histogram(
             "loomwind_store_seconds",
             "Time of calls to the store that do not wait for changes",
             ["call"],
             buckets=CALL_BUCKETS_S,
         )
-        self.lease_fence = gauge("loomwind_lease_fence", "Fence under which this daemon leads")
-        self.store_loads = counter(
+        self.store_loads = self._counter(
             "loomwind_store_loads",
             "Loads that this daemon began from the weight store, by what they are for",
             ["purpose"],
         )
-        self.models_unserved = gauge(
+        self.models_unserved = self._gauge(
             "loomwind_models_unserved",
             "Models asked for more than once since any server last held them, as the leader knows",
         )
-        self.log_lines_dropped = gauge(
-            "loomwind_log_lines_dropped", "Log lines that found the buffer full"
-        )
-        self.replicas = gauge("loomwind_replicas", "Replicas in the routing table here")
+        self.replicas = self._gauge("loomwind_replicas", "Replicas in the routing table here")
 
     def expose(self) -> bytes:
         """Return all metrics in the Prometheus text exposition format."""
