--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -1,7 +1,7 @@
 """Carries the plan out while this daemon leads: reads servers, gives orders, tells the daemons."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.leadership.election import Election
@@ -274,7 +274,7 @@
             for ledger in self._ledgers.values()
             if ledger.entry.service == service and not ledger.failed_reads
         ]
-        store_loads = _store_loads(servers, now)
+        store_loads = sum(server.uses_store(now) for server in servers)
         pace.observe(store_loads, now * MS_PER_SECOND)
         given = PlanInput(
             service,
@@ -353,7 +353,9 @@
     async def _give(self, ledger: ServerLedger, order: Order, planned: PlannedOrder) -> None:
         answer = await self._control.order(ledger.entry, order, ORDER_TIMEOUT_SECONDS)
         now = self._now()
-        ledger.note_answer(order, answer, now, self._is_in_use(order, now))
+        ledger.note_answer(
+            order, answer, now, self._demand.runs_at(order.instance, order.target.model, now)
+        )
         self._metrics.orders.labels(answer.value).inc()
         log_state(
             "order",
@@ -381,14 +383,6 @@
         if under_way:
             await asyncio.wait(under_way, timeout=ORDER_TIMEOUT_SECONDS)
 
-    def _is_in_use(self, order: Order, now: float) -> bool:
-        """Whether requests run at the server of an order for its model, as far as is known."""
-        running = self._demand.running(now)
-        return any(
-            instance == order.instance and target.model == order.target.model
-            for instance, target in running
-        )
-
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -402,13 +396,3 @@
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
-
-
-def _store_loads(servers: Iterable[ServerLedger], now: float) -> int:
-    """Return how many loads from the weight store are under way, or have room made for them."""
-    return sum(1 for server in servers if server.loads_from_store_now or _makes_room(server, now))
-
-
-def _makes_room(server: ServerLedger, now: float) -> bool:
-    name = server.room_reserved_for(now)
-    return name is not None and server.loads_from_store(name)
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -176,6 +176,12 @@
             total[instance] += count
         return total
 
+    def runs_at(self, instance: str, model: str, now: float) -> bool:
+        """Whether requests run at an instance for a model or its adapters, as far as is known."""
+        return any(
+            known == instance and target.model == model for known, target in self.running(now)
+        )
+
     def rate(self, service: str, target: ModelKey, now: float) -> float:
         """Return the recent rate of requests for a target, a second."""
         heat = self._heat.get(DemandKey(service, target))
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -11,6 +11,7 @@
 from loomwind.clock import MS_PER_SECOND
 from loomwind.placement.late_orders import LateOrders
 from loomwind.placement.report_changes import with_adapter, with_adapter_order, with_loaded
+from loomwind.placement.server_state import has_copy, load_seconds, used_mb
 from loomwind.placement.store_pace import FinishedLoad
 from loomwind.serving.residency import LoadUnderWay, holds
 from loomwind.serving.views import (
@@ -119,10 +120,10 @@
         target = ModelKey(heard.model) if heard is not None else None
         if heard is None or target is None or holds(report.held, target):
             return None
-        seconds = _load_seconds(self.profile, report, heard.model)
+        seconds = load_seconds(self.profile, report, heard.model)
         if now - heard.since > LATEST_HEARD_PART * seconds:
             return None
-        from_store = not _has_copy(report, heard.model)
+        from_store = not has_copy(report, heard.model)
         done_at = heard.since + seconds
         return Operation(OrderKind.LOAD, target, heard.since, done_at, seconds, from_store)
 
@@ -164,6 +165,11 @@
             return operation.from_store
         return self.report is not None and self.report.busy
 
+    def uses_store(self, now: float) -> bool:
+        """Whether a load from the weight store is under way, or another model makes way for one."""
+        coming = self.room_reserved_for(now)
+        return self.loads_from_store_now or (coming is not None and self.loads_from_store(coming))
+
     def settle(self, now: float, running: int) -> bool:
         """Take a load as done when its time is over; returns whether it was.
 
@@ -357,45 +363,17 @@
 
     def has_copy(self, name: str) -> bool:
         """Whether a copy of a model's weights lies in host memory or on disk here."""
-        return self.report is not None and _has_copy(self.report, name)
+        return self.report is not None and has_copy(self.report, name)
 
     def load_seconds(self, name: str) -> float:
         """Return how long a load of a model takes here, from its nearest copy."""
-        return 0.0 if self.report is None else _load_seconds(self.profile, self.report, name)
+        return 0.0 if self.report is None else load_seconds(self.profile, self.report, name)
 
     def loads_from_store(self, name: str) -> bool:
         """Whether a load of a model would come from the weight store."""
         return not self.has_copy(name)
 
 
-def _has_copy(report: ServerReport, name: str) -> bool:
-    """Whether a copy of a model's weights lies in host memory or on disk."""
-    return name in report.in_memory or name in report.on_disk
-
-
-def _load_seconds(profile: EngineProfile, report: ServerReport, name: str) -> float:
-    """Return how long a load of a model takes from the nearest copy that a report shows."""
-    model = profile.model(name)
-    if model is None:
-        return 0.0
-    if name in report.in_memory:
-        return model.memory_load_seconds
-    return model.disk_load_seconds if name in report.on_disk else model.load_seconds
-
-
-def used_mb(profile: EngineProfile, report: ServerReport) -> float:
-    """Return the memory of all that a server holds or is getting, in MB."""
-    total = 0.0
-    for held in report.held:
-        model = profile.model(held.name)
-        if model is not None:
-            total += model.memory_mb + len(held.adapters) * model.adapter_mb
-    for pending in report.pending_adapters:
-        model = profile.model(pending.model)
-        total += model.adapter_mb if model is not None else 0.0
-    return total
-
-
 def _finished(load: Operation, now: float, on_time: bool) -> FinishedLoad:
     """Return what is learned from a load of the weight store that a report shows to be done."""
     expected_done = load.began + load.expected_seconds
--- a/loomwind/serving/model_wait.py
+++ b/loomwind/serving/model_wait.py
@@ -44,7 +44,6 @@
         self._key = key
         self._caller = caller
         self._objective = route.objective_seconds
-        self._deadline = deadline
         remaining = caller.remaining_seconds
         self._terms = WaitTerms(
             arrived_ms=arrived * MS_PER_SECOND,
@@ -85,8 +84,10 @@
         verdict = decide(self._terms, now_ms, ready_in_ms, usual_ms)
         if isinstance(verdict, Wait):
             return verdict.until_ms / MS_PER_SECOND
+        if isinstance(verdict, ComeBack) and not may_return:
+            verdict = Hopeless(verdict.after_ms)
         self._log(verdict, ready_in_ms)
-        if isinstance(verdict, ComeBack) and may_return:
+        if isinstance(verdict, ComeBack):
             back = now + verdict.returns_in_ms / MS_PER_SECOND + self._objective
             returning = WaitingRequest(back, self._objective)
             self._pool.demand.expect_return(self._key, returning)
