--- a/features/explain.feature
+++ b/features/explain.feature
@@ -101,8 +101,8 @@
 
   Scenario: a request that was told when to come back
     Given a model server one that holds m1
-    And models that load in 9.0 s
-    And callers who wait 2 s for an answer to begin
+    And models that load in 5.0 s
+    And callers who wait 1 s for an answer to begin
     And 1 pool daemons
     When a model request on draft for m3 begins with 20.0 s to its deadline
     Then the last reply has status 503
