Let a daemon judge that voters have ended when the peer that knew more of them has ended too

Cause: a daemon does not judge the voters while a peer knows a newer register value, so that an outdated voter set founds no generation. That peer's stamp was kept for ever: when it was the voter that had ended, nobody judged any more. The routes carry no newer stamp where nothing else in them changes, so the other daemons are behind the leader often. Change: only the stamps of peers that are not gone count. Evidence: the scenario; with the stamps of peers that are gone counted, as before, it waits in vain.

--- a/features/steps/voter_change_steps.py
+++ b/features/steps/voter_change_steps.py
@@ -99,6 +99,7 @@
         self.table = LocalTableService()
         self.accepted: list[RegisterValue] = []
         self.ended: tuple[VoterId, ...] = ()
+        self.peer_stamps: dict[VoterId, Stamp] = {}
 
     def make(self) -> RegisterService:
         """Make the register with all that has happened. Needs a running loop."""
@@ -112,6 +113,9 @@
         for each in self.accepted:
             register.on_message(Accept(CELL, each))
         self.says_that_it_votes = bool(metrics.voter._value.get())
+        for identity, stamp in self.peer_stamps.items():
+            membership.detector.heard(member(identity), membership.now)
+            register.note_peer_stamp(identity, stamp)
         for identity in self.ended:
             membership.detector.heard(member(identity), membership.now)
             membership.detector.refused(identity)
@@ -164,6 +168,21 @@
     context.case.table = HangingTable()
 
 
+@given("a daemon that knows daemon-3 as the only voter")
+def step_other_alone(context: Any) -> None:
+    context.case = VoterCase((LEADER,))
+
+
+@given("daemon-3 has said that it knows a newer value")
+def step_knows_newer(context: Any) -> None:
+    context.case.peer_stamps[LEADER] = value(2, (LEADER,)).stamp
+
+
+@when("daemon-3 has ended")
+def step_leader_ended(context: Any) -> None:
+    context.case.ended = (LEADER,)
+
+
 @when("it seeks the role")
 def step_seeks(context: Any) -> None:
     context.leading = context.case.lead
--- a/features/voter_changes.feature
+++ b/features/voter_changes.feature
@@ -1,4 +1,4 @@
-Feature: A change of the voters that nobody can settle any more
+Feature: Voters that end while their set changes, or while others know less of it
 
   Scenario: the earlier majority ends while a change of voters is not settled
     Given a daemon that votes with daemon-2 and daemon-3
@@ -17,3 +17,9 @@
     Given a daemon that votes alone, and a table service that never answers
     When it seeks the role
     Then it begins its term
+
+  Scenario: the only voter ends, and it knew a newer value than the others
+    Given a daemon that knows daemon-3 as the only voter
+    And daemon-3 has said that it knows a newer value
+    When daemon-3 has ended
+    Then it founds the next generation
--- a/loomwind/control/register_service.py
+++ b/loomwind/control/register_service.py
@@ -56,7 +56,7 @@
         self.voters: tuple[VoterId, ...] = ()
         self._joint: tuple[VoterId, ...] = ()
         self.seen = Stamp()
-        self.peers_seen = Stamp()
+        self._peer_stamps: dict[VoterId, Stamp] = {}
         self.on_lead: Callable[[], None] = lambda: None
         self.on_step_down: Callable[[], None] = lambda: None
         self._membership = membership
@@ -189,11 +189,22 @@
     def _majority_has_ended(self) -> bool:
         """Whether too few voters are left for any majority. Silence alone is no proof."""
         up_seconds = self._membership.now - self._started_at
-        if self.peers_seen > self.seen or up_seconds < constants.NEW_GENERATION_AFTER_SECONDS:
+        if self._peer_knows_newer() or up_seconds < constants.NEW_GENERATION_AFTER_SECONDS:
             return False
         ended = {voter for voter in (*self.voters, *self._joint) if self._has_ended(voter)}
         return not self.voters or has_lost_majority(self.voters, self._joint, ended)
 
+    def _peer_knows_newer(self) -> bool:
+        """Whether a peer that is not gone knows a newer voter set: then that one has to judge."""
+        present = {info.identity for info in self._membership.reachable()}
+        return any(self._peer_stamps.get(peer, self.seen) > self.seen for peer in present)
+
+    def note_peer_stamp(self, peer: VoterId, stamp: Stamp) -> None:
+        """Take in the newest register stamp that a peer knows."""
+        self._peer_stamps[peer] = stamp
+        members = self._membership.detector.members
+        self._peer_stamps = {k: v for k, v in self._peer_stamps.items() if k in members}
+
     def _has_ended(self, voter: VoterId) -> bool:
         member = self._membership.detector.members.get(voter)
         return voter in self._refused_voters or (member is not None and member.ended)
--- a/loomwind/daemon.py
+++ b/loomwind/daemon.py
@@ -262,7 +262,7 @@
         self.catalog.on_digest(member, digest.catalog_version)
         if member.cell != self.membership.own.cell:
             return
-        self.register.peers_seen = max(self.register.peers_seen, digest.register)
+        self.register.note_peer_stamp(member.identity, digest.register)
         if self._is_behind(digest):
             self._spawn(self._fetch_routing(member))
         if self._controller is not None:
