Let the scenario that replaces all voters begin with a whole set of voters

The scenario is about voters that are replaced one at a time, so it waits until all seats are taken; its assertions are the same.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -34,7 +34,8 @@
     Then nothing ran twice
 
   Scenario: all voters are replaced one after the other between two tries
-    When 10 bookings are sent through daemon-1, each with its own key
+    When the voters are whole again
+    And 10 bookings are sent through daemon-1, each with its own key
     And every daemon is killed and started again, one after the other
     And the same bookings are sent again through daemon-1
     Then nothing ran twice
