End the term of a leader that a voter has refused

What callers saw: no daemon led for 60 s after all voters were replaced (KNOWN-RED, at_most_once beside load), by the metric: two daemons said that they lead, one of them for ever. Demand that reached that one was kept by it, not passed on. Cause: a voter's refusal makes the candidate idle, and only then was the register told to step down; it took an idle candidate for one that had not led, and did not end the term: the metric stayed 1 and the old controller stayed in place. Safety was not touched: its writes count for nothing under the higher ballot. Why this fixes it: the register itself notes that a term has begun.

--- a/features/steps/voter_change_steps.py
+++ b/features/steps/voter_change_steps.py
@@ -8,6 +8,7 @@
 from features.support.processes import WAIT_TIMEOUT_SECONDS
 from loomwind import constants
 from loomwind.control.claims import ClaimStore
+from loomwind.control.errors import RegisterUnavailable
 from loomwind.control.generation import Generation, GenerationStore
 from loomwind.control.register_service import RegisterService
 from loomwind.membership.service import Membership
@@ -16,6 +17,7 @@
     AnyMessage,
     Ballot,
     MemberInfo,
+    Prepare,
     RegisterValue,
     Stamp,
     VoterId,
@@ -37,6 +39,7 @@
 OWN = VoterId("daemon-1", "a")
 OTHER_EARLIER = VoterId("daemon-2", "b-earlier")
 OTHER = VoterId("daemon-2", "b")
+HIGHER_BALLOT = Ballot(99, LEADER)
 
 
 class SilentTransport(PeerTransport):
@@ -133,6 +136,22 @@
             await begun.wait()
         running.cancel()
 
+    async def end_by_refusal(self) -> bool:
+        """Lead, write to a voter that has promised a higher ballot, and return how that ended."""
+        register = self.make()
+        begun, ended = asyncio.Event(), asyncio.Event()
+        register.on_lead, register.on_step_down = begun.set, ended.set
+        running = asyncio.create_task(register.run())
+        async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+            await begun.wait()
+        running.cancel()
+        register.voter.on_prepare(Prepare(CELL, register.generation, HIGHER_BALLOT))
+        try:
+            await register.write((), ())
+        except RegisterUnavailable:
+            return ended.is_set()
+        return False
+
     async def next_generation(self) -> int:
         """Return the generation that the table has in the end."""
         register = self.make()
@@ -168,6 +187,21 @@
     context.case.table = HangingTable()
 
 
+@given("a daemon that votes alone and leads")
+def step_leads_alone(context: Any) -> None:
+    context.case = VoterCase((OWN,))
+
+
+@when("its voter has promised a higher ballot, and it writes")
+def step_refused(context: Any) -> None:
+    context.term_ended = asyncio.run(context.case.end_by_refusal())
+
+
+@then("its term has ended")
+def step_term_ended(context: Any) -> None:
+    assert context.term_ended
+
+
 @given("a daemon that knows daemon-3 as the only voter")
 def step_other_alone(context: Any) -> None:
     context.case = VoterCase((LEADER,))
--- a/features/voter_changes.feature
+++ b/features/voter_changes.feature
@@ -23,3 +23,8 @@
     And daemon-3 has said that it knows a newer value
     When daemon-3 has ended
     Then it founds the next generation
+
+  Scenario: a leader that a voter refuses ends its term
+    Given a daemon that votes alone and leads
+    When its voter has promised a higher ballot, and it writes
+    Then its term has ended
--- a/loomwind/control/register_service.py
+++ b/loomwind/control/register_service.py
@@ -71,6 +71,7 @@
         self._refused_voters: set[VoterId] = set()
         self._started_at = membership.now
         self._campaign_at = 0.0
+        self._in_term = False
         self.retired = False
 
     @property
@@ -238,12 +239,15 @@
             await self.change_voters(self.committed.voters)
         except RegisterUnavailable:
             return
+        self._in_term = True
         self.on_lead()
         await self.publish_voters()
 
     def step_down(self) -> None:
         """Give up the role, if held."""
-        was_leading = self.candidate.phase is not Phase.IDLE
+        # A voter's refusal has made the candidate idle before this is called.
+        was_leading = self._in_term or self.candidate.phase is not Phase.IDLE
+        self._in_term = False
         self.candidate.step_down()
         if self._settled is not None and not self._settled.done():
             self._settled.set_exception(RegisterUnavailable("another daemon leads"))
