Say by which way a daemon learns that a server comes, leaves or goes, and how old its list was

The lines of servers carry source, teller, list_version and list_age_ms now, and loomwind_server_list_age_seconds counts the list's age each time that a server is chosen from it.

--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 3.0, 6.0, 12.0, 30.0)
+LIST_AGE_BUCKETS_S = (0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 8.0)
 CALL_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0)
 MOST_SERVER_LABELS = 64
 OTHER_SERVERS = "other"
@@ -125,6 +126,11 @@
             "loomwind_orders", "Orders sent to engines, by result", ["result"]
         )
         self.servers = self._gauge("loomwind_servers", "Servers that the directory lists here")
+        self.server_list_age_seconds = self._histogram(
+            "loomwind_server_list_age_seconds",
+            "Age of the list of servers when a server is chosen from it",
+            buckets=LIST_AGE_BUCKETS_S,
+        )
         self.servers_usable = self._gauge(
             "loomwind_servers_usable", "Servers that may get new work"
         )
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -5,10 +5,14 @@
 """
 
 import asyncio
+import enum
+import math
 from collections.abc import Iterable
 
+from attrs import frozen
 from msgspec.structs import replace
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.http.server import ServerLimits
 from loomwind.logs import log_state
 from loomwind.messages.serving import ConfigurationCopy, DirectoryCopy, ServerDocument
@@ -20,6 +24,27 @@
 from loomwind.serving.views import Configuration, ServerEntry
 
 
+class Source(enum.Enum):
+    """By which way the list of servers was learned."""
+
+    FEED = "feed"
+    TABLE = "table"
+    PEER = "peer"
+
+
+@frozen
+class Origin:
+    """Where a change in the list of servers comes from.
+
+    :param version: the store's version that the list stands at with the change.
+    :param teller: the peer's ``host:port``; empty when the store itself has told.
+    """
+
+    source: Source
+    version: int
+    teller: str = ""
+
+
 class Beliefs:
     """Configuration and servers of one daemon.
 
@@ -98,23 +123,29 @@
     def on_server_rows(self, snapshot: Snapshot, whole: bool) -> None:
         """Take in rows of the servers' table."""
         trouble = self._health.in_trouble(self._now())
+        origin = Origin(Source.TABLE if whole else Source.FEED, snapshot.version)
         if whole:
-            self._drop_all_but({row.key for row in snapshot.rows if not row.gone}, trouble)
+            listed = {row.key for row in snapshot.rows if not row.gone}
+            self._drop_all_but(listed, trouble, origin)
         for row in snapshot.rows:
             if row.gone:
-                self._drop(row.key, trouble)
+                self._drop(row.key, trouble, origin)
             else:
-                self._put(row.key, row.value, snapshot.version)
+                self._put(row.key, row.value, origin)
         self._note_servers(snapshot.version)
 
-    def on_directory_copy(self, copy: DirectoryCopy) -> None:
-        """Take in a peer's list of servers, if it is newer."""
+    def on_directory_copy(self, copy: DirectoryCopy, teller: str = "") -> None:
+        """Take in a peer's list of servers, if it is newer.
+
+        :param teller: the peer's ``host:port``, for the log.
+        """
         if copy.version <= self.server_version:
             return
         trouble = copy.store_in_trouble or self._health.in_trouble(self._now())
-        self._drop_all_but(copy.listed, trouble)
+        origin = Origin(Source.PEER, copy.version, teller)
+        self._drop_all_but(copy.listed, trouble, origin)
         for server in copy.servers:
-            self._put(server.name, server.document, copy.version)
+            self._put(server.name, server.document, origin)
         self._note_servers(copy.version)
 
     @property
@@ -159,25 +190,43 @@
         self._servers_changed.set()
         self._servers_changed = asyncio.Event()
 
-    def _drop_all_but(self, listed: Iterable[str], trouble: bool) -> None:
+    def _drop_all_but(self, listed: Iterable[str], trouble: bool, origin: Origin) -> None:
         kept = set(listed)
         for name in [name for name in self._server_documents if name not in kept]:
-            self._drop(name, trouble)
+            self._drop(name, trouble, origin)
 
-    def _drop(self, name: str, trouble: bool) -> None:
+    def _drop(self, name: str, trouble: bool, origin: Origin) -> None:
         self._server_documents.pop(name, None)
         self._server_changes.pop(name, None)
         self._note_server_change()
         self.pool.directory.remove(name, self._now(), trouble, self.servers_fresh_at)
-        log_state("server", "unlisted", server=name, store_in_trouble=trouble)
+        self._log_server("unlisted", name, origin, store_in_trouble=trouble)
+
+    def _log_server(self, state: str, server: str, origin: Origin, **fields: object) -> None:
+        """Say what is known of a server now, by which way, and how old the list was before."""
+        log_state(
+            "server",
+            state,
+            server=server,
+            source=origin.source.value,
+            teller=origin.teller,
+            list_version=origin.version,
+            list_age_ms=round(self.list_age_ms) if math.isfinite(self.list_age_ms) else None,
+            **fields,
+        )
+
+    @property
+    def list_age_ms(self) -> float:
+        """Return how long ago the list was as the store has it; infinite before it ever was."""
+        return (self._now() - self.servers_fresh_at) * MS_PER_SECOND
 
-    def _put(self, name: str, document: bytes, version: int) -> None:
+    def _put(self, name: str, document: bytes, origin: Origin) -> None:
         try:
             entry = self._documents.server(name, document)
         except MalformedDocument as error:
             log_state("server", "unreadable", server=name, error=str(error))
             if name in self._server_documents:
-                self._drop(name, trouble=False)
+                self._drop(name, False, origin)
             return
         directory = self.pool.directory
         known = directory.get(name)
@@ -189,12 +238,15 @@
             known = None
         new = name not in self._server_documents
         if new or known is None or _standing(known) != _standing(entry):
-            self._server_changes[name] = version
+            self._server_changes[name] = origin.version
             self._note_server_change()
         if known is None or known.state is not entry.state:
-            state = entry.state.value
-            log_state(
-                "server", state, server=entry.instance, service=entry.service, zone=entry.zone
+            self._log_server(
+                entry.state.value,
+                entry.instance,
+                origin,
+                service=entry.service,
+                zone=entry.zone,
             )
         self._server_documents[name] = document
         directory.put(entry)
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
@@ -67,6 +68,12 @@
         model = engine.model(key.target.model) if engine else None
         return model.load_seconds * MS_PER_SECOND if model else UNKNOWN_LOAD_MS
 
+    def observe_list_age(self) -> None:
+        """Note how old the list of servers is as one is chosen from it."""
+        age_ms = self._beliefs.list_age_ms
+        if math.isfinite(age_ms):
+            self.metrics.server_list_age_seconds.observe(age_ms / MS_PER_SECOND)
+
     def count_send(self, entry: ServerEntry, end: str) -> None:
         """Count what became of a send to a server."""
         self.metrics.sends.labels(self.metrics.server_labels.of(entry.instance), end).inc()
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -300,6 +300,7 @@
     async def _try_server(self, entry: ServerEntry) -> None:
         self._sends += 1
         self._server = entry.instance
+        self._serving.observe_list_age()
         self._handed_over = True
         target = self._caller.target
         health = self._pool.health(entry.instance)
--- a/loomwind/serving/server_list.py
+++ b/loomwind/serving/server_list.py
@@ -87,7 +87,7 @@
         if not isinstance(answer, ServerListAnswer):
             return False
         if answer.copy is not None:
-            self._beliefs.on_directory_copy(answer.copy)
+            self._beliefs.on_directory_copy(answer.copy, mirror.address)
         told_at = sent + (answer.held_ms - answer.age_ms) / MS_PER_SECOND
         self._beliefs.servers_fresh_at = max(self._beliefs.servers_fresh_at, told_at)
         return self._now() - self._beliefs.servers_fresh_at < self._longest_age
