--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -19,6 +19,7 @@
 from loomwind.metrics import Metrics
 from loomwind.peering.transport import PeerTransport
 from loomwind.placement.controller import PlacementController
+from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
@@ -151,6 +152,9 @@
             self._beliefs,
             self.settings.bounds,
         )
+        self._anti_entropy = AntiEntropy(
+            self._own.address, self._transport, self._peers, self._beliefs, self._health
+        )
         self._exchange = PeerExchange(
             self._own,
             self._transport,
@@ -161,6 +165,7 @@
             self._health,
             self._watch,
             self._server_list,
+            self._anti_entropy,
         )
         self._controller = PlacementController(
             self.settings.name,
@@ -204,7 +209,7 @@
         self._spawn(self._controller.run())
         self._spawn(self._peers.register())
         self._spawn(self._exchange.send_demand())
-        self._spawn(self._exchange.send_digests())
+        self._spawn(self._anti_entropy.run())
         self._spawn(self._server_list.run())
         self._spawn(self._watch.watch())
         self._spawn(self._watch.tell())
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -1,7 +1,6 @@
 """What daemons tell each other: demand, holdings, and newer contents for those that lack them."""
 
 import asyncio
-import random
 from collections import deque
 
 from loomwind import constants
@@ -21,6 +20,7 @@
     ServerListQuestion,
 )
 from loomwind.peering.transport import PeerTransport
+from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.leader_watch import LeaderWatch
@@ -67,6 +67,7 @@
         health: StoreHealth,
         watch: LeaderWatch,
         server_list: ServerListFollower,
+        anti_entropy: AntiEntropy,
     ) -> None:
         self._own = own
         self._transport = transport
@@ -77,6 +78,7 @@
         self._health = health
         self._watch = watch
         self._server_list = server_list
+        self._anti_entropy = anti_entropy
         self._holdings_fence = 0
         self._untold: dict[str, ServerHolding] = {}
         self._telling: asyncio.TimerHandle | None = None
@@ -98,7 +100,7 @@
             case PoolExpectations():
                 self._on_expectations(message)
             case PoolDigest():
-                self._on_digest(message)
+                self._anti_entropy.on_digest(message)
             case ConfigurationCopy():
                 self._beliefs.on_configuration_copy(message)
             case DirectoryCopy():
@@ -134,17 +136,6 @@
         if peer is not None:
             self._transport.cast(peer.address, message)
 
-    def _on_digest(self, digest: PoolDigest) -> None:
-        """Send a peer what it lacks."""
-        configuration = self._beliefs.configuration_copy(digest.configuration_version)
-        if configuration is not None:
-            self._transport.cast(digest.sender, configuration)
-        if digest.store_answers:
-            return
-        directory = self._beliefs.directory_copy(digest.server_version)
-        if directory is not None:
-            self._transport.cast(digest.sender, directory)
-
     def tell_holdings(self, message: PoolHoldings) -> None:
         """Tell all daemons what servers hold; in a large fleet several changes at once."""
         self._on_holdings(message)
@@ -205,21 +196,6 @@
     def _report_interval_seconds(self) -> float:
         return self._peers.paced(constants.POOL_DEMAND_INTERVAL_SECONDS)
 
-    async def send_digests(self) -> None:
-        """Let a peer know what this daemon knows, so that it sends what is newer."""
-        while True:
-            await asyncio.sleep(constants.POOL_DIGEST_INTERVAL_SECONDS)
-            others = self._peers.others()
-            if not others:
-                continue
-            digest = PoolDigest(
-                self._own.address,
-                self._beliefs.configuration_version,
-                self._pool.directory.version,
-                self._health.answering_since is not None,
-            )
-            self._transport.cast(random.choice(others).address, digest)
-
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
