--- /dev/null
+++ b/features/support/server_list_fleet.py
@@ -0,0 +1,308 @@
+"""A fleet of daemons that follow the list of servers: the real followers, a made store and links.
+
+It runs in virtual time. The store and the links can be given faults, and each daemon notes when it
+learns that a server leaves.
+"""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import cast
+
+import msgspec
+from attrs import define, field
+
+from loomwind.leadership.lease import LeaseHolder
+from loomwind.messages import AnyMessage
+from loomwind.messages.serving import DirectoryCopy, PoolDigest, ServerListQuestion
+from loomwind.metrics import Metrics
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
+from loomwind.platform.documents import PlatformDocuments
+from loomwind.serving.anti_entropy import AntiEntropy
+from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.follower import StoreHealth, TableFollower
+from loomwind.serving.peers import PeerEntry, PeerTable
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.ports import HistoryLost, Snapshot, Store, StoredRow, StoreUnavailable
+from loomwind.serving.server_list import ServerListFollower
+from loomwind.settings import BoundSettings
+
+SERVICE = "tutor"
+CALL_SECONDS = 0.004
+LINK_SECONDS = 0.002
+# As the adapter of the store waits: for a feed longer than it asked, for a table so long.
+FEED_MARGIN_SECONDS = 0.6
+READ_TIMEOUT_SECONDS = 1.5
+
+
+def server_document(state: str, held: int = 0) -> bytes:
+    """Return a server's entry as it stands in the store."""
+    entry = {"service": SERVICE, "address": "a:1", "zone": "z", "state": state}
+    return msgspec.json.encode(entry | {"models": [{"name": f"m{held}"}]})
+
+
+@define
+class StoreFaults:
+    """What is wrong with the store now.
+
+    :ivar silent_to: daemons whose calls get no answer.
+    :ivar refuses: daemons whose calls are refused at once.
+    :ivar deaf: whether feeds hear of no change.
+    """
+
+    silent_to: set[str] = field(factory=set)
+    refuses: set[str] = field(factory=set)
+    deaf: bool = False
+
+
+class MadeStore:
+    """The servers' table with its feed."""
+
+    def __init__(self, servers: int) -> None:
+        self.faults = StoreFaults()
+        self._version = 1
+        self._rows = {f"s{number}": (1, server_document("ready")) for number in range(servers)}
+        self._changed = asyncio.Event()
+        self._oldest_kept = 1
+
+    def put(self, name: str, document: bytes) -> None:
+        """Write a row."""
+        self._version += 1
+        self._rows[name] = (self._version, document)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the feeds look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def forget_history(self) -> None:
+        """Drop what feeds could tell of earlier changes, and cut them."""
+        self._oldest_kept = self._version + 1
+        self.wake()
+
+    async def read(self, daemon: str) -> Snapshot:
+        """Return the whole table."""
+        await self._reach(daemon, READ_TIMEOUT_SECONDS)
+        return self._since(0)
+
+    async def changes(self, daemon: str, after: int, wait_seconds: float) -> Snapshot:
+        """Return what has changed, as soon as something has."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_seconds
+        await self._reach(daemon, wait_seconds + FEED_MARGIN_SECONDS)
+        while True:
+            if after < self._oldest_kept - 1:
+                raise HistoryLost("the history is gone")
+            found = self._since(after)
+            if (found.rows and not self.faults.deaf) or loop.time() >= until:
+                return Snapshot((), after) if self.faults.deaf else found
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(until):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    def _since(self, version: int) -> Snapshot:
+        rows = [
+            StoredRow(name, changed, document)
+            for name, (changed, document) in self._rows.items()
+            if changed > version
+        ]
+        return Snapshot(tuple(rows), self._version)
+
+    async def _reach(self, daemon: str, timeout: float) -> None:
+        if daemon in self.faults.silent_to:
+            await asyncio.sleep(timeout)
+            raise StoreUnavailable("no answer")
+        await asyncio.sleep(CALL_SECONDS)
+        if daemon in self.faults.refuses:
+            raise StoreUnavailable("status 503")
+
+
+class StoreOfDaemon:
+    """The store as one daemon calls it."""
+
+    def __init__(self, store: MadeStore, daemon: str) -> None:
+        self._store = store
+        self._daemon = daemon
+
+    async def read(self, table: str) -> Snapshot:
+        """Return the whole table."""
+        return await self._store.read(self._daemon)
+
+    async def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
+        """Return what has changed."""
+        return await self._store.changes(self._daemon, after, wait_seconds)
+
+
+class Links:
+    """The links between daemons.
+
+    :ivar silent: daemons that answer no peer, and hear none.
+    """
+
+    def __init__(self) -> None:
+        self.silent: set[str] = set()
+        self._daemons: dict[str, FleetDaemon] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def add(self, daemon: "FleetDaemon") -> None:
+        """Let a daemon be reached."""
+        self._daemons[daemon.name] = daemon
+
+    async def call(
+        self, sender: str, address: str, message: AnyMessage, timeout: float
+    ) -> AnyMessage:
+        """Ask a peer."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._pass(sender, address)
+                answer = await self._daemons[address].on_message(message)
+                await self._pass(sender, address)
+        except TimeoutError as error:
+            raise PeerUnreachable("no answer") from error
+        assert answer is not None
+        return answer
+
+    def cast(self, sender: str, address: str, message: AnyMessage) -> None:
+        """Tell a peer."""
+        task = asyncio.get_running_loop().create_task(self._cast(sender, address, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _cast(self, sender: str, address: str, message: AnyMessage) -> None:
+        if not {sender, address} & self.silent:
+            await asyncio.sleep(LINK_SECONDS)
+            await self._daemons[address].on_message(message)
+
+    async def _pass(self, sender: str, address: str) -> None:
+        await asyncio.sleep(LINK_SECONDS)
+        if {sender, address} & self.silent:
+            await asyncio.Event().wait()
+
+
+class LinksOfDaemon:
+    """The links as one daemon uses them."""
+
+    def __init__(self, links: Links, daemon: str) -> None:
+        self._links = links
+        self._daemon = daemon
+
+    async def call(self, address: str, message: AnyMessage, timeout: float) -> AnyMessage:
+        """Ask a peer."""
+        return await self._links.call(self._daemon, address, message, timeout)
+
+    def cast(self, address: str, message: AnyMessage) -> None:
+        """Tell a peer."""
+        self._links.cast(self._daemon, address, message)
+
+
+class PeersOfDaemon:
+    """The fleet's daemons in their order; the first ones are mirrors."""
+
+    def __init__(self, own: str, names: list[str], mirrors: int) -> None:
+        self._own = own
+        self._entries = [PeerEntry(name, "z", f"life-{name}") for name in names]
+        self._mirrors = mirrors
+
+    def others(self) -> list[PeerEntry]:
+        """Return all daemons but this one."""
+        return [entry for entry in self._entries if entry.address != self._own]
+
+    def mirrors(self) -> list[PeerEntry]:
+        """Return the daemons that read the store for others."""
+        return self._entries[: self._mirrors]
+
+
+class FleetDaemon:
+    """One daemon's part that follows the list."""
+
+    def __init__(
+        self, name: str, store: MadeStore, links: Links, peers: PeersOfDaemon, bounds: BoundSettings
+    ) -> None:
+        self.name = name
+        health = StoreHealth()
+        self.beliefs = Beliefs(PlatformDocuments(), "config", ServerPool(bounds), health, Metrics())
+        self._table = TableFollower(
+            cast(Store, StoreOfDaemon(store, name)), "servers", health, self.beliefs.on_server_rows
+        )
+        self._follower = ServerListFollower(
+            LeaseHolder(name, f"life-{name}", name),
+            self._table,
+            cast(PeerTransport, LinksOfDaemon(links, name)),
+            cast(PeerTable, peers),
+            self.beliefs,
+            bounds,
+        )
+        self._anti_entropy = AntiEntropy(
+            name,
+            cast(PeerTransport, LinksOfDaemon(links, name)),
+            cast(PeerTable, peers),
+            self.beliefs,
+            health,
+        )
+
+    async def on_message(self, message: AnyMessage) -> AnyMessage | None:
+        """Act on a peer's message."""
+        match message:
+            case ServerListQuestion():
+                return await self._follower.answer(message)
+            case PoolDigest():
+                self._anti_entropy.on_digest(message)
+            case DirectoryCopy():
+                self.beliefs.on_directory_copy(message)
+        return None
+
+    def uses(self, server: str) -> bool:
+        """Whether a request may be sent to a server."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            entry.name == server for entry in self.beliefs.pool.directory.usable(SERVICE, now)
+        )
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        await asyncio.gather(self._follower.run(), self._anti_entropy.run())
+
+
+class Fleet:
+    """Daemons, store and links, with their faults."""
+
+    def __init__(self, daemons: int, mirrors: int, servers: int, drain_ms: float) -> None:
+        self.store = MadeStore(servers)
+        self.links = Links()
+        self.names = [f"d{number}" for number in range(daemons)]
+        self.mirrors = self.names[:mirrors]
+        bounds = BoundSettings(drain_ms=drain_ms)
+        self.daemons = [
+            FleetDaemon(
+                name, self.store, self.links, PeersOfDaemon(name, self.names, mirrors), bounds
+            )
+            for name in self.names
+        ]
+        for daemon in self.daemons:
+            self.links.add(daemon)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, draw: random.Random) -> None:
+        """Let the daemons begin within a second of each other."""
+        for daemon in self.daemons:
+            self._tasks.append(asyncio.ensure_future(self._start_later(daemon, draw.random())))
+
+    @staticmethod
+    async def _start_later(daemon: FleetDaemon, delay: float) -> None:
+        await asyncio.sleep(delay)
+        await daemon.run()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run something beside the daemons until the fleet stops."""
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def stop(self) -> None:
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
