Tell all daemons at once that a server leaves, and ask mirrors and the store side by side

But a request that reaches a server 3.0 s after it has said that it leaves may find it gone, and then it fails.

Cause: pauses in series. A mirror rested out its period of 0.9 s after each answer of the feed, and so did the daemon that asked it, also after history-lost; one way was tried after the other, so that a silent one held up the one that would answer; and a mirror that the store refused asked nobody. One fault took more than the bound of 3.0 s.

Now a daemon that learns that a server leaves tells its fingers (the daemons at distances of 1, 2, 4 ... in their common order), and each that hears it first passes it on. A departure carries the store's version: a later entry goes before it. Where that is lost, the bound still holds by the other ways, which no longer wait for each other: three mirrors a period at most, a mirror that is behind says so at once, and the store beside them once the list is older than 0.7 of the bound. A lost history is read again at once, and an answer at an older version no longer counts as fresh.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -17,3 +17,22 @@
       | 69      | 3       | 3.0   | a third of the daemons is gone, the mirrors first     |
       | 195     | 7       | 4.0   | the store refuses a third of the daemons              |
       | 6       | 3       | 2.0   | a mirror is cut off, and the feeds lose their history |
+      | 69      | 3       | 3.0   | gossip is lost                                        |
+      | 69      | 3       | 3.0   | gossip is lost, and the store refuses a third         |
+      | 69      | 3       | 3.0   | gossip is lost, and a mirror is cut off               |
+      | 69      | 3       | 3.0   | gossip is lost, and the feeds lose their history      |
+
+  Scenario: word of a departure counts until the store lists the server as ready at a later version
+    Given a daemon that lists server s1 as ready at version 4
+    When a peer says that s1 leaves as of version 7
+    Then s1 gets no new work, and that is passed on once
+    When the store's feed says at version 6 that s1 is ready and holds another model
+    Then s1 gets no new work, and that is passed on once
+    When the store's feed says at version 8 that s1 is ready and holds another model
+    Then s1 gets new work
+
+  Scenario: word that an entry has gone counts for nothing while the store is in trouble here
+    Given a daemon that lists server s1 as ready at version 4
+    And whose call of the store has just failed
+    When a peer says that the entry of s1 has gone as of version 7
+    Then s1 gets new work
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -8,8 +8,16 @@
 from attrs import frozen
 from behave import given, then, when
 
-from features.support.server_list_fleet import Fleet, server_document
+from features.support.server_list_fleet import SERVICE, Fleet, server_document
 from features.support.virtual_time import run_in_virtual_time
+from loomwind.messages.serving import ServerDeparture, ServerDepartures
+from loomwind.metrics import Metrics
+from loomwind.platform.documents import PlatformDocuments
+from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.follower import StoreHealth
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.ports import Snapshot, StoredRow
+from loomwind.settings import BoundSettings
 
 SERVERS = 20
 LEAVING = "s0"
@@ -62,6 +70,21 @@
     return set(fleet.links.silent)
 
 
+def _lose_gossip(fleet: Fleet, draw: random.Random) -> set[str]:
+    fleet.links.loses_gossip = True
+    return set()
+
+
+def _lose_gossip_and_refuse(fleet: Fleet, draw: random.Random) -> set[str]:
+    fleet.links.loses_gossip = True
+    return _refuse_a_third(fleet, draw)
+
+
+def _lose_gossip_and_a_mirror(fleet: Fleet, draw: random.Random) -> set[str]:
+    fleet.links.loses_gossip = True
+    return _cut_a_mirror_off(fleet, draw)
+
+
 def _lose_a_third(fleet: Fleet, draw: random.Random) -> set[str]:
     gone = {*fleet.mirrors, *_a_third(fleet, draw)}
     fleet.links.silent.update(gone)
@@ -93,6 +116,10 @@
     "the store is silent to all mirrors": Trouble(_silent_to_mirrors),
     "a mirror is cut off, and the feeds lose their history": Trouble(_cut_a_mirror_off, True),
     "a third of the daemons is gone, the mirrors first": Trouble(_lose_a_third),
+    "gossip is lost": Trouble(_lose_gossip),
+    "gossip is lost, and the store refuses a third": Trouble(_lose_gossip_and_refuse),
+    "gossip is lost, and a mirror is cut off": Trouble(_lose_gossip_and_a_mirror),
+    "gossip is lost, and the feeds lose their history": Trouble(_lose_gossip, True),
 }
 
 
@@ -152,3 +179,60 @@
 def step_within_bound(context: Any) -> None:
     late = [play for play in context.plays if play.late]
     assert not late, [(play.seed, len(play.late), play.late[:5]) for play in late]
+
+
+@given("a daemon that lists server {name:w} as ready at version {version:d}")
+def step_lists(context: Any, name: str, version: int) -> None:
+    context.health = StoreHealth()
+    context.listing = Beliefs(
+        PlatformDocuments(), "config", ServerPool(BoundSettings()), context.health, Metrics()
+    )
+    context.passed_on = []
+    context.listing.on_departures = context.passed_on.append
+    _hear_row(context, name, version)
+
+
+def _hear_row(context: Any, name: str, version: int) -> None:
+    row = StoredRow(name, version, server_document("ready", held=version))
+    run_in_virtual_time(_at_once(context.listing.on_server_rows, Snapshot((row,), version), False))
+
+
+async def _at_once(hear: Callable[..., None], *arguments: object) -> None:
+    """Call a function inside a loop, whose time it reads."""
+    hear(*arguments)
+
+
+@given("whose call of the store has just failed")
+def step_store_failed(context: Any) -> None:
+    context.health.failed(0.0, "reset")
+
+
+@when("a peer says that {name:w} leaves as of version {version:d}")
+def step_peer_says_leaves(context: Any, name: str, version: int) -> None:
+    _hear_departure(context, ServerDeparture(name, name, version, listed=True))
+
+
+@when("a peer says that the entry of {name:w} has gone as of version {version:d}")
+def step_peer_says_gone(context: Any, name: str, version: int) -> None:
+    _hear_departure(context, ServerDeparture(name, name, version, listed=False))
+
+
+def _hear_departure(context: Any, departure: ServerDeparture) -> None:
+    notice = ServerDepartures("peer:1", (departure,))
+    run_in_virtual_time(_at_once(context.listing.on_departure_notice, notice))
+
+
+@when("the store's feed says at version {version:d} that {name:w} is ready and holds another model")
+def step_feed_says(context: Any, version: int, name: str) -> None:
+    _hear_row(context, name, version)
+
+
+@then("{name:w} gets no new work, and that is passed on once")
+def step_no_work(context: Any, name: str) -> None:
+    assert context.listing.pool.directory.usable(SERVICE, 0.0) == []
+    assert [departure.name for (departure,) in context.passed_on] == [name]
+
+
+@then("{name:w} gets new work")
+def step_work(context: Any, name: str) -> None:
+    assert [entry.name for entry in context.listing.pool.directory.usable(SERVICE, 0.0)] == [name]
--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -14,13 +14,19 @@
 
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import AnyMessage
-from loomwind.messages.serving import DirectoryCopy, PoolDigest, ServerListQuestion
+from loomwind.messages.serving import (
+    DirectoryCopy,
+    PoolDigest,
+    ServerDepartures,
+    ServerListQuestion,
+)
 from loomwind.metrics import Metrics
 from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
 from loomwind.platform.documents import PlatformDocuments
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
@@ -142,10 +148,12 @@
     """The links between daemons.
 
     :ivar silent: daemons that answer no peer, and hear none.
+    :ivar loses_gossip: whether word of departures is lost.
     """
 
     def __init__(self) -> None:
         self.silent: set[str] = set()
+        self.loses_gossip = False
         self._daemons: dict[str, FleetDaemon] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -174,7 +182,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _cast(self, sender: str, address: str, message: AnyMessage) -> None:
-        if not {sender, address} & self.silent:
+        lost = self.loses_gossip and isinstance(message, ServerDepartures)
+        if not lost and not {sender, address} & self.silent:
             await asyncio.sleep(LINK_SECONDS)
             await self._daemons[address].on_message(message)
 
@@ -216,6 +225,12 @@
         """Return the daemons that read the store for others."""
         return self._entries[: self._mirrors]
 
+    def fingers(self) -> list[PeerEntry]:
+        """Return the daemons that this one passes word on to."""
+        count = len(self._entries)
+        place = next(i for i, entry in enumerate(self._entries) if entry.address == self._own)
+        return [self._entries[(place + (1 << i)) % count] for i in range((count - 1).bit_length())]
+
 
 class FleetDaemon:
     """One daemon's part that follows the list."""
@@ -244,6 +259,12 @@
             self.beliefs,
             health,
         )
+        DepartureGossip(
+            name,
+            cast(PeerTransport, LinksOfDaemon(links, name)),
+            cast(PeerTable, peers),
+            self.beliefs,
+        )
 
     async def on_message(self, message: AnyMessage) -> AnyMessage | None:
         """Act on a peer's message."""
@@ -254,6 +275,8 @@
                 self._anti_entropy.on_digest(message)
             case DirectoryCopy():
                 self.beliefs.on_directory_copy(message)
+            case ServerDepartures():
+                self.beliefs.on_departure_notice(message)
         return None
 
     def uses(self, server: str) -> bool:
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -57,6 +57,8 @@
     PoolDigest,
     PoolExpectations,
     PoolHoldings,
+    ServerDeparture,
+    ServerDepartures,
     ServerListAnswer,
     ServerListQuestion,
 )
@@ -98,6 +100,7 @@
     | PoolExpectations
     | ServerListQuestion
     | ServerListAnswer
+    | ServerDepartures
 )
 
 __all__ = [
@@ -148,6 +151,8 @@
     "RegisterValue",
     "RoutingRequest",
     "RoutingUpdate",
+    "ServerDeparture",
+    "ServerDepartures",
     "ServerListAnswer",
     "ServerListQuestion",
     "Stamp",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -138,3 +138,27 @@
     held_ms: float
     age_ms: float
     copy: DirectoryCopy | None = None
+
+
+class ServerDeparture(Message, frozen=True, array_like=True):
+    """One life of a server that gets no new work.
+
+    :param instance: names the life.
+    :param version: the store's version at which it was known to leave.
+    :param listed: whether its entry says so; otherwise the entry is gone.
+    """
+
+    name: str
+    instance: str
+    version: int
+    listed: bool
+
+
+class ServerDepartures(Message, frozen=True, tag=True, array_like=True):
+    """Told by a daemon that has just learned which servers leave.
+
+    :param teller: ``host:port`` of the daemon for peers.
+    """
+
+    teller: str
+    departures: tuple[ServerDeparture, ...]
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 from msgspec.structs import replace
@@ -15,13 +15,19 @@
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.server import ServerLimits
 from loomwind.logs import log_state
-from loomwind.messages.serving import ConfigurationCopy, DirectoryCopy, ServerDocument
+from loomwind.messages.serving import (
+    ConfigurationCopy,
+    DirectoryCopy,
+    ServerDeparture,
+    ServerDepartures,
+    ServerDocument,
+)
 from loomwind.metrics import Metrics
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Documents, MalformedDocument, Snapshot
 from loomwind.serving.routes import RouteTable
-from loomwind.serving.views import Configuration, ServerEntry
+from loomwind.serving.views import Configuration, ServerEntry, ServerState
 
 
 class Source(enum.Enum):
@@ -30,6 +36,7 @@
     FEED = "feed"
     TABLE = "table"
     PEER = "peer"
+    GOSSIP = "gossip"
 
 
 @frozen
@@ -51,6 +58,7 @@
     :ivar routes: the routes in force; None before a configuration is known.
     :ivar limits: what callers may send; those of the configuration once there is one.
     :ivar servers_fresh_at: loop time at which the list of servers was as the store has it.
+    :ivar on_departures: called with servers that leave, as soon as that is first known here.
     """
 
     def __init__(
@@ -73,6 +81,8 @@
         self.routes: RouteTable | None = None
         self.limits = ServerLimits()
         self.servers_fresh_at = float("-inf")
+        self.on_departures: Callable[[tuple[ServerDeparture, ...]], None] = lambda departures: None
+        self._departures: list[ServerDeparture] = []
 
     @property
     def configuration(self) -> Configuration | None:
@@ -148,6 +158,35 @@
             self._put(server.name, server.document, origin)
         self._note_servers(copy.version)
 
+    def on_departure_notice(self, notice: ServerDepartures) -> None:
+        """Take in a peer's word that servers leave.
+
+        That an entry has gone says nothing to a daemon that knows the store to be in trouble.
+        """
+        trouble = self._health.in_trouble(self._now())
+        for departure in notice.departures:
+            if trouble and not departure.listed:
+                continue
+            if self.pool.directory.note_departure(
+                departure.name, departure.instance, departure.version
+            ):
+                origin = Origin(Source.GOSSIP, departure.version, notice.teller)
+                self._log_server("departing", departure.instance, origin)
+                self._departures.append(departure)
+        self._tell_departures()
+
+    def _tell_departures(self) -> None:
+        """Hand over what has become known of servers that leave."""
+        if self._departures:
+            departures, self._departures = tuple(self._departures), []
+            self.on_departures(departures)
+
+    def _note_departure(self, known: ServerEntry, origin: Origin, listed: bool) -> None:
+        """Note that a server leaves that was taken to stay."""
+        if not self.pool.directory.is_departing(known.name):
+            departure = ServerDeparture(known.name, known.instance, origin.version, listed)
+            self._departures.append(departure)
+
     @property
     def server_version(self) -> int:
         """Return the store's version that the list of servers stands at."""
@@ -199,6 +238,9 @@
         self._server_documents.pop(name, None)
         self._server_changes.pop(name, None)
         self._note_server_change()
+        known = self.pool.directory.get(name)
+        if known is not None and not trouble:
+            self._note_departure(known, origin, listed=False)
         self.pool.directory.remove(name, self._now(), trouble, self.servers_fresh_at)
         self._log_server("unlisted", name, origin, store_in_trouble=trouble)
 
@@ -248,8 +290,10 @@
                 service=entry.service,
                 zone=entry.zone,
             )
+        if known is not None and entry.state is ServerState.DRAINING:
+            self._note_departure(known, origin, listed=True)
         self._server_documents[name] = document
-        directory.put(entry)
+        directory.put(entry, origin.version)
 
     def _note_servers(self, version: int) -> None:
         directory = self.pool.directory
@@ -257,6 +301,7 @@
         self._metrics.servers.set(len(directory.entries()))
         self._metrics.servers_usable.set(directory.usable_count(self._now()))
         self.pool.refresh()
+        self._tell_departures()
 
     @staticmethod
     def _now() -> float:
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -21,6 +21,7 @@
 from loomwind.placement.controller import PlacementController
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
@@ -155,6 +156,9 @@
         self._anti_entropy = AntiEntropy(
             self._own.address, self._transport, self._peers, self._beliefs, self._health
         )
+        self._gossip = DepartureGossip(
+            self._own.address, self._transport, self._peers, self._beliefs
+        )
         self._exchange = PeerExchange(
             self._own,
             self._transport,
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -15,9 +15,16 @@
 
 
 class _Listed(Struct):
+    """A server that is known.
+
+    :param replaced: whether another life was seen at its address.
+    :param departed_at_version: the store's version at which a peer knew that it leaves; 0 for none.
+    """
+
     entry: ServerEntry
     vanished_at: float | None = None
     replaced: bool = False
+    departed_at_version: int = 0
 
 
 class ServerDirectory:
@@ -40,12 +47,27 @@
         self._vanished_grace = VANISHED_GRACE_PART * drain_seconds
         self._followed_age = FOLLOWED_PART * drain_seconds
 
-    def put(self, entry: ServerEntry) -> None:
-        """Take in an entry as listed now."""
+    def put(self, entry: ServerEntry, version: int = 0) -> None:
+        """Take in an entry as listed at a version of the store."""
+        listed = _Listed(entry)
         known = self._servers.get(entry.name)
-        same_life = known is not None and known.entry.instance == entry.instance
-        replaced = same_life and known is not None and known.replaced
-        self._servers[entry.name] = _Listed(entry, None, replaced)
+        if known is not None and known.entry.instance == entry.instance:
+            listed.replaced = known.replaced
+            if known.departed_at_version >= version:
+                listed.departed_at_version = known.departed_at_version
+        self._servers[entry.name] = listed
+
+    def note_departure(self, name: str, instance: str, version: int) -> bool:
+        """Take in a peer's word that a server leaves; returns whether that is news.
+
+        :param version: the store's version at which it was known. A later entry goes before it.
+        """
+        known = self._servers.get(name)
+        if known is None or known.entry.instance != instance:
+            return False
+        news = not self.is_departing(name)
+        known.departed_at_version = max(known.departed_at_version, version)
+        return news
 
     def remove(self, name: str, now: float, store_in_trouble: bool, fresh_at: float) -> None:
         """Take in that an entry has gone.
@@ -63,6 +85,13 @@
         else:
             del self._servers[name]
 
+    def is_departing(self, name: str) -> bool:
+        """Whether a server is known to leave, by its entry or by a peer."""
+        known = self._servers.get(name)
+        if known is None:
+            return False
+        return known.entry.state is ServerState.DRAINING or known.departed_at_version > 0
+
     def note_replaced(self, entry: ServerEntry) -> None:
         """Another server answers at the address of this one: this life of it is gone."""
         known = self._servers.get(entry.name)
@@ -91,7 +120,7 @@
         return [known.entry for known in self._servers.values() if not known.replaced]
 
     def _may_get_work(self, known: _Listed, now: float) -> bool:
-        if known.replaced or known.entry.state is not ServerState.READY:
+        if known.replaced or self.is_departing(known.entry.name):
             return False
         if known.vanished_at is None:
             return True
--- a/loomwind/serving/follower.py
+++ b/loomwind/serving/follower.py
@@ -82,14 +82,14 @@
             await asyncio.sleep(self._rest())
 
     async def follow_once(self, wait_seconds: float) -> bool:
-        """Make one call, and pause after one that failed; returns whether it was answered.
+        """Make one call, and pause after one that failed; returns whether the rows are the newest.
 
         :param wait_seconds: how long the store may hold its answer until something changes.
         """
         try:
-            await self._step(wait_seconds)
+            newest = await self._step(wait_seconds)
             self._retry = RETRY_SECONDS
-            return True
+            return newest
         except HistoryLost:
             log_state("feed", "history-lost", table=self._table, version=self.version)
             self.synchronised = False
@@ -108,7 +108,8 @@
             self.version = version
             self.synchronised = True
 
-    async def _step(self, wait_seconds: float) -> None:
+    async def _step(self, wait_seconds: float) -> bool:
+        """Make one call; returns False when the store's answer was older than what is known."""
         if self._health.answering_since is None:
             wait_seconds = 0.0  # so that the store's return is known at once
         if self.synchronised:
@@ -118,11 +119,12 @@
         self._health.succeeded(self._now())
         if snapshot.version < self.version:
             await asyncio.sleep(RETRY_SECONDS)
-            return
+            return False
         whole = not self.synchronised
         self.version = snapshot.version
         self.synchronised = True
         self._on_rows(snapshot, whole)
+        return True
 
     @staticmethod
     def _now() -> float:
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -17,6 +17,7 @@
     PoolDigest,
     PoolExpectations,
     PoolHoldings,
+    ServerDepartures,
     ServerListQuestion,
 )
 from loomwind.peering.transport import PeerTransport
@@ -105,6 +106,8 @@
                 self._beliefs.on_configuration_copy(message)
             case DirectoryCopy():
                 self._beliefs.on_directory_copy(message)
+            case ServerDepartures():
+                self._beliefs.on_departure_notice(message)
         return None
 
     def _on_demand(self, message: PoolDemand) -> None:
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -1,6 +1,7 @@
 """The daemons that share a pool: each writes a row of its own, and finds the others by theirs."""
 
 import asyncio
+import bisect
 
 import msgspec
 import xxhash
@@ -136,6 +137,17 @@
         count = max(LEAST_MIRRORS, len(self._peers) // DAEMONS_A_MIRROR)
         return [self._peers[name] for name in self._ranked[:count]]
 
+    def fingers(self) -> list[PeerEntry]:
+        """Return the daemons at distances of 1, 2, 4 and so on in the order of all.
+
+        What each daemon passes on to these, once, reaches all by several ways.
+        """
+        count = len(self._ranked)
+        place = bisect.bisect_left(self._ranked, _rank(self._own.name), key=_rank)
+        distances = (1 << power for power in range((count - 1).bit_length()))
+        names = {self._ranked[(place + distance) % count] for distance in distances}
+        return [self._peers[name] for name in names if name != self._own.name]
+
     def _on_peer_row(self, row: StoredRow) -> None:
         name = row.key.removeprefix(PEER_KEY_PREFIX)
         if row.gone:
--- a/loomwind/serving/server_list.py
+++ b/loomwind/serving/server_list.py
@@ -1,7 +1,8 @@
 """Keeps the list of servers fresh: a few daemons read the store, and the others ask one of them.
 
-Each answer says how old the store's word behind it is; a daemon whose list gets too old by that
-asks the store itself, so that nobody depends on a peer.
+Each answer says how old the store's word behind it is. A daemon whose list gets too old by that
+asks the store itself, beside the peers that it goes on asking, so that neither a silent peer nor a
+silent store holds up the other way.
 """
 
 import asyncio
@@ -22,6 +23,9 @@
 PERIOD_PART = 0.3
 STALE_PART = 0.7
 ANSWER_MARGIN_SECONDS = 0.25
+# Mirrors that a daemon asks in one period, so that a store that is away costs few messages.
+MOST_ASKED = 3
+LEAST_PAUSE_SECONDS = 0.01
 # Told of a list that was never fresh; a number, since it goes over the wire.
 LONGEST_AGE_MS = 1e9
 
@@ -43,6 +47,7 @@
         self._transport = transport
         self._peers = peers
         self._beliefs = beliefs
+        self._asked = asyncio.Event()
         self.set_bounds(bounds)
 
     def set_bounds(self, bounds: BoundSettings) -> None:
@@ -51,29 +56,70 @@
         self._longest_age = STALE_PART * bounds.drain_seconds
 
     async def run(self) -> None:
-        """Follow for ever, with at most one call of the store in each period."""
+        """Follow for ever."""
+        async with asyncio.TaskGroup() as ways:
+            ways.create_task(self._follow_store())
+            ways.create_task(self._follow_mirrors())
+
+    def _age(self) -> float:
+        """Return how many seconds ago the list was as the store has it."""
+        return self._now() - self._beliefs.servers_fresh_at
+
+    # The store.
+
+    async def _follow_store(self) -> None:
+        """Read the store for ever: as a mirror, or while the list is too old."""
+        await self._let_mirrors_answer()
         while True:
             began = self._now()
-            mirror = self._mirror()
-            if mirror is None or not await self._ask(mirror):
-                await self._read_store()
-            await asyncio.sleep(max(0.0, began + self._period - self._now()))
+            due = self._beliefs.servers_fresh_at + self._longest_age
+            if not self._is_mirror() and began < due:
+                await asyncio.sleep(max(LEAST_PAUSE_SECONDS, due - began))
+            elif await self._read_store():
+                await asyncio.sleep(max(0.0, began + self._period - self._now()))
 
-    def _mirror(self) -> PeerEntry | None:
-        """Return a daemon to ask; None when this one reads the store itself."""
+    async def _let_mirrors_answer(self) -> None:
+        """Wait a moment for the first mirror that is asked, which may spare a call of the store."""
+        try:
+            async with asyncio.timeout(ANSWER_MARGIN_SECONDS):
+                await self._asked.wait()
+        except TimeoutError:
+            return
+
+    def _is_mirror(self) -> bool:
+        """Whether this daemon reads the store for others; all do until they know any daemon."""
         mirrors = self._peers.mirrors()
-        if not mirrors or any(mirror.life == self._own.life for mirror in mirrors):
-            return None
-        return random.choice(mirrors)
+        return not mirrors or any(mirror.life == self._own.life for mirror in mirrors)
 
-    async def _read_store(self) -> None:
+    async def _read_store(self) -> bool:
+        """Make one call; returns whether the list is fresh by it."""
         began = self._now()
         self._table.adopt(self._beliefs.server_version)
-        if await self._table.follow_once(self._period):
-            self._beliefs.servers_fresh_at = began
+        fresh = await self._table.follow_once(self._period)
+        if fresh:
+            self._beliefs.servers_fresh_at = max(self._beliefs.servers_fresh_at, began)
+        return fresh
+
+    # The mirrors.
+
+    async def _follow_mirrors(self) -> None:
+        """Ask mirrors for ever: one in each period, and others when that one does not help."""
+        while True:
+            began = self._now()
+            if not self._is_mirror() or self._age() >= self._longest_age:
+                await self._ask_until_fresh()
+            self._asked.set()
+            await asyncio.sleep(max(0.0, began + self._period - self._now()))
+
+    async def _ask_until_fresh(self) -> None:
+        """Ask one mirror after the other until the list is fresh by what they say."""
+        mirrors = [mirror for mirror in self._peers.mirrors() if mirror.life != self._own.life]
+        for mirror in random.sample(mirrors, min(MOST_ASKED, len(mirrors))):
+            if await self._ask(mirror) and self._age() < self._longest_age:
+                return
 
     async def _ask(self, mirror: PeerEntry) -> bool:
-        """Ask a daemon that reads the store; returns whether the list is fresh by that."""
+        """Ask a daemon that reads the store; returns whether it answered."""
         sent = self._now()
         question = ServerListQuestion(
             self._beliefs.server_version, round(self._period * MS_PER_SECOND)
@@ -90,18 +136,22 @@
             self._beliefs.on_directory_copy(answer.copy, mirror.address)
         told_at = sent + (answer.held_ms - answer.age_ms) / MS_PER_SECOND
         self._beliefs.servers_fresh_at = max(self._beliefs.servers_fresh_at, told_at)
-        return self._now() - self._beliefs.servers_fresh_at < self._longest_age
+        return True
 
     async def answer(self, question: ServerListQuestion) -> ServerListAnswer:
-        """Return what changed for a peer, as soon as something has, or after its waiting time."""
+        """Return what changed for a peer, as soon as something has, or after its waiting time.
+
+        A daemon whose own list is too old answers at once, so that the peer asks another.
+        """
         began = self._now()
-        if question.version >= self._beliefs.server_version:
+        may_wait = self._age() < self._longest_age
+        if may_wait and question.version >= self._beliefs.server_version:
             wait = min(question.wait_ms / MS_PER_SECOND, self._period)
             await self._beliefs.wait_for_server_change(wait)
         now = self._now()
         return ServerListAnswer(
             held_ms=(now - began) * MS_PER_SECOND,
-            age_ms=min(LONGEST_AGE_MS, (now - self._beliefs.servers_fresh_at) * MS_PER_SECOND),
+            age_ms=min(LONGEST_AGE_MS, self._age() * MS_PER_SECOND),
             copy=self._beliefs.directory_changes(question.version),
         )
 
