Send nothing to a server that began to leave while a connection to it was made

A request chosen late within the bound could so reach the server after it. The forwarder asks once it is connected; the request goes to another server, and nothing has run. The scenario failed before: the request was sent.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -36,3 +36,8 @@
     And whose call of the store has just failed
     When a peer says that the entry of s1 has gone as of version 7
     Then s1 gets new work
+
+  Scenario: a server that begins to leave while a connection to it is made gets no request
+    Given a daemon that lists server s1 as ready at version 4
+    When a request is sent to s1, which says that it leaves before the connection is made
+    Then nothing was sent, the connection is kept, and the request may go to another server
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -3,20 +3,26 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from attrs import frozen
 from behave import given, then, when
 
 from features.support.server_list_fleet import SERVICE, Fleet, server_document
 from features.support.virtual_time import run_in_virtual_time
+from loomwind.http.client import HttpClient
+from loomwind.http.messages import HttpRequest
 from loomwind.messages.serving import ServerDeparture, ServerDepartures
 from loomwind.metrics import Metrics
+from loomwind.platform.dialect import PlatformDialect
 from loomwind.platform.documents import PlatformDocuments
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.errors import SendFailed
 from loomwind.serving.follower import StoreHealth
+from loomwind.serving.forwarder import Forwarder, Outgoing
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Snapshot, StoredRow
+from loomwind.serving.views import CallerRequest, RequestKind, RouteRule, WeightedService
 from loomwind.settings import BoundSettings
 
 SERVERS = 20
@@ -236,3 +242,60 @@
 @then("{name:w} gets new work")
 def step_work(context: Any, name: str) -> None:
     assert [entry.name for entry in context.listing.pool.directory.usable(SERVICE, 0.0)] == [name]
+
+
+class SlowClient:
+    """Makes connections on which nothing may be sent; something happens before each is made."""
+
+    def __init__(self, before: Callable[[], None]) -> None:
+        self._before = before
+        self.kept: list[SilentConnection] = []
+
+    async def acquire(self, address: str, timeout: float) -> "SilentConnection":
+        """Return a new connection."""
+        self._before()
+        return SilentConnection()
+
+    def release(self, connection: "SilentConnection") -> None:
+        """Take a connection back."""
+        self.kept.append(connection)
+
+
+class SilentConnection:
+    """A connection that must not be used."""
+
+    def send_request(self, request: HttpRequest) -> None:
+        """Fail the test."""
+        raise AssertionError(f"sent: {request.target}")
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+@when("a request is sent to {name:w}, which says that it leaves before the connection is made")
+def step_sent_meanwhile(context: Any, name: str) -> None:
+    leaving = StoredRow(name, 9, server_document("draining"))
+    beliefs: Beliefs = context.listing
+    context.client = SlowClient(lambda: beliefs.on_server_rows(Snapshot((leaving,), 9), False))
+    context.failure = run_in_virtual_time(_send(context.client, beliefs.pool, name))
+
+
+async def _send(client: SlowClient, pool: ServerPool, name: str) -> SendFailed | None:
+    entry = pool.directory.get(name)
+    assert entry is not None
+    parts = (WeightedService(SERVICE, 1.0),)
+    route = RouteRule("r", "h", "/", RequestKind.IDEMPOTENT, parts, 30.0, 0.6)
+    outgoing = Outgoing(HttpRequest("POST", "/"), CallerRequest("id-1", "h", 30.0), route, 30.0)
+    forwarder = Forwarder(cast(HttpClient, client), PlatformDialect(), pool.gets_work)
+    try:
+        await forwarder.send(outgoing, entry, 0.0, None)
+    except SendFailed as failure:
+        return failure
+    return None
+
+
+@then("nothing was sent, the connection is kept, and the request may go to another server")
+def step_nothing_sent(context: Any) -> None:
+    failure: SendFailed | None = context.failure
+    assert failure is not None and failure.unsent and not failure.ran, failure
+    assert len(context.client.kept) == 1
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -190,7 +190,7 @@
         self._handler = RequestHandler(
             self.settings.zone,
             self._pool,
-            Forwarder(self._client, deployment.dialect),
+            Forwarder(self._client, deployment.dialect, self._pool.gets_work),
             deployment.dialect,
             self.metrics,
             self._beliefs,
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -111,6 +111,13 @@
             if known.entry.service == service and self._may_get_work(known, now)
         ]
 
+    def gets_work(self, entry: ServerEntry, now: float) -> bool:
+        """Whether a server may still get new work in the life that an entry names."""
+        known = self._servers.get(entry.name)
+        if known is None or known.entry.instance != entry.instance:
+            return False
+        return self._may_get_work(known, now)
+
     def usable_count(self, now: float) -> int:
         """Return how many servers of all services may get new work."""
         return sum(1 for known in self._servers.values() if self._may_get_work(known, now))
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -17,6 +17,7 @@
     :param other_instance: another life answers at the address.
     :param at_fault: whether it speaks against the server.
     :param unreachable: whether nothing listens at its address, or nothing answers there.
+    :param unsent: whether nothing was sent, because the server began to leave before.
     """
 
     def __init__(
@@ -27,6 +28,7 @@
         other_instance: bool = False,
         at_fault: bool = True,
         unreachable: bool = False,
+        unsent: bool = False,
     ) -> None:
         super().__init__(detail)
         self.ran = ran
@@ -34,6 +36,7 @@
         self.other_instance = other_instance
         self.at_fault = at_fault
         self.unreachable = unreachable
+        self.unsent = unsent
 
 
 class ModelNotInTime(ServingError):
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -1,5 +1,7 @@
 """Sends a request to one server and reads the answer's head, or its whole body."""
 
+from collections.abc import Callable
+
 from msgspec import Struct
 
 from loomwind import constants
@@ -45,9 +47,19 @@
 class Forwarder:
     """Speaks to servers in the deployment's dialect."""
 
-    def __init__(self, client: HttpClient, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        dialect: Dialect,
+        gets_work: Callable[[ServerEntry], bool] = lambda entry: True,
+    ) -> None:
+        """Make a forwarder.
+
+        :param gets_work: whether a server may still get work, asked once it is connected.
+        """
         self._client = client
         self._dialect = dialect
+        self._gets_work = gets_work
 
     async def send(
         self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
@@ -75,9 +87,14 @@
 
     async def _connect(self, entry: ServerEntry) -> ClientConnection:
         try:
-            return await self._client.acquire(entry.address, CONNECT_TIMEOUT_SECONDS)
+            connection = await self._client.acquire(entry.address, CONNECT_TIMEOUT_SECONDS)
         except ConnectFailed as error:
             raise SendFailed(f"{entry.instance}: {error}", ran=False, unreachable=True) from error
+        if not self._gets_work(entry):
+            self._client.release(connection)
+            detail = f"{entry.instance}: began to leave while a connection was made"
+            raise SendFailed(detail, ran=False, at_fault=False, unsent=True)
+        return connection
 
     def _as_sent(
         self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -42,6 +42,10 @@
         usable = reachable
         return [entry for entry in usable if self.residency.can_run(entry, target, now)]
 
+    def gets_work(self, entry: ServerEntry) -> bool:
+        """Whether a server, in the life that an entry names, may still get new work."""
+        return self.directory.gets_work(entry, self.now())
+
     def health(self, instance: str) -> ServerHealth:
         """Return what this daemon has seen of a server."""
         return self._health.setdefault(instance, ServerHealth())
@@ -82,6 +86,8 @@
         self, entry: ServerEntry, target: ModelKey | None, failure: SendFailed, now: float
     ) -> None:
         """Learn from a send that failed."""
+        if failure.unsent:
+            return
         if failure.other_instance:
             self.directory.note_replaced(entry)
         elif failure.missing_target and target is not None:
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -186,7 +186,7 @@
 
         One that waits for a model pays when a server can take it: until then it waits as others do.
         """
-        if failure.unreachable:
+        if failure.unreachable or failure.unsent:
             self._sends -= 1
             return True
         if not failure.ran and self._caller.target is not None:
