Take several versions of the configuration at once: a pause after each answer of its feed

A daemon rests a quarter of the time in which a configuration must be in force (bounds.apply_ms, new) after each answer; what is written meanwhile comes in one.

In virtual time, a version each 0.3 s for 30 s: 102 calls before, at most 65 and 35 now under bounds of 2 and 4 s, each version in force within its bound.

--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -72,6 +72,11 @@
         self._changed = asyncio.Event()
         self._oldest_kept = 1
 
+    @property
+    def version(self) -> int:
+        """Return the version of the newest write."""
+        return self._version
+
     def put(self, name: str, document: bytes) -> None:
         """Write a row."""
         self._version += 1
@@ -129,18 +134,24 @@
 
 
 class StoreOfDaemon:
-    """The store as one daemon calls it."""
+    """The store as one daemon calls it, whatever the table.
+
+    :ivar calls: how many calls it has made.
+    """
 
     def __init__(self, store: MadeStore, daemon: str) -> None:
         self._store = store
         self._daemon = daemon
+        self.calls = 0
 
     async def read(self, table: str) -> Snapshot:
         """Return the whole table."""
+        self.calls += 1
         return await self._store.read(self._daemon)
 
     async def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
         """Return what has changed."""
+        self.calls += 1
         return await self._store.changes(self._daemon, after, wait_seconds)
 
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -9,7 +9,7 @@
 
 from loomwind import constants
 from loomwind.admin import AdminServer
-from loomwind.clock import Clock
+from loomwind.clock import MS_PER_SECOND, Clock
 from loomwind.http.client import Connector, HttpClient
 from loomwind.http.server import Exchange, HttpServer
 from loomwind.leadership.election import Election
@@ -40,6 +40,8 @@
 # A short lease is renewed sooner, so that it holds over two failed renewals.
 LEASE_RENEW_PART = 0.25
 LEASE_MARGIN_PART = 0.2
+# Part of the time in which a configuration must be in force; the rest is for calls that fail.
+CONFIGURATION_REST_PART = 0.25
 STOP_MARGIN_SECONDS = 0.6
 LAST_ANSWERS_SECONDS = 0.3
 WAITING_GRACE_PART = 0.55
@@ -63,7 +65,15 @@
 
 def _lease_seconds(bounds: BoundSettings) -> float:
     """Return how long a lease lasts without a renewal."""
-    return LEASE_PART * bounds.lease_ms / 1000
+    return LEASE_PART * bounds.lease_ms / MS_PER_SECOND
+
+
+def configuration_rest_seconds(bounds: BoundSettings) -> float:
+    """Return the pause between two looks at the configuration; versions of it come together.
+
+    Each version answers the feed of each daemon, and an operator may write several a second.
+    """
+    return CONFIGURATION_REST_PART * bounds.apply_ms / MS_PER_SECOND
 
 
 class PoolDaemon:
@@ -111,6 +121,7 @@
                 store.configuration_table,
                 self._health,
                 self._beliefs.on_configuration_rows,
+                lambda: configuration_rest_seconds(self.settings.bounds),
                 longest_retry_seconds=self._peers.retry_seconds,
             ),
             TableFollower(
--- a/loomwind/settings.py
+++ b/loomwind/settings.py
@@ -80,6 +80,7 @@
     :param grace_seconds: how long a planned stop may take.
     :param notice_seconds: how long callers are still sent here after a planned stop began.
     :param drain_ms: how soon a server that leaves must get no new work.
+    :param apply_ms: how soon a configuration that the store has taken must be in force.
     :param retry_ratio: repeated sends over all daemons, for each request to a service.
     :param retry_allowance: repeated sends over all daemons that are free in each window.
     :param retry_safety: the part of the retry budget that is used.
@@ -90,6 +91,7 @@
     grace_seconds: Seconds = 8.0
     notice_seconds: Seconds = 2.4
     drain_ms: Annotated[float, Meta(gt=0, le=600_000, description="milliseconds")] = 2000.0
+    apply_ms: Annotated[float, Meta(gt=0, le=600_000, description="milliseconds")] = 2000.0
     retry_ratio: Annotated[float, Meta(ge=0, le=10, description="sends a request")] = 0.2
     retry_allowance: Annotated[float, Meta(ge=0, le=1e6, description="sends")] = 50.0
     retry_window_seconds: Seconds = 10.0
