--- a/bench/losses.py
+++ b/bench/losses.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from bench.promises import promise_account
 from loomwind.explain import REQUEST_TYPE, LogLine, read_lines
 
 LEAST_PRICE = 0.001
@@ -98,5 +99,10 @@
     for name, amount, share in told.prices:
         if share >= LEAST_PRICE:
             print(f"-{share:.4f}  {amount:10.1f} {name}")
-    for reason, count in reasons(read_lines([log])).most_common():
+    lines = read_lines([log])
+    for reason, count in reasons(lines).most_common():
         print(f"{count:5}  {reason.route or '(any)':12} {reason.text}")
+    account = promise_account(lines)
+    print(f"{account.promised:5}  told to come back, {account.broken} of them refused again")
+    print(f"{account.hopeless:5}  told that they can't be served, {account.returned} came back")
+    print(f"{account.unknown:5}  refused as returning, first refusal not logged")
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -111,3 +111,14 @@
   Scenario: the losses of a day are counted by route and reason
     Given the lines of a request that was told to come back, and of one that was late at its server
     Then the reasons are "told to come back, model" on r-1 and "late at its server" on no known route
+
+  Scenario: callers that were told to come back are told from those that come back of themselves
+    Given these refusals for want of a model
+      | caller | decision  | first try |
+      | a      | come-back | yes       |
+      | b      | come-back | yes       |
+      | c      | hopeless  | yes       |
+      | b      | hopeless  | no        |
+      | c      | hopeless  | no        |
+      | d      | hopeless  | no        |
+    Then 2 callers were promised and 1 of them refused again, 1 had no hope and 1 came back, 1 is unknown
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from bench.losses import Reason, reasons
+from bench.promises import PromiseAccount, promise_account
 from features.steps.pool_steps import pool, replies_of
 from features.support.processes import wait_until
 from loomwind.explain import REQUEST_TYPE, LogLine
@@ -80,3 +81,32 @@
 def step_reasons(context: Any, first: str, route: str, second: str) -> None:
     expected = {Reason(route, first): 1, Reason("", second): 1}
     assert reasons(context.lines) == expected, reasons(context.lines)
+
+
+@given("these refusals for want of a model")
+def step_refusals(context: Any) -> None:
+    context.lines = [
+        LogLine(
+            0.1 * number,
+            "daemon-1",
+            "loomwind:request",
+            {
+                "decision": row["decision"],
+                "own_part": row["caller"],
+                "target": "m1",
+                "first_try": row["first try"] == "yes",
+            },
+        )
+        for number, row in enumerate(context.table)
+    ]
+
+
+@then(
+    "{promised:d} callers were promised and {broken:d} of them refused again, "
+    "{hopeless:d} had no hope and {returned:d} came back, {unknown:d} is unknown"
+)
+def step_account(
+    context: Any, promised: int, broken: int, hopeless: int, returned: int, unknown: int
+) -> None:
+    account = promise_account(context.lines)
+    assert account == PromiseAccount(promised, broken, hopeless, returned, unknown), account
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -248,6 +248,14 @@
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
 
+    @property
+    def own_part(self) -> str:
+        """Return what names the part of the prompt that no other request has; empty for none.
+
+        It stays when the caller asks again.
+        """
+        return self.prompt[-1].identity if self.prompt else ""
+
 
 class OrderKind(enum.Enum):
     """What a model server is told to do."""
