--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -61,10 +61,11 @@
 
 
 class NoBeliefs:
-    """Knows no configuration."""
+    """Knows no configuration, and has never had a fresh list of servers."""
 
     configuration_version = 0
     configuration = None
+    list_age_ms = float("inf")
 
 
 class UnstartedExchange:
--- a/features/support/template.py
+++ b/features/support/template.py
@@ -19,6 +19,7 @@
     "platform.address": "127.0.0.1:8142",
     "bounds.lease-ms": "3000",
     "bounds.drain-ms": "2000",
+    "bounds.config-apply-ms": "2000",
     "bounds.grace-s": "8",
     "bounds.retry-budget-ratio": "0.2",
     "bounds.budget-slack": "52",
