Pass nothing on while no daemon is known

Found by reading: a daemon that learns of a departure before it has read the rows of the daemons divided by zero in fingers(), so that its feed of servers failed for that call. The scenario for 0 daemons failed with ZeroDivisionError; the others show that what is passed on once reaches all of 2 to 320 daemons in as many hops as their number has binary digits.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -41,3 +41,17 @@
     Given a daemon that lists server s1 as ready at version 4
     When a request is sent to s1, which says that it leaves before the connection is made
     Then nothing was sent, the connection is kept, and the request may go to another server
+
+  Scenario Outline: what each daemon passes on once to its fingers reaches all
+    Given the rows of <daemons> daemons
+    When one of them passes a word on, and each that hears it first does the same
+    Then all <daemons> have heard it, in at most <hops> hops
+
+    Examples:
+      | daemons | hops |
+      | 0       | 0    |
+      | 1       | 0    |
+      | 2       | 1    |
+      | 6       | 3    |
+      | 69      | 7    |
+      | 320     | 9    |
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -143,6 +143,8 @@
         What each daemon passes on to these, once, reaches all by several ways.
         """
         count = len(self._ranked)
+        if not count:
+            return []
         place = bisect.bisect_left(self._ranked, _rank(self._own.name), key=_rank)
         distances = (1 << power for power in range((count - 1).bit_length()))
         names = {self._ranked[(place + distance) % count] for distance in distances}
