--- a/features/steps/configuration_storm_steps.py
+++ b/features/steps/configuration_storm_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.support.server_list_fleet import MadeStore, StoreOfDaemon
+from features.support.made_store import MadeStore, StoreOfDaemon
 from features.support.virtual_time import run_in_virtual_time
 from loomwind.serving.daemon import configuration_rest_seconds
 from loomwind.serving.follower import StoreHealth, TableFollower
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -3,27 +3,14 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
 from attrs import frozen
 from behave import given, then, when
 
-from features.support.server_list_fleet import SERVICE, Fleet, server_document
+from features.support.made_store import server_document
+from features.support.server_list_fleet import Fleet
 from features.support.virtual_time import run_in_virtual_time
-from loomwind.http.client import HttpClient
-from loomwind.http.messages import HttpRequest
-from loomwind.messages.serving import ServerDeparture, ServerDepartures
-from loomwind.metrics import Metrics
-from loomwind.platform.dialect import PlatformDialect
-from loomwind.platform.documents import PlatformDocuments
-from loomwind.serving.beliefs import Beliefs
-from loomwind.serving.errors import SendFailed
-from loomwind.serving.follower import StoreHealth
-from loomwind.serving.forwarder import Forwarder, Outgoing
-from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import Snapshot, StoredRow
-from loomwind.serving.views import CallerRequest, RequestKind, RouteRule, WeightedService
-from loomwind.settings import BoundSettings
 
 SERVERS = 20
 LEAVING = "s0"
@@ -185,117 +172,3 @@
 def step_within_bound(context: Any) -> None:
     late = [play for play in context.plays if play.late]
     assert not late, [(play.seed, len(play.late), play.late[:5]) for play in late]
-
-
-@given("a daemon that lists server {name:w} as ready at version {version:d}")
-def step_lists(context: Any, name: str, version: int) -> None:
-    context.health = StoreHealth()
-    context.listing = Beliefs(
-        PlatformDocuments(), "config", ServerPool(BoundSettings()), context.health, Metrics()
-    )
-    context.passed_on = []
-    context.listing.on_departures = context.passed_on.append
-    _hear_row(context, name, version)
-
-
-def _hear_row(context: Any, name: str, version: int) -> None:
-    row = StoredRow(name, version, server_document("ready", held=version))
-    run_in_virtual_time(_at_once(context.listing.on_server_rows, Snapshot((row,), version), False))
-
-
-async def _at_once(hear: Callable[..., None], *arguments: object) -> None:
-    """Call a function inside a loop, whose time it reads."""
-    hear(*arguments)
-
-
-@given("whose call of the store has just failed")
-def step_store_failed(context: Any) -> None:
-    context.health.failed(0.0, "reset")
-
-
-@when("a peer says that {name:w} leaves as of version {version:d}")
-def step_peer_says_leaves(context: Any, name: str, version: int) -> None:
-    _hear_departure(context, ServerDeparture(name, name, version, listed=True))
-
-
-@when("a peer says that the entry of {name:w} has gone as of version {version:d}")
-def step_peer_says_gone(context: Any, name: str, version: int) -> None:
-    _hear_departure(context, ServerDeparture(name, name, version, listed=False))
-
-
-def _hear_departure(context: Any, departure: ServerDeparture) -> None:
-    notice = ServerDepartures("peer:1", (departure,))
-    run_in_virtual_time(_at_once(context.listing.on_departure_notice, notice))
-
-
-@when("the store's feed says at version {version:d} that {name:w} is ready and holds another model")
-def step_feed_says(context: Any, version: int, name: str) -> None:
-    _hear_row(context, name, version)
-
-
-@then("{name:w} gets no new work, and that is passed on once")
-def step_no_work(context: Any, name: str) -> None:
-    assert context.listing.pool.directory.usable(SERVICE, 0.0) == []
-    assert [departure.name for (departure,) in context.passed_on] == [name]
-
-
-@then("{name:w} gets new work")
-def step_work(context: Any, name: str) -> None:
-    assert [entry.name for entry in context.listing.pool.directory.usable(SERVICE, 0.0)] == [name]
-
-
-class SlowClient:
-    """Makes connections on which nothing may be sent; something happens before each is made."""
-
-    def __init__(self, before: Callable[[], None]) -> None:
-        self._before = before
-        self.kept: list[SilentConnection] = []
-
-    async def acquire(self, address: str, timeout: float) -> "SilentConnection":
-        """Return a new connection."""
-        self._before()
-        return SilentConnection()
-
-    def release(self, connection: "SilentConnection") -> None:
-        """Take a connection back."""
-        self.kept.append(connection)
-
-
-class SilentConnection:
-    """A connection that must not be used."""
-
-    def send_request(self, request: HttpRequest) -> None:
-        """Fail the test."""
-        raise AssertionError(f"sent: {request.target}")
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
-@when("a request is sent to {name:w}, which says that it leaves before the connection is made")
-def step_sent_meanwhile(context: Any, name: str) -> None:
-    leaving = StoredRow(name, 9, server_document("draining"))
-    beliefs: Beliefs = context.listing
-    context.client = SlowClient(lambda: beliefs.on_server_rows(Snapshot((leaving,), 9), False))
-    context.failure = run_in_virtual_time(_send(context.client, beliefs.pool, name))
-
-
-async def _send(client: SlowClient, pool: ServerPool, name: str) -> SendFailed | None:
-    entry = pool.directory.get(name)
-    assert entry is not None
-    parts = (WeightedService(SERVICE, 1.0),)
-    route = RouteRule("r", "h", "/", RequestKind.IDEMPOTENT, parts, 30.0, 0.6)
-    outgoing = Outgoing(HttpRequest("POST", "/"), CallerRequest("id-1", "h", 30.0), route, 30.0)
-    forwarder = Forwarder(cast(HttpClient, client), PlatformDialect(), pool.gets_work)
-    try:
-        await forwarder.send(outgoing, entry, 0.0, None)
-    except SendFailed as failure:
-        return failure
-    return None
-
-
-@then("nothing was sent, the connection is kept, and the request may go to another server")
-def step_nothing_sent(context: Any) -> None:
-    failure: SendFailed | None = context.failure
-    assert failure is not None and failure.unsent and not failure.ran, failure
-    assert len(context.client.kept) == 1
--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -1,7 +1,6 @@
 """A fleet of daemons that follow the list of servers: the real followers, a made store and links.
 
-It runs in virtual time. The store and the links can be given faults, and each daemon notes when it
-learns that a server leaves.
+It runs in virtual time. The store and the links can be given faults.
 """
 
 import asyncio
@@ -9,9 +8,7 @@
 from collections.abc import Coroutine
 from typing import cast
 
-import msgspec
-from attrs import define, field
-
+from features.support.made_store import SERVICE, MadeStore, StoreOfDaemon
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import AnyMessage
 from loomwind.messages.serving import (
@@ -30,129 +27,11 @@
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import HistoryLost, Snapshot, Store, StoredRow, StoreUnavailable
+from loomwind.serving.ports import Store
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.settings import BoundSettings
 
-SERVICE = "tutor"
-CALL_SECONDS = 0.004
 LINK_SECONDS = 0.002
-# As the adapter of the store waits: for a feed longer than it asked, for a table so long.
-FEED_MARGIN_SECONDS = 0.6
-READ_TIMEOUT_SECONDS = 1.5
-
-
-def server_document(state: str, held: int = 0) -> bytes:
-    """Return a server's entry as it stands in the store."""
-    entry = {"service": SERVICE, "address": "a:1", "zone": "z", "state": state}
-    return msgspec.json.encode(entry | {"models": [{"name": f"m{held}"}]})
-
-
-@define
-class StoreFaults:
-    """What is wrong with the store now.
-
-    :ivar silent_to: daemons whose calls get no answer.
-    :ivar refuses: daemons whose calls are refused at once.
-    :ivar deaf: whether feeds hear of no change.
-    """
-
-    silent_to: set[str] = field(factory=set)
-    refuses: set[str] = field(factory=set)
-    deaf: bool = False
-
-
-class MadeStore:
-    """The servers' table with its feed."""
-
-    def __init__(self, servers: int) -> None:
-        self.faults = StoreFaults()
-        self._version = 1
-        self._rows = {f"s{number}": (1, server_document("ready")) for number in range(servers)}
-        self._changed = asyncio.Event()
-        self._oldest_kept = 1
-
-    @property
-    def version(self) -> int:
-        """Return the version of the newest write."""
-        return self._version
-
-    def put(self, name: str, document: bytes) -> None:
-        """Write a row."""
-        self._version += 1
-        self._rows[name] = (self._version, document)
-        self.wake()
-
-    def wake(self) -> None:
-        """Let the feeds look again."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def forget_history(self) -> None:
-        """Drop what feeds could tell of earlier changes, and cut them."""
-        self._oldest_kept = self._version + 1
-        self.wake()
-
-    async def read(self, daemon: str) -> Snapshot:
-        """Return the whole table."""
-        await self._reach(daemon, READ_TIMEOUT_SECONDS)
-        return self._since(0)
-
-    async def changes(self, daemon: str, after: int, wait_seconds: float) -> Snapshot:
-        """Return what has changed, as soon as something has."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + wait_seconds
-        await self._reach(daemon, wait_seconds + FEED_MARGIN_SECONDS)
-        while True:
-            if after < self._oldest_kept - 1:
-                raise HistoryLost("the history is gone")
-            found = self._since(after)
-            if (found.rows and not self.faults.deaf) or loop.time() >= until:
-                return Snapshot((), after) if self.faults.deaf else found
-            changed = self._changed
-            try:
-                async with asyncio.timeout_at(until):
-                    await changed.wait()
-            except TimeoutError:
-                pass
-
-    def _since(self, version: int) -> Snapshot:
-        rows = [
-            StoredRow(name, changed, document)
-            for name, (changed, document) in self._rows.items()
-            if changed > version
-        ]
-        return Snapshot(tuple(rows), self._version)
-
-    async def _reach(self, daemon: str, timeout: float) -> None:
-        if daemon in self.faults.silent_to:
-            await asyncio.sleep(timeout)
-            raise StoreUnavailable("no answer")
-        await asyncio.sleep(CALL_SECONDS)
-        if daemon in self.faults.refuses:
-            raise StoreUnavailable("status 503")
-
-
-class StoreOfDaemon:
-    """The store as one daemon calls it, whatever the table.
-
-    :ivar calls: how many calls it has made.
-    """
-
-    def __init__(self, store: MadeStore, daemon: str) -> None:
-        self._store = store
-        self._daemon = daemon
-        self.calls = 0
-
-    async def read(self, table: str) -> Snapshot:
-        """Return the whole table."""
-        self.calls += 1
-        return await self._store.read(self._daemon)
-
-    async def changes(self, table: str, after: int, wait_seconds: float) -> Snapshot:
-        """Return what has changed."""
-        self.calls += 1
-        return await self._store.changes(self._daemon, after, wait_seconds)
 
 
 class Links:
