Count as held only models that servers hold: looking a model up in a plan's index wiped what was asked for in vain

Cause: the index of a plan kept servers by model in a defaultdict, so that each look at a model without any server added its name. The leader then took these names for available and forgot the requests in vain for them in the same step. A made plan with 5 requests in vain forgot them in one step.

A look adds nothing now. The scenario failed before (0 requests in vain in place of 5).

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -118,6 +118,14 @@
     And no load from the weight store may begin
     Then the plan loads nothing else from the weight store
 
+  Scenario: a plan that looks for a model that no server holds does not count it as held
+    Given model servers one and two of 100 GB
+    And one holds a, two holds b
+    When c was asked for 4 times in vain at 10.0 s
+    And a request waits for c at 10.0 s
+    And no load from the weight store may begin
+    Then after a step of the leader c has been asked for 5 times in vain
+
   Scenario: a further copy comes from the weight store when nothing else needs it
     Given model servers one, two and three of 100 GB
     And one holds a, two holds nothing
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -373,3 +373,16 @@
 @then("the load was seen to take {times:f} times as long")
 def step_slowness(context: Any, times: float) -> None:
     assert abs(context.finished.slowness - times) < 0.05, context.finished
+
+
+@then("after a step of the leader {model:w} has been asked for {count:d} times in vain")
+def step_still_in_vain(context: Any, model: str, count: int) -> None:
+    servers, demand = list(context.ledgers.values()), context.demand
+    given = PlanInput(SERVICE, servers, demand, {}, context.now, True, False, 0)
+    planner = Planner(given)
+    planner.plan()
+    planner.expectations()
+    demand.note_available(SERVICE, given.index.holders)
+    assert [(each.key.target.model, each.requests) for each in demand.asked_in_vain()] == [
+        (model, count)
+    ]
--- a/loomwind/placement/index.py
+++ b/loomwind/placement/index.py
@@ -7,6 +7,17 @@
 from loomwind.serving.views import HeldModel, ModelKey, OrderKind
 
 
+class ServersByModel(dict[str, list[ServerLedger]]):
+    """Servers by a model's name. A look at a model without any adds nothing."""
+
+    def __missing__(self, name: str) -> list[ServerLedger]:
+        return []
+
+    def add(self, name: str, server: ServerLedger) -> None:
+        """Add a server of a model."""
+        self.setdefault(name, []).append(server)
+
+
 class PlacementIndex:
     """The state of one service's servers at one moment, by model.
 
@@ -23,9 +34,9 @@
         running: Mapping[tuple[str, ModelKey], int],
         now: float,
     ) -> None:
-        self.holders: dict[str, list[ServerLedger]] = defaultdict(list)
-        self.arriving: dict[str, list[ServerLedger]] = defaultdict(list)
-        self.copies: dict[str, list[ServerLedger]] = defaultdict(list)
+        self.holders = ServersByModel()
+        self.arriving = ServersByModel()
+        self.copies = ServersByModel()
         self.available: set[ModelKey] = set()
         self.reserved: set[str] = set()
         self._servers = {server.entry.instance: server for server in servers}
@@ -43,16 +54,16 @@
         if report is None:
             return
         for held in report.held:
-            self.holders[held.name].append(server)
+            self.holders.add(held.name, server)
             self.available.add(ModelKey(held.name))
             self.available.update(ModelKey(held.name, adapter) for adapter in held.adapters)
         self.available.update(report.pending_adapters)
         for name in report.in_memory | report.on_disk:
-            self.copies[name].append(server)
+            self.copies.add(name, server)
         for target in _coming(server):
             self.available.add(target)
             if not target.adapter:
-                self.arriving[target.model].append(server)
+                self.arriving.add(target.model, server)
 
     def server(self, instance: str) -> ServerLedger:
         """Return the server of that name."""
