Pass on only departures that hold when the store's whole answer is read, and let a newer list go before them

Cause, in the gossip of departures: a daemon that had stood still read one answer of the feed in which entries went and came back, took each for a departure as of the answer's version, and told all daemons. Their lists had the entries as ready, unchanged, so nothing newer ever cleared the word.

Now what is passed on is what still holds at the end of an answer; a word that is no newer than the own list counts for nothing; and a list that has come as far as the word goes before it. Both scenarios failed before: the first passed a departure on, the second gave the server no work.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -31,6 +31,16 @@
     When the store's feed says at version 8 that s1 is ready and holds another model
     Then s1 gets new work
 
+  Scenario: word of a departure that is no newer than the own list counts for nothing
+    Given a daemon that lists server s1 as ready at version 8
+    When a peer says that s1 leaves as of version 7
+    Then s1 gets new work, and nothing is passed on
+
+  Scenario: an entry that went and came back in one answer of the feed is no departure
+    Given a daemon that lists server s1 as ready at version 4
+    When the store's feed says in one answer that the entry of s1 went at version 6 and came at version 7
+    Then s1 gets new work, and nothing is passed on
+
   Scenario: word that an entry has gone counts for nothing while the store is in trouble here
     Given a daemon that lists server s1 as ready at version 4
     And whose call of the store has just failed
--- a/features/steps/departure_word_steps.py
+++ b/features/steps/departure_word_steps.py
@@ -80,6 +80,24 @@
     assert [entry.name for entry in context.listing.pool.directory.usable(SERVICE, 0.0)] == [name]
 
 
+@when(
+    "the store's feed says in one answer that the entry of {name:w} went at version {gone:d} "
+    "and came at version {back:d}"
+)
+def step_went_and_came(context: Any, name: str, gone: int, back: int) -> None:
+    rows = (
+        StoredRow(name, gone, gone=True),
+        StoredRow(name, back, server_document("ready", held=back)),
+    )
+    run_in_virtual_time(_at_once(context.listing.on_server_rows, Snapshot(rows, back), False))
+
+
+@then("{name:w} gets new work, and nothing is passed on")
+def step_work_and_nothing_passed_on(context: Any, name: str) -> None:
+    step_work(context, name)
+    assert context.passed_on == []
+
+
 class SlowClient:
     """Makes connections on which nothing may be sent; something happens before each is made."""
 
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -176,11 +176,22 @@
         self._tell_departures()
 
     def _tell_departures(self) -> None:
-        """Hand over what has become known of servers that leave."""
-        if self._departures:
-            departures, self._departures = tuple(self._departures), []
+        """Hand over what has become known of servers that leave.
+
+        One answer of the store may say that an entry has gone and that it is back.
+        """
+        departures = tuple(each for each in self._departures if not self._is_back(each))
+        self._departures.clear()
+        if departures:
             self.on_departures(departures)
 
+    def _is_back(self, departure: ServerDeparture) -> bool:
+        """Whether a server that was taken to leave is listed as ready after all."""
+        directory = self.pool.directory
+        known = directory.get(departure.name)
+        same_life = known is not None and known.instance == departure.instance
+        return same_life and not directory.is_departing(departure.name)
+
     def _note_departure(self, known: ServerEntry, origin: Origin, listed: bool) -> None:
         """Note that a server leaves that was taken to stay."""
         if not self.pool.directory.is_departing(known.name):
@@ -293,11 +304,11 @@
         if known is not None and entry.state is ServerState.DRAINING:
             self._note_departure(known, origin, listed=True)
         self._server_documents[name] = document
-        directory.put(entry, origin.version)
+        directory.put(entry)
 
     def _note_servers(self, version: int) -> None:
         directory = self.pool.directory
-        directory.version = max(directory.version, version)
+        directory.advance(version)
         self._metrics.servers.set(len(directory.entries()))
         self._metrics.servers_usable.set(directory.usable_count(self._now()))
         self.pool.refresh()
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -47,23 +47,32 @@
         self._vanished_grace = VANISHED_GRACE_PART * drain_seconds
         self._followed_age = FOLLOWED_PART * drain_seconds
 
-    def put(self, entry: ServerEntry, version: int = 0) -> None:
-        """Take in an entry as listed at a version of the store."""
+    def put(self, entry: ServerEntry) -> None:
+        """Take in an entry as listed now."""
         listed = _Listed(entry)
         known = self._servers.get(entry.name)
         if known is not None and known.entry.instance == entry.instance:
             listed.replaced = known.replaced
-            if known.departed_at_version >= version:
-                listed.departed_at_version = known.departed_at_version
+            listed.departed_at_version = known.departed_at_version
         self._servers[entry.name] = listed
 
+    def advance(self, version: int) -> None:
+        """Take in that the list is as the store has it at a version: it goes before older words.
+
+        Not for an entry that has vanished, which counts on although the list lacks it.
+        """
+        self.version = max(self.version, version)
+        for known in self._servers.values():
+            if known.vanished_at is None and known.departed_at_version <= self.version:
+                known.departed_at_version = 0
+
     def note_departure(self, name: str, instance: str, version: int) -> bool:
         """Take in a peer's word that a server leaves; returns whether that is news.
 
-        :param version: the store's version at which it was known. A later entry goes before it.
+        :param version: the store's version at which it was known. A list as new goes before it.
         """
         known = self._servers.get(name)
-        if known is None or known.entry.instance != instance:
+        if known is None or known.entry.instance != instance or version <= self.version:
             return False
         news = not self.is_departing(name)
         known.departed_at_version = max(known.departed_at_version, version)
