--- /dev/null
+++ b/features/steps/cut_from_servers_steps.py
@@ -0,0 +1,78 @@
+"""Steps about a daemon whose links to all servers are cut."""
+
+import itertools
+import time
+from collections import Counter
+from concurrent.futures import Future
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.pool_steps import pool, replies_of
+from features.support.caller import Reply
+from features.support.pool_site import PoolDaemonProcess, PoolSite
+
+ROUND_SECONDS = 0.2
+# Route, model, and how long the caller waits, in seconds.
+ATTEMPTS = (("book", "", 1.5), ("drill", "m1", 4.0), ("look", "", 1.5), ("draft", "m2", 4.0))
+
+
+@given("links between {daemon} and all servers")
+def step_links(context: Any, daemon: str) -> None:
+    pool(context).link_to_servers(daemon)
+
+
+@when("the links to the servers become {state}")
+def step_state(context: Any, state: str) -> None:
+    link = pool(context).server_link
+    assert link is not None
+    link.set_state(state)
+
+
+@when("callers keep every daemon busy for {seconds:f} s")
+def step_busy(context: Any, seconds: float) -> None:
+    """Send requests whose ends do not count, and do not wait for them."""
+    _send_rounds(pool(context), seconds)
+
+
+@when("first attempts come to every daemon for {seconds:f} s")
+def step_attempts(context: Any, seconds: float) -> None:
+    replies_of(context)
+    context.attempts = _send_rounds(pool(context), seconds)
+
+
+def _send_rounds(site: PoolSite, seconds: float) -> list[tuple[str, Future[Reply]]]:
+    """Send one request to each daemon in each round; returns the replies by daemon."""
+    sent: list[tuple[str, Future[Reply]]] = []
+    ends = time.monotonic() + seconds
+    kinds = itertools.cycle(ATTEMPTS)
+    while time.monotonic() < ends:
+        route, target, timeout = next(kinds)
+        for daemon in site.daemons.values():
+            sent.append((daemon.name, _begin(site, daemon, route, target, timeout)))
+        time.sleep(ROUND_SECONDS)
+    return sent
+
+
+def _begin(
+    site: PoolSite, daemon: PoolDaemonProcess, route: str, target: str, timeout: float
+) -> Future[Reply]:
+    site.callers.begin([site.request(daemon, route, target, timeout_seconds=timeout)])
+    return site.callers.pending[-1]
+
+
+@then("{cut} serves at least {part:f} as many of its first attempts as the others of theirs")
+def step_share(context: Any, cut: str, part: float) -> None:
+    sent: Counter[bool] = Counter()
+    served: Counter[bool] = Counter()
+    failures = []
+    for daemon, future in context.attempts:
+        reply = future.result()
+        is_cut = daemon == cut
+        good = reply.status == 200 and reply.whole
+        sent[is_cut] += 1
+        served[is_cut] += good
+        if not good:
+            failures.append((daemon, reply.status, reply.body[:60], round(reply.seconds, 2)))
+    shares = {is_cut: served[is_cut] / sent[is_cut] for is_cut in sent}
+    assert shares[True] >= part * shares[False], (shares, sent, failures)
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -11,6 +11,7 @@
 
 from features.support.caller import Callers, Reply, Request, plain, send
 from features.support.processes import Process, free_port, wait_until
+from features.support.site import Link, LinkProcess
 
 LOCALHOST = "127.0.0.1"
 HOST = "shop.example"
@@ -144,6 +145,7 @@
         self.version = 0
         self.lease_ms = LEASE_MS
         self.links: list[Process] = []
+        self.server_link: LinkProcess | None = None
         self.routes = [
             route("book", "non_idempotent", PLAIN_SERVICE),
             route("look", "idempotent", PLAIN_SERVICE),
@@ -232,6 +234,21 @@
         self.daemons[name] = daemon
         daemon.start()
 
+    def link_to_servers(self, daemon: str) -> None:
+        """Put links between a daemon and all servers; after the servers, before the daemon."""
+        links = [Link(daemon, server.address) for server in self.servers.values()]
+        targets = ",".join(link.target for link in links)
+        process = Process("standins.link", ["--targets", targets], self.folder / "links.log")
+        self.links.append(process)
+        self.server_link = LinkProcess(links, process)
+
+    def _overrides(self, daemon: PoolDaemonProcess) -> str:
+        """Return the lines of a daemon's settings that lead it to its links."""
+        if self.server_link is None:
+            return ""
+        overrides = self.server_link.overrides(daemon.name)
+        return "\n".join(f'"{target}" = "{link}"' for target, link in overrides.items())
+
     def _settings(self, daemon: PoolDaemonProcess) -> str:
         return f"""
 name = "{daemon.name}"
@@ -246,6 +263,8 @@
 [bounds]
 lease_ms = {self.lease_ms}
 grace_seconds = {GRACE_SECONDS}
+[address_overrides]
+{self._overrides(daemon)}
 """
 
     def wait_ready(self) -> None:
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -147,7 +147,7 @@
         return {link.target: f"{LOCALHOST}:{p}" for link, p in pairs if link.daemon == daemon}
 
     def set_state(self, state: str) -> None:
-        """Send ``cut``, ``heal`` or ``blackhole`` and wait until it is in force."""
+        """Put the links in a state of :class:`standins.link.LinkState`, and wait for that."""
         with socket.create_connection((LOCALHOST, self._control_port)) as control:
             control.sendall(state.encode() + b"\n")
             control.recv(64)
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,48 +1,130 @@
 """TCP links that tests can cut: each forwards to one address until told not to.
 
 ``python -m standins.link --targets HOST:PORT,HOST:PORT`` prints ``ready``, the port of each link
-in order, and the port of the control. A line ``cut``, ``heal`` or ``blackhole`` on the control
-port changes all links and is echoed.
+in order, and the port of the control. A line with one of the states of :class:`LinkState` on the
+control port changes all links and is echoed.
 """
 
 import asyncio
 import enum
+import socket
 
 import fire
 
+BACKLOG = 100
+# With a backlog of none, the kernel drops the opening packet once so many connections wait.
+FILLING_CONNECTIONS = 4
+
 
 class LinkState(enum.Enum):
-    """What the links do with bytes."""
+    """What the links do with connections and bytes.
+
+    ``cut`` accepts connections and breaks them; ``reset`` breaks those that are open and refuses
+    new ones; ``refuse_new`` lets those that are open live on; ``blackhole`` accepts and loses all
+    bytes; ``partition`` loses all bytes, and new connections hang.
+    """
 
     OPEN = "heal"
     CUT = "cut"
     BLACKHOLE = "blackhole"
+    RESET = "reset"
+    REFUSE_NEW = "refuse_new"
+    PARTITION = "partition"
+
+    @property
+    def passes_bytes(self) -> bool:
+        """Whether bytes of connections that are open arrive."""
+        return self in (LinkState.OPEN, LinkState.REFUSE_NEW)
+
+    @property
+    def breaks_open(self) -> bool:
+        """Whether connections that are open are broken."""
+        return self in (LinkState.CUT, LinkState.RESET)
+
+    @property
+    def refuses(self) -> bool:
+        """Whether nothing listens."""
+        return self in (LinkState.RESET, LinkState.REFUSE_NEW)
 
 
 class Link:
     """Forwards connections to one target."""
 
-    def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(":")
-        self._host = host
-        self._port = int(port)
+    def __init__(self, target: str, host: str) -> None:
+        target_host, _, target_port = target.rpartition(":")
+        self._target = (target_host, int(target_port))
         self._state = LinkState.OPEN
         self._writers: set[asyncio.StreamWriter] = set()
-
-    def set_state(self, state: LinkState) -> None:
-        """Change what the link does; a cut breaks the connections that are open."""
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fillers: list[socket.socket] = []
+        self._accepting: asyncio.Task[None] | None = None
+        self._listener = self._listen((host, 0))
+        self.address: tuple[str, int] = self._listener.getsockname()
+        self._start_accepting()
+
+    @staticmethod
+    def _listen(address: tuple[str, int]) -> socket.socket:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        return listener
+
+    def _start_accepting(self) -> None:
+        self._accepting = asyncio.get_running_loop().create_task(self._accept_all())
+
+    async def _accept_all(self) -> None:
+        while True:
+            raw, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+            task = asyncio.get_running_loop().create_task(self._carry(raw))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def set_state(self, state: LinkState) -> None:
+        """Change what the link does."""
+        await self._stop_accepting()
         self._state = state
-        if state is LinkState.CUT:
+        if state.breaks_open:
             for writer in list(self._writers):
                 writer.transport.abort()
-
-    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if state.refuses:
+            self._listener.close()
+            return
+        if self._listener.fileno() < 0:
+            self._listener = self._listen(self.address)
+        if state is LinkState.PARTITION:
+            self._fill()
+        else:
+            self._listener.listen(BACKLOG)
+            self._start_accepting()
+
+    async def _stop_accepting(self) -> None:
+        if self._accepting is not None:
+            self._accepting.cancel()
+            await asyncio.wait([self._accepting])
+            self._accepting = None
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
+    def _fill(self) -> None:
+        """Take all room for connections that wait to be accepted, so that further ones hang."""
+        self._listener.listen(0)
+        for _ in range(FILLING_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self._fillers.append(filler)
+
+    async def _carry(self, raw: socket.socket) -> None:
         """Forward one connection both ways."""
+        reader, writer = await asyncio.open_connection(sock=raw)
         if self._state is LinkState.CUT:
             writer.transport.abort()
             return
         try:
-            onward_reader, onward = await asyncio.open_connection(self._host, self._port)
+            onward_reader, onward = await asyncio.open_connection(*self._target)
         except OSError:
             writer.transport.abort()
             return
@@ -61,7 +143,7 @@
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(65536):
-                if self._state is LinkState.OPEN:
+                if self._state.passes_bytes:
                     writer.write(data)
                     await writer.drain()
         except OSError:
@@ -71,23 +153,23 @@
 class Links:
     """All links of the process, and their control."""
 
-    def __init__(self, targets: list[str]) -> None:
-        self.links = [Link(target) for target in targets]
+    def __init__(self, targets: list[str], host: str) -> None:
+        self.links = [Link(target, host) for target in targets]
 
     async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Take commands, one a line."""
         while line := await reader.readline():
             for link in self.links:
-                link.set_state(LinkState(line.decode().strip()))
+                await link.set_state(LinkState(line.decode().strip()))
             writer.write(line)
         writer.close()
 
 
 async def _serve(targets: list[str], host: str) -> None:
-    links = Links(targets)
-    servers = [await asyncio.start_server(link.accept, host, 0) for link in links.links]
-    servers.append(await asyncio.start_server(links.control, host, 0))
-    ports = [str(server.sockets[0].getsockname()[1]) for server in servers]
+    links = Links(targets, host)
+    control = await asyncio.start_server(links.control, host, 0)
+    ports = [str(link.address[1]) for link in links.links]
+    ports.append(str(control.sockets[0].getsockname()[1]))
     print("ready", *ports, flush=True)
     await asyncio.Event().wait()
 
