Count a request as handed over once its connection is made, not while it connects

Cause: the mark was set before the connection was made, and the silence that is allowed before an answer counted from there too. Connecting and sending are two calls of the forwarder now; only what was sent may have run. The scenario failed before (504 in place of 503).

--- a/features/steps/departure_word_steps.py
+++ b/features/steps/departure_word_steps.py
@@ -142,7 +142,8 @@
     outgoing = Outgoing(HttpRequest("POST", "/"), CallerRequest("id-1", "h", 30.0), route, 30.0)
     forwarder = Forwarder(cast(HttpClient, client), PlatformDialect(), pool.gets_work)
     try:
-        await forwarder.send(outgoing, entry, 0.0, None)
+        connection = await forwarder.connect(entry)
+        await forwarder.send(connection, outgoing, entry, 0.0, None)
     except SendFailed as failure:
         return failure
     return None
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from loomwind.http.client import ClientConnection
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.metrics import Metrics
@@ -52,8 +53,17 @@
         """Whether a connection is open."""
         return True
 
+    async def connect(self, entry: ServerEntry) -> ClientConnection:
+        """Return a connection that is never used."""
+        return ClientConnection(entry.address)
+
     async def send(
-        self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
+        self,
+        connection: ClientConnection,
+        outgoing: Outgoing,
+        entry: ServerEntry,
+        now: float,
+        last_event_id: str | None,
     ) -> OpenAnswer:
         """Fail as a server does that has not run the request."""
         self.sends += 1
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -61,14 +61,33 @@
         self._dialect = dialect
         self._gets_work = gets_work
 
+    async def connect(self, entry: ServerEntry) -> ClientConnection:
+        """Return a connection to a server, on which nothing has been sent yet.
+
+        :raises SendFailed: there is none, or the server gets no more work.
+        """
+        try:
+            connection = await self._client.acquire(entry.address, CONNECT_TIMEOUT_SECONDS)
+        except ConnectFailed as error:
+            raise SendFailed(f"{entry.instance}: {error}", ran=False, unreachable=True) from error
+        if not self._gets_work(entry):
+            self._client.release(connection)
+            detail = f"{entry.instance}: began to leave while a connection was made"
+            raise SendFailed(detail, ran=False, at_fault=False, unsent=True)
+        return connection
+
     async def send(
-        self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
+        self,
+        connection: ClientConnection,
+        outgoing: Outgoing,
+        entry: ServerEntry,
+        now: float,
+        last_event_id: str | None,
     ) -> OpenAnswer:
         """Send a request and return the answer's head.
 
         :raises SendFailed: there is no answer of this server to this request.
         """
-        connection = await self._connect(entry)
         request = self._as_sent(outgoing, entry, now, last_event_id)
         try:
             connection.send_request(request)
@@ -85,17 +104,6 @@
             raise _refused(entry, head, verdict)
         return OpenAnswer(connection, head)
 
-    async def _connect(self, entry: ServerEntry) -> ClientConnection:
-        try:
-            connection = await self._client.acquire(entry.address, CONNECT_TIMEOUT_SECONDS)
-        except ConnectFailed as error:
-            raise SendFailed(f"{entry.instance}: {error}", ran=False, unreachable=True) from error
-        if not self._gets_work(entry):
-            self._client.release(connection)
-            detail = f"{entry.instance}: began to leave while a connection was made"
-            raise SendFailed(detail, ran=False, at_fault=False, unsent=True)
-        return connection
-
     def _as_sent(
         self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
     ) -> HttpRequest:
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -301,7 +301,6 @@
         self._sends += 1
         self._server = entry.instance
         self._serving.observe_list_age()
-        self._handed_over = True
         target = self._caller.target
         health = self._pool.health(entry.instance)
         health.sent(self._serving.now())
@@ -319,11 +318,13 @@
     async def _exchange_with(self, entry: ServerEntry) -> None:
         forwarder = self._serving.forwarder
         resume_from = self._stream.last_event_id
+        connection = await forwarder.connect(entry)
         silence = self._allowed_silence(entry)
+        self._handed_over = True
         try:
             async with asyncio.timeout(silence):
                 answer = await forwarder.send(
-                    self._outgoing, entry, self._serving.now(), resume_from
+                    connection, self._outgoing, entry, self._serving.now(), resume_from
                 )
                 body = None if answer.streamed else await forwarder.read_whole(answer)
         except TimeoutError as error:
