Say when no server accepts a connection of this daemon, and show it as a metric

Callers of a daemon that was cut from all servers were served badly, and no line or metric said that it was cut: failed connects stood in the log one by one, and were remembered for their server alone. A daemon counts as cut once two servers (or the only one) have accepted no connection, and none has in between; a line says so, with the servers, and when it ends. Nothing is decided by it yet.

--- a/features/steps/departure_word_steps.py
+++ b/features/steps/departure_word_steps.py
@@ -105,7 +105,10 @@
         self._before = before
         self.kept: list[SilentConnection] = []
 
-    async def acquire(self, address: str, timeout: float) -> "SilentConnection":
+    def take_idle(self, address: str) -> None:
+        """Return no connection: none is idle."""
+
+    async def open(self, address: str, timeout: float) -> "SilentConnection":
         """Return a new connection."""
         self._before()
         return SilentConnection()
@@ -140,7 +143,7 @@
     parts = (WeightedService(SERVICE, 1.0),)
     route = RouteRule("r", "h", "/", RequestKind.IDEMPOTENT, parts, 30.0, 0.6)
     outgoing = Outgoing(HttpRequest("POST", "/"), CallerRequest("id-1", "h", 30.0), route, 30.0)
-    forwarder = Forwarder(cast(HttpClient, client), PlatformDialect(), pool.gets_work)
+    forwarder = Forwarder(cast(HttpClient, client), PlatformDialect(), pool.reach, pool.gets_work)
     try:
         connection = await forwarder.connect(entry)
         await forwarder.send(connection, outgoing, entry, 0.0, None)
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -304,8 +304,14 @@
 
         :raises ConnectFailed: none could be made in time.
         """
-        connection = self.take_idle(address)
-        return connection or await self._connector.open(address, timeout)
+        return self.take_idle(address) or await self.open(address, timeout)
+
+    async def open(self, address: str, timeout: float) -> ClientConnection:
+        """Return a new connection.
+
+        :raises ConnectFailed: it could not be made in time.
+        """
+        return await self._connector.open(address, timeout)
 
     def take_idle(self, address: str) -> ClientConnection | None:
         """Return an idle connection that its server will not close right now, or None."""
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -134,6 +134,10 @@
         self.servers_usable = self._gauge(
             "loomwind_servers_usable", "Servers that may get new work"
         )
+        self.cut_from_servers = self._gauge(
+            "loomwind_cut_from_servers",
+            "1 while several servers, and none in between, accept no connection of this daemon",
+        )
         self.store_calls = self._counter(
             "loomwind_store_calls",
             "Calls to the store, by call, table and result",
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -101,6 +101,7 @@
         self._store = store
         self._health = StoreHealth()
         self._pool = ServerPool(settings.bounds)
+        self.metrics.cut_from_servers.set_function(lambda: float(self._pool.reach.is_cut))
         self._beliefs = Beliefs(
             deployment.documents, store.configuration_key, self._pool, self._health, self.metrics
         )
@@ -201,7 +202,7 @@
         self._handler = RequestHandler(
             self.settings.zone,
             self._pool,
-            Forwarder(self._client, deployment.dialect, self._pool.gets_work),
+            Forwarder(self._client, deployment.dialect, self._pool.reach, self._pool.gets_work),
             deployment.dialect,
             self.metrics,
             self._beliefs,
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -5,11 +5,13 @@
 from msgspec import Struct
 
 from loomwind import constants
+from loomwind.clock import Clock
 from loomwind.http.client import ClientConnection, HttpClient
 from loomwind.http.errors import ConnectFailed, HttpError
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.ports import AnswerVerdict, Dialect
+from loomwind.serving.reach import ServerReach
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -51,25 +53,26 @@
         self,
         client: HttpClient,
         dialect: Dialect,
+        reach: ServerReach,
         gets_work: Callable[[ServerEntry], bool] = lambda entry: True,
     ) -> None:
         """Make a forwarder.
 
+        :param reach: is told of each new connection, made or failed.
         :param gets_work: whether a server may still get work, asked once it is connected.
         """
         self._client = client
         self._dialect = dialect
+        self._reach = reach
         self._gets_work = gets_work
+        self._clock = Clock()
 
     async def connect(self, entry: ServerEntry) -> ClientConnection:
         """Return a connection to a server, on which nothing has been sent yet.
 
         :raises SendFailed: there is none, or the server gets no more work.
         """
-        try:
-            connection = await self._client.acquire(entry.address, CONNECT_TIMEOUT_SECONDS)
-        except ConnectFailed as error:
-            raise SendFailed(f"{entry.instance}: {error}", ran=False, unreachable=True) from error
+        connection = self._client.take_idle(entry.address) or await self._open(entry)
         if not self._gets_work(entry):
             self._client.release(connection)
             detail = f"{entry.instance}: began to leave while a connection was made"
@@ -104,6 +107,15 @@
             raise _refused(entry, head, verdict)
         return OpenAnswer(connection, head)
 
+    async def _open(self, entry: ServerEntry) -> ClientConnection:
+        try:
+            connection = await self._client.open(entry.address, CONNECT_TIMEOUT_SECONDS)
+        except ConnectFailed as error:
+            self._reach.note_failed(entry.instance, self._clock.now_ms())
+            raise SendFailed(f"{entry.instance}: {error}", ran=False, unreachable=True) from error
+        self._reach.note_connected(self._clock.now_ms())
+        return connection
+
     def _as_sent(
         self, outgoing: Outgoing, entry: ServerEntry, now: float, last_event_id: str | None
     ) -> HttpRequest:
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -10,6 +10,7 @@
 from loomwind.serving.directory import ServerDirectory
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.expectations import Expectations, ExpectedTarget
+from loomwind.serving.reach import ServerReach
 from loomwind.serving.residency import Residency, ServerHolding
 from loomwind.serving.views import ModelKey, ServerEntry
 from loomwind.settings import BoundSettings
@@ -28,6 +29,7 @@
         self.residency = Residency()
         self.demand = DemandBoard()
         self.expectations = Expectations()
+        self.reach = ServerReach()
         self._bounds = bounds
         self._daemons = UNKNOWN_DAEMONS
         self._health: dict[str, ServerHealth] = {}
@@ -114,6 +116,7 @@
         """Forget servers that are gone, and wake requests that wait."""
         known = {entry.instance for entry in self.directory.entries()}
         self.residency.forget(known)
+        self.reach.list_servers(known)
         self._health = {name: health for name, health in self._health.items() if name in known}
         self.demand.wake()
 
--- /dev/null
+++ b/loomwind/serving/reach.py
@@ -0,0 +1,83 @@
+"""Whether this daemon reaches the servers at all. Pure; time is passed in, in milliseconds.
+
+A connect that fails speaks of one server. Where several servers, one after the other, accept no
+connection, and none accepts one in between, the fault is more likely on this daemon's own side.
+"""
+
+import enum
+
+from loomwind.logs import log_state
+
+# With fewer, a crash of one server would look the same.
+SERVERS_OF_A_CUT = 2
+
+
+class ReachState(enum.Enum):
+    """What is believed of the way to the servers."""
+
+    REACHED = "reached"
+    DOUBTED = "doubted"
+    CUT = "cut"
+
+
+class ServerReach:
+    """What connects say of the way to the servers."""
+
+    def __init__(self) -> None:
+        self._known = 0
+        self._failed: set[str] = set()
+        self._failing_since_ms = 0.0
+        self._told = ReachState.REACHED
+
+    @property
+    def state(self) -> ReachState:
+        """Return what is believed now."""
+        if not self._failed:
+            return ReachState.REACHED
+        needed = min(SERVERS_OF_A_CUT, max(1, self._known))
+        return ReachState.CUT if len(self._failed) >= needed else ReachState.DOUBTED
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether new connections to servers are not worth a try."""
+        return self.state is ReachState.CUT
+
+    @property
+    def failing_since_ms(self) -> float:
+        """Return when the first connect failed since one was accepted; not while reached."""
+        return self._failing_since_ms
+
+    def failed_at(self, instance: str) -> bool:
+        """Whether a server has accepted no connection since any server did."""
+        return instance in self._failed
+
+    def note_failed(self, instance: str, now_ms: float) -> None:
+        """A server accepted no connection."""
+        if not self._failed:
+            self._failing_since_ms = now_ms
+        self._failed.add(instance)
+        self._tell(now_ms)
+
+    def note_connected(self, now_ms: float) -> None:
+        """A server accepted a new connection."""
+        self._failed.clear()
+        self._tell(now_ms)
+
+    def list_servers(self, known: set[str]) -> None:
+        """Take in which servers are listed now; one that has gone says nothing any more."""
+        self._known = len(known)
+        self._failed &= known
+
+    def _tell(self, now_ms: float) -> None:
+        """Log a change between a cut and what is none."""
+        state = self.state
+        if (state is ReachState.CUT) == (self._told is ReachState.CUT):
+            return
+        self._told = state
+        log_state(
+            "reach",
+            state.value,
+            failed=sorted(self._failed),
+            known=self._known,
+            failing_ms=round(now_ms - self._failing_since_ms),
+        )
