Let a peer serve requests while this daemon reaches no server

Nothing passed a request on to a daemon that reaches the servers.

A daemon that is cut, by what connects say, now hands its requests to a peer: HTTP to a listener of its own for that (listen.relay), one hop, with the caller's headers, the time that is left, the runs so far and the configuration's version. A peer that is cut as well, that has an older configuration or too many such requests declines at once, and another is asked, peers of other zones first, four at most; then the request is tried from here as before. Open connections from which something has come since new ones failed are used still. A request that waits for its model is handed over too, so that no demand is reported for a model that is there. A probe connects to two servers as soon as there is a doubt (a connect fails, an answer is silent, an idle connection breaks) and each 0.25 s until one is accepted; then what was noted of servers that accepted no connection is forgotten.

--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -15,6 +15,7 @@
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder, OpenAnswer, Outgoing
 from loomwind.serving.handler import RequestHandler
+from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.request_run import RequestRun
 from loomwind.serving.residency import Residency, ServerHolding
@@ -104,6 +105,7 @@
         PlatformDialect(),
         Metrics(),
         cast(Beliefs, NoBeliefs()),
+        cast(PeerRelay, None),
     )
     parts = (WeightedService(SERVICE, 1.0),)
     route = RouteRule("r", "h", "/", RequestKind.STREAMING, parts, 30.0, 0.6)
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -74,6 +74,7 @@
         self.name = name
         self.caller_port, self.peer_port = free_port(), free_port()
         self.admin_port, self.ready_port = free_port(), free_port()
+        self.relay_port = free_port()
         self.store_address = ""
         self._folder = folder
         self._settings = settings
@@ -258,6 +259,7 @@
 peer = "{LOCALHOST}:{daemon.peer_port}"
 admin = "{LOCALHOST}:{daemon.admin_port}"
 ready = "{LOCALHOST}:{daemon.ready_port}"
+relay = "{LOCALHOST}:{daemon.relay_port}"
 [store]
 address = "{daemon.store_address}"
 [bounds]
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 from collections import deque
+from collections.abc import Callable
 
 import h11
 
@@ -50,6 +51,7 @@
         self.address = address
         self.state = ClientState.IDLE
         self.idle_until: float | None = None
+        self.on_idle_broken: Callable[[str], None] | None = None
         self._silence_ms = silence_ms
         self._h11 = _new_parser()
         self._transport: asyncio.Transport | None = None
@@ -96,6 +98,8 @@
                 self._h11.receive_data(b"")
         if idle:
             self.state = ClientState.CLOSED
+            if self._reset and self.on_idle_broken is not None:
+                self.on_idle_broken(self.address)
         self._wake()
 
     def _wake(self) -> None:
@@ -292,12 +296,17 @@
 
 
 class HttpClient:
-    """Keeps idle connections per address and gives each to one exchange at a time."""
+    """Keeps idle connections per address and gives each to one exchange at a time.
+
+    :ivar on_idle_broken: called with the address of an idle connection that ends without a proper
+        end: it is reset, or its peer is silent.
+    """
 
     def __init__(self, connector: Connector, max_idle: int = 64) -> None:
         self._connector = connector
         self._max_idle = max_idle
         self._idle: dict[str, deque[ClientConnection]] = {}
+        self.on_idle_broken: Callable[[str], None] | None = None
 
     async def acquire(self, address: str, timeout: float) -> ClientConnection:
         """Return an idle connection, or a new one.
@@ -328,7 +337,10 @@
 
     def has_idle(self, address: str) -> bool:
         """Whether a connection to an address is open and idle."""
-        return bool(self._idle.get(address))
+        idle = self._idle.get(address)
+        while idle and idle[-1].state is not ClientState.IDLE:
+            idle.pop()
+        return bool(idle)
 
     def release(self, connection: ClientConnection) -> None:
         """Take a connection back; one with an unfinished exchange is closed."""
@@ -339,6 +351,7 @@
         if len(idle) >= self._max_idle:
             connection.close()
         else:
+            connection.on_idle_broken = self.on_idle_broken
             idle.append(connection)
 
     async def request(
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -48,7 +48,8 @@
 class Exchange:
     """One request and the means to answer it.
 
-    ``request`` is None when ``bad`` says why it could not be read.
+    ``request`` is None when ``bad`` says why it could not be read. ``extra_headers`` are added to
+    each answer.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.request = request
         self.bad = bad
         self.started = False
+        self.extra_headers: Headers = ()
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response of known length.
@@ -71,6 +73,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head. Without a content-length among the headers the body is chunked."""
         self.started = True
+        headers = (*headers, *self.extra_headers)
         if self._connection.ends_after_answer:
             headers = (*headers, ("connection", "close"))
         raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -89,6 +89,11 @@
         self.sends = self._counter(
             "loomwind_sends", "Sends of requests to servers, by server and end", ["server", "end"]
         )
+        self.peer_relays = self._counter(
+            "loomwind_peer_relays",
+            "Requests that a peer serves for this daemon (sent) or this one for a peer (taken)",
+            ["side", "end"],
+        )
         self.repeats = self._counter(
             "loomwind_repeats", "Repeated sends that the retry budget allowed or not", ["verdict"]
         )
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -63,6 +63,20 @@
             own += ((LAST_EVENT_ID, last_event_id),)
         return own + kept
 
+    def peer_headers(
+        self, request: HttpRequest, remaining_seconds: float, last_event_id: str | None
+    ) -> Headers:
+        """Return the headers for a peer; see :meth:`Dialect.peer_headers`."""
+        changed = (DEADLINE_MS, LAST_EVENT_ID)
+        headers: Headers = (
+            ("host", request.header("host") or ""),
+            (DEADLINE_MS, str(max(1, int(remaining_seconds * 1000)))),
+        )
+        if last_event_id is not None:
+            headers += ((LAST_EVENT_ID, last_event_id),)
+        kept = ((name, value) for name, value in end_to_end(request.headers))
+        return headers + tuple((name, value) for name, value in kept if name not in changed)
+
     def judge(self, request_id: str, server_name: str, head: HttpResponse) -> AnswerVerdict:
         """Return what the head of an answer says; see :meth:`Dialect.judge`."""
         ours = head.header(REQUEST_ID) == request_id
--- a/loomwind/serving/breaker.py
+++ b/loomwind/serving/breaker.py
@@ -1,5 +1,7 @@
 """What one daemon has seen of each server lately: errors, silence, work under way. Pure."""
 
+from collections.abc import Callable
+
 FAILURE_DECAY = 0.8
 OPEN_AFTER_FAILURES = 2
 FIRST_OPEN_SECONDS = 0.7
@@ -13,10 +15,17 @@
 
     :ivar in_flight: requests that this daemon has there now.
     :ivar error_share: moving share of sends that failed, 0 to 1.
+    :ivar heard_at: when something came from the server last, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_heard: Callable[[float], None] = lambda now: None) -> None:
+        """Make the health of a server.
+
+        :param on_heard: called with the time, in seconds, when something has come from it.
+        """
+        self._on_heard = on_heard
         self.in_flight = 0
+        self.heard_at = float("-inf")
         self.error_share = 0.0
         self._failures = 0
         self._open_until = 0.0
@@ -33,6 +42,8 @@
 
     def heard(self, now: float) -> None:
         """Something has come from the server."""
+        self.heard_at = now
+        self._on_heard(now)
         self._silent_since = now
 
     def ended(self) -> None:
@@ -76,6 +87,11 @@
             self._unreachable_until = now + self._unreachable_seconds
             self._unreachable_seconds = min(2 * self._unreachable_seconds, LONGEST_OPEN_SECONDS)
 
+    def note_reachable(self) -> None:
+        """Connections may be made again."""
+        self._unreachable_until = 0.0
+        self._unreachable_seconds = UNREACHABLE_SECONDS
+
     def is_unreachable(self, now: float) -> bool:
         """Whether no connection could be made a moment ago."""
         return now < self._unreachable_until
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 
+import msgspec
 from msgspec import Struct
 
 from loomwind import constants
@@ -28,11 +29,13 @@
 from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.metered import MeteredStore
 from loomwind.serving.peer_exchange import PeerExchange
+from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect, Documents, EngineControl, Store
+from loomwind.serving.reach_probe import ReachProbe
 from loomwind.serving.server_list import ServerListFollower
-from loomwind.settings import BoundSettings, Settings, StoreSettings
+from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
 
 OWN_TABLE = "loomwind"
 LEASE_TABLE = "loomwind-lease"
@@ -46,6 +49,8 @@
 LAST_ANSWERS_SECONDS = 0.3
 WAITING_GRACE_PART = 0.55
 DRAIN_POLL_SECONDS = 0.05
+# What a peer adds to the head of a request.
+RELAY_HEAD_BYTES = 1024
 
 
 class Deployment(Struct, frozen=True):
@@ -76,6 +81,14 @@
     return CONFIGURATION_REST_PART * bounds.apply_ms / MS_PER_SECOND
 
 
+def _relay_address(listen: ListenSettings) -> str:
+    """Return where requests of peers are taken."""
+    if listen.relay is not None:
+        return listen.relay
+    host, port = split_address(listen.peer)
+    return f"{host}:{port + 1}"
+
+
 class PoolDaemon:
     """One daemon. Call :meth:`start`, and later :meth:`stop`."""
 
@@ -114,7 +127,13 @@
         )
         self._election = Election(store, LEASE_TABLE, self._own, lease, self._health)
         self._peers = PeerTable(
-            store, OWN_TABLE, self._own, settings.zone, self._election, self._pool
+            store,
+            OWN_TABLE,
+            self._own,
+            settings.zone,
+            self._election,
+            self._pool,
+            _relay_address(settings.listen),
         )
         self._followers = (
             TableFollower(
@@ -199,14 +218,23 @@
 
     def _make_servers(self, deployment: Deployment) -> None:
         """Make what callers and questioners reach."""
+        forwarder = Forwarder(
+            self._client, deployment.dialect, self._pool.reach, self._pool.gets_work
+        )
+        self._client.on_idle_broken = self._pool.note_broken
+        self._probe = ReachProbe(self._pool, forwarder)
         self._handler = RequestHandler(
             self.settings.zone,
             self._pool,
-            Forwarder(self._client, deployment.dialect, self._pool.reach, self._pool.gets_work),
+            forwarder,
             deployment.dialect,
             self.metrics,
             self._beliefs,
+            PeerRelay(
+                self.settings.zone, self._peers, self._client, deployment.dialect, self.metrics
+            ),
         )
+        self._relayed = HttpServer(self._on_relayed)
         self._callers = HttpServer(self._on_request)
         self._ready = HttpServer(self._on_ready_question)
         self._admin = AdminServer(self.metrics, self.is_ready)
@@ -216,6 +244,7 @@
         listen = self.settings.listen
         await self._transport.start(*split_address(listen.peer))
         await self._callers.start(*split_address(listen.caller))
+        await self._relayed.start(*split_address(_relay_address(listen)))
         await self._ready.start(*split_address(listen.ready or "127.0.0.1:0"))
         await self._admin.server.start(*split_address(listen.admin))
         for follower in self._followers:
@@ -224,6 +253,7 @@
         self._spawn(self._election.run_ticks())
         self._spawn(self._controller.run())
         self._spawn(self._peers.register())
+        self._spawn(self._probe.run())
         self._spawn(self._exchange.send_demand())
         self._spawn(self._anti_entropy.run())
         self._spawn(self._server_list.run())
@@ -251,6 +281,13 @@
         self._callers.limits = self._beliefs.limits
         await self._handler.handle(exchange)
 
+    async def _on_relayed(self, exchange: Exchange) -> None:
+        limits = self._beliefs.limits
+        self._relayed.limits = msgspec.structs.replace(
+            limits, max_head_bytes=limits.max_head_bytes + RELAY_HEAD_BYTES
+        )
+        await self._handler.handle_relayed(exchange)
+
     async def _on_ready_question(self, exchange: Exchange) -> None:
         await exchange.respond(200 if self.is_ready() else 503, (), b"")
 
@@ -288,6 +325,7 @@
         self._spawn(self._hand_over())
         await asyncio.sleep(self.settings.bounds.notice_seconds)
         self._callers.stop_listening()
+        self._relayed.stop_listening()
         grace = self.settings.bounds.grace_seconds
         await self._finish_requests(began + grace * WAITING_GRACE_PART)
         self._handler.refuse_waiting()
@@ -314,6 +352,7 @@
         for task in list(self._tasks):
             task.cancel()
         self._callers.close()
+        self._relayed.close()
         self._ready.close()
         self._admin.server.close()
         self._transport.close()
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -39,6 +39,10 @@
         self.unsent = unsent
 
 
+class RelayDeclined(ServingError):
+    """A peer has not taken a request, and nothing of it has run there."""
+
+
 class ModelNotInTime(ServingError):
     """A request's model is at no server, and will not be before its caller leaves.
 
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -72,7 +72,7 @@
 
         :raises SendFailed: there is none, or the server gets no more work.
         """
-        connection = self._client.take_idle(entry.address) or await self._open(entry)
+        connection = self._client.take_idle(entry.address) or await self.connect_anew(entry)
         if not self._gets_work(entry):
             self._client.release(connection)
             detail = f"{entry.instance}: began to leave while a connection was made"
@@ -107,7 +107,11 @@
             raise _refused(entry, head, verdict)
         return OpenAnswer(connection, head)
 
-    async def _open(self, entry: ServerEntry) -> ClientConnection:
+    async def connect_anew(self, entry: ServerEntry) -> ClientConnection:
+        """Return a new connection to a server.
+
+        :raises SendFailed: the server accepts none.
+        """
         try:
             connection = await self._client.open(entry.address, CONNECT_TIMEOUT_SECONDS)
         except ConnectFailed as error:
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 
+from loomwind import constants
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest
@@ -15,10 +16,19 @@
 from loomwind.metrics import Metrics
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.demand import DemandKey
-from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, StreamCut
+from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, RelayDeclined, StreamCut
 from loomwind.serving.forwarder import Forwarder
+from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect
+from loomwind.serving.relay_protocol import (
+    RelayEnd,
+    RelayTerms,
+    configuration_headers,
+    end_headers,
+    read_terms,
+    without_own_fields,
+)
 from loomwind.serving.request_run import RequestRun
 from loomwind.serving.views import CallerRequest, ServerEntry
 
@@ -36,6 +46,7 @@
         dialect: Dialect,
         metrics: Metrics,
         beliefs: Beliefs,
+        relay: PeerRelay,
     ) -> None:
         """Make a handler.
 
@@ -47,7 +58,9 @@
         self.dialect = dialect
         self.metrics = metrics
         self._beliefs = beliefs
+        self.relay = relay
         self.open_requests = 0
+        self._open_relayed = 0
         self.limits: set[asyncio.Timeout] = set()
         self.refuses_waiting = False
 
@@ -123,7 +136,93 @@
             log_decision("failed", caller.request_id, reason=repr(error))
             exchange.abort()
 
-    async def _run(self, exchange: Exchange, request: HttpRequest, caller: CallerRequest) -> None:
+    # Requests of peers.
+
+    async def handle_relayed(self, exchange: Exchange) -> None:
+        """Answer a request that a peer cannot serve, or decline it."""
+        version = self._beliefs.configuration_version
+        exchange.extra_headers = configuration_headers(version)
+        request = exchange.request
+        try:
+            if request is None:
+                raise RelayDeclined("the request cannot be read")
+            terms = self._read_terms(request)
+            self._decline_if_unable(terms)
+        except RelayDeclined as declined:
+            self.metrics.peer_relays.labels("taken", "declined").inc()
+            log_decision("declined-to-serve", "", reason=str(declined))
+            await self._end_relayed(exchange, RelayEnd.DECLINED, Refused(503, str(declined)))
+            return
+        self.open_requests += 1
+        self._open_relayed += 1
+        try:
+            await self._answer_relayed(exchange, request, terms)
+        finally:
+            self._open_relayed -= 1
+            self.open_requests -= 1
+
+    @staticmethod
+    def _read_terms(request: HttpRequest) -> RelayTerms:
+        try:
+            return read_terms(request)
+        except ValueError as error:
+            raise RelayDeclined("it carries no terms") from error
+
+    def _decline_if_unable(self, terms: RelayTerms) -> None:
+        """Check that this daemon can serve a peer's request at least as well as the peer.
+
+        :raises RelayDeclined: it cannot.
+        """
+        if self.pool.reach.is_cut:
+            raise RelayDeclined("no server is reached from here")
+        if self.refuses_waiting:
+            raise RelayDeclined("this daemon is leaving")
+        if self._beliefs.configuration_version < terms.configuration_version:
+            raise RelayDeclined("the configuration here is older")
+        if self._open_relayed >= constants.MOST_RELAYED_REQUESTS:
+            raise RelayDeclined("too many requests of peers are here")
+
+    async def _answer_relayed(
+        self, exchange: Exchange, request: HttpRequest, terms: RelayTerms
+    ) -> None:
+        own = HttpRequest(
+            request.method, request.target, without_own_fields(request.headers), request.body
+        )
+        caller = self.dialect.read_request(own)
+        end = "served"
+        try:
+            await self._run(exchange, own, caller, terms)
+        except Refused as refusal:
+            end = "refused"
+            await self._end_relayed(exchange, RelayEnd.REFUSED, refusal)
+        except StreamCut as cut:
+            end = "cut"
+            log_decision("cut", caller.request_id, reason=str(cut))
+            exchange.abort()
+        except (ConnectionBroken, asyncio.CancelledError):
+            end = "cancelled"
+            raise
+        except Exception as error:
+            end = "failed"
+            log_decision("failed", caller.request_id, reason=repr(error))
+            exchange.abort()
+        finally:
+            self.metrics.peer_relays.labels("taken", end).inc()
+
+    @staticmethod
+    async def _end_relayed(exchange: Exchange, end: RelayEnd, refusal: Refused) -> None:
+        headers = end_headers(end, refusal.retry_after_seconds)
+        await exchange.respond(refusal.status, headers, str(refusal).encode())
+
+    # The way of every request.
+
+    async def _run(
+        self,
+        exchange: Exchange,
+        request: HttpRequest,
+        caller: CallerRequest,
+        relayed: RelayTerms | None = None,
+    ) -> None:
         routes = self._beliefs.routes
         if routes is None:
             raise Refused(503, "no configuration is known yet", RETRY_SOON_SECONDS)
@@ -131,7 +230,7 @@
         if route is None:
             raise Refused(404, f"no route; configuration {routes.configuration.version}")
         service = routes.service_of(route)
-        await RequestRun(self, exchange, request, caller, route, service).serve()
+        await RequestRun(self, exchange, request, caller, route, service, relayed).serve()
 
     async def _refuse(self, exchange: Exchange, caller: CallerRequest, refusal: Refused) -> None:
         outcome = "not-run" if refusal.status in (404, 503) else "unknown"
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -42,11 +42,13 @@
     """A daemon's row in the store.
 
     :param address: ``host:port`` for peers.
+    :param relay: ``host:port`` for requests that other daemons cannot serve; empty for none.
     """
 
     address: str
     zone: str
     life: str
+    relay: str = ""
 
 
 class PeerTable:
@@ -60,7 +62,9 @@
         zone: str,
         election: Election,
         pool: ServerPool,
+        relay_address: str = "",
     ) -> None:
+        self._relay_address = relay_address
         self._store = store
         self._table = table
         self._own = own
@@ -162,7 +166,7 @@
 
     async def register(self) -> None:
         """Write this daemon's own row, so that peers find it."""
-        value = msgspec.json.encode(PeerEntry(self._own.address, self._zone, self._own.life))
+        value = msgspec.json.encode(self._own_entry())
         while True:
             try:
                 await self._store.write(self._table, Write(self._own_key, value))
@@ -171,6 +175,9 @@
                 log_state("peer", "not-registered", error=str(error))
                 await asyncio.sleep(REGISTER_RETRY_SECONDS)
 
+    def _own_entry(self) -> PeerEntry:
+        return PeerEntry(self._own.address, self._zone, self._own.life, self._relay_address)
+
     async def unregister(self) -> None:
         """Remove this daemon's own row."""
         try:
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -29,7 +29,7 @@
         self.residency = Residency()
         self.demand = DemandBoard()
         self.expectations = Expectations()
-        self.reach = ServerReach()
+        self.reach = ServerReach(self._forget_unreachable)
         self._bounds = bounds
         self._daemons = UNKNOWN_DAEMONS
         self._health: dict[str, ServerHealth] = {}
@@ -44,13 +44,20 @@
         usable = reachable
         return [entry for entry in usable if self.residency.can_run(entry, target, now)]
 
+    def holders(self, service: str, target: ModelKey | None, now: float) -> list[ServerEntry]:
+        """Return the servers that could run a request for the target, reached or not."""
+        usable = self.directory.usable(service, now)
+        if target is None:
+            return usable
+        return [entry for entry in usable if self.residency.can_run(entry, target, now)]
+
     def gets_work(self, entry: ServerEntry) -> bool:
         """Whether a server, in the life that an entry names, may still get new work."""
         return self.directory.gets_work(entry, self.now())
 
     def health(self, instance: str) -> ServerHealth:
         """Return what this daemon has seen of a server."""
-        return self._health.setdefault(instance, ServerHealth())
+        return self._health.setdefault(instance, ServerHealth(self.reach.note_heard))
 
     def budget(self, service: str) -> RetryBudget:
         """Return the budget for repeated sends to a service."""
@@ -112,6 +119,17 @@
         self.expectations.note(expected, self.now() * MS_PER_SECOND)
         self.demand.wake()
 
+    def note_broken(self, address: str) -> None:
+        """An idle connection has ended without a proper end; does nothing for one of no server."""
+        if any(entry.address == address for entry in self.directory.entries()):
+            self.reach.note_broken()
+
+    def _forget_unreachable(self) -> None:
+        """Forget which servers accepted no connection: the fault was on this daemon's side."""
+        for health in self._health.values():
+            health.note_reachable()
+        self.demand.wake()
+
     def refresh(self) -> None:
         """Forget servers that are gone, and wake requests that wait."""
         known = {entry.instance for entry in self.directory.entries()}
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -174,6 +174,12 @@
     ) -> Headers:
         """Return the headers of a request as a server gets it, with the caller's host."""
 
+    @abstractmethod
+    def peer_headers(
+        self, request: HttpRequest, remaining_seconds: float, last_event_id: str | None
+    ) -> Headers:
+        """Return the headers of a request as a peer gets it that serves it: a caller's own."""
+
     @abstractmethod
     def judge(self, request_id: str, server_name: str, head: HttpResponse) -> AnswerVerdict:
         """Return what the head of an answer says about the request."""
--- a/loomwind/serving/reach.py
+++ b/loomwind/serving/reach.py
@@ -4,8 +4,11 @@
 connection, and none accepts one in between, the fault is more likely on this daemon's own side.
 """
 
+import asyncio
 import enum
+from collections.abc import Callable
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.logs import log_state
 
 # With fewer, a crash of one server would look the same.
@@ -21,10 +24,20 @@
 
 
 class ServerReach:
-    """What connects say of the way to the servers."""
+    """What connects say of the way to the servers.
 
-    def __init__(self) -> None:
+    :ivar doubt: set when a connect should tell whether the servers are reached.
+    """
+
+    def __init__(self, on_regained: Callable[[], None] = lambda: None) -> None:
+        """Begin with servers that are reached.
+
+        :param on_regained: called when a cut has ended.
+        """
+        self._on_regained = on_regained
+        self.doubt = asyncio.Event()
         self._known = 0
+        self._heard_at = float("-inf")
         self._failed: set[str] = set()
         self._failing_since_ms = 0.0
         self._told = ReachState.REACHED
@@ -56,12 +69,29 @@
         if not self._failed:
             self._failing_since_ms = now_ms
         self._failed.add(instance)
+        self.doubt.set()
         self._tell(now_ms)
 
     def note_connected(self, now_ms: float) -> None:
         """A server accepted a new connection."""
+        regained = self.is_cut
         self._failed.clear()
         self._tell(now_ms)
+        if regained:
+            self._on_regained()
+
+    def note_heard(self, now: float) -> None:
+        """Something has come from a server, at a time in seconds."""
+        self._heard_at = now
+
+    def note_silence(self, since_ms: float) -> None:
+        """A server has not answered a request that it was sent at a time."""
+        if self._heard_at * MS_PER_SECOND < since_ms:
+            self.doubt.set()
+
+    def note_broken(self) -> None:
+        """A connection that was idle has ended without a proper end."""
+        self.doubt.set()
 
     def list_servers(self, known: set[str]) -> None:
         """Take in which servers are listed now; one that has gone says nothing any more."""
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -4,27 +4,33 @@
 """
 
 import asyncio
-import random
+import contextlib
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
-from loomwind.serving.choose import Candidate, choose
+from loomwind.serving.breaker import SUSPECT_SILENCE_SECONDS, ServerHealth
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import (
     RETRY_SOON_SECONDS,
     ModelNotInTime,
     Refused,
+    RelayDeclined,
     SendFailed,
     StreamCut,
 )
 from loomwind.serving.forwarder import OpenAnswer, Outgoing
 from loomwind.serving.model_wait import ModelWait
+from loomwind.serving.peers import PeerEntry
+from loomwind.serving.relay_protocol import RelayTerms
+from loomwind.serving.server_choice import ServerChoice
 from loomwind.serving.silence import allowed_silence_seconds
 from loomwind.serving.stream_relay import StreamRelay
-from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
+from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry, ServerState
 
 if TYPE_CHECKING:
     from loomwind.serving.handler import RequestHandler
@@ -33,6 +39,9 @@
 EXTRA_UNSTARTED_SENDS = 3
 REFUSED_PAUSE_SECONDS = 0.03
 SERVED = "served"
+# Peers that are asked to serve one request; then it is tried from here, as it would be otherwise.
+MOST_PEERS_ASKED = 4
+NOT_RUN_STATUSES = frozenset({503})
 SERVER_ERROR_STATUSES = range(500, 600)
 
 
@@ -47,7 +56,12 @@
         caller: CallerRequest,
         route: RouteRule,
         service: str,
+        relayed: RelayTerms | None = None,
     ) -> None:
+        """Make a run.
+
+        :param relayed: given for a request that a peer could not serve itself.
+        """
         self._serving = serving
         self._pool = serving.pool
         self._exchange = exchange
@@ -59,16 +73,18 @@
         if caller.remaining_seconds is not None:
             limit = min(limit, caller.remaining_seconds)
         self._outgoing = Outgoing(request, caller, route, self._arrived + limit)
-        self._tried: set[str] = set()
-        self._runs = 0
+        self._relayed = relayed
+        self._peers_asked: set[str] = set()
+        self._may_ask_peers = relayed is None
+        self._runs = relayed.runs if relayed else 0
         self._sends = 0
-        self._may_have_run = False
+        self._may_have_run = self._runs > 0
         self._handed_over = False
         self._waited_seconds = 0.0
         self._waiting = False
         self._owes_repeat = False
         self._server = ""
-        self._candidates: list[Candidate] = []
+        self._choice = ServerChoice(serving.pool, serving.forwarder, serving.zone, service, caller)
         self._stream = StreamRelay(
             exchange,
             caller,
@@ -87,7 +103,8 @@
         :raises Refused: it gets a daemon's own answer.
         :raises StreamCut: its stream has begun and cannot be completed.
         """
-        self._pool.budget(self._service).note_request(self._arrived)
+        if self._relayed is None:
+            self._pool.budget(self._service).note_request(self._arrived)
         limit = asyncio.timeout_at(self._outgoing.deadline - DEADLINE_MARGIN_SECONDS)
         self._serving.limits.add(limit)
         try:
@@ -121,7 +138,8 @@
             sends=self._sends,
             may_have_run=self._may_have_run or self._handed_over,
             server=self._server,
-            passed_over=self._passed_over(),
+            passed_over=self._choice.passed_over(self._server),
+            peers_asked=len(self._peers_asked),
             events=self._stream.events,
             configuration=self._serving.configuration_version(),
             servers=self._pool.directory.version,
@@ -135,14 +153,6 @@
         if self._waited_seconds:
             metrics.model_wait_seconds.observe(self._waited_seconds)
 
-    def _passed_over(self) -> list[str]:
-        """Return the servers that were not chosen the last time, with what spoke against each."""
-        return [
-            f"{candidate.entry.instance}: {candidate.describe()}"
-            for candidate in self._candidates
-            if candidate.entry.instance != self._server
-        ]
-
     def _out_of_time(self) -> Exception:
         if self._exchange.started:
             return StreamCut("the time is over")
@@ -153,7 +163,13 @@
 
     async def _try_servers(self) -> None:
         while True:
+            if self._is_cut_off():
+                if await self._serve_by_peer():
+                    return
+                continue
             entry = await self._wait_for_server()
+            if entry is None:
+                continue
             try:
                 await self._try_server(entry)
                 return
@@ -166,7 +182,7 @@
 
     def _note_failure(self, entry: ServerEntry, failure: SendFailed) -> None:
         self._handed_over = False
-        self._tried.add(entry.instance)
+        self._choice.tried.add(entry.instance)
         self._runs += failure.ran
         self._may_have_run |= failure.ran
         self._pool.note_failure(entry, self._caller.target, failure, self._serving.now())
@@ -175,7 +191,7 @@
             "send-failed",
             self._caller.request_id,
             server=entry.instance,
-            passed_over=self._passed_over(),
+            passed_over=self._choice.passed_over(self._server),
             reason=str(failure),
             ran=failure.ran,
             events=self._stream.events,
@@ -216,7 +232,8 @@
 
     # A server for it.
 
-    async def _wait_for_server(self) -> ServerEntry:
+    async def _wait_for_server(self) -> ServerEntry | None:
+        """Return a server; None when this daemon has lost its way to the servers meanwhile."""
         target = self._caller.target
         entry = self._choose_paid()
         if target is None:
@@ -236,7 +253,7 @@
         self._serving.metrics.waiting_for_model.inc()
         try:
             with wait:
-                while entry is None:
+                while entry is None and not self._is_cut_off():
                     self._refuse_if_leaving()
                     await wait.look_again(self._has_not_run())
                     entry = self._choose_paid()
@@ -263,7 +280,7 @@
 
     def _choose_paid(self) -> ServerEntry | None:
         """Return a server, if the budget has room for the repeat that this send may be."""
-        entry = self._choose()
+        entry = self._choice.choose(self._serving.now())
         if entry is None or not self._owes_repeat:
             return entry
         if not self._may_repeat():
@@ -271,30 +288,6 @@
         self._owes_repeat = False
         return entry
 
-    def _choose(self) -> ServerEntry | None:
-        now = self._serving.now()
-        found: list[Candidate] = []
-        for entry in self._pool.able(self._service, self._caller.target, now):
-            health = self._pool.health(entry.instance)
-            found.append(
-                Candidate(
-                    entry,
-                    health.in_flight,
-                    health.error_share,
-                    health.is_open(now) or health.is_suspect(now),
-                    entry.instance in self._tried,
-                    self._serving.forwarder.has_idle_connection(entry),
-                )
-            )
-        noise = [random.random() for _ in found]
-        chosen = choose(found, self._serving.zone, self._cache_key(), noise)
-        self._candidates = found
-        return chosen.entry if chosen else None
-
-    def _cache_key(self) -> str:
-        shared = self._caller.prompt[:-1]
-        return shared[-1].identity if shared else ""
-
     # One server.
 
     async def _try_server(self, entry: ServerEntry) -> None:
@@ -323,9 +316,10 @@
         self._handed_over = True
         try:
             async with asyncio.timeout(silence):
-                answer = await forwarder.send(
-                    connection, self._outgoing, entry, self._serving.now(), resume_from
-                )
+                with self._doubt_when_silent():
+                    answer = await forwarder.send(
+                        connection, self._outgoing, entry, self._serving.now(), resume_from
+                    )
                 body = None if answer.streamed else await forwarder.read_whole(answer)
         except TimeoutError as error:
             raise SendFailed(f"{entry.instance}: silent for {silence} s", ran=True) from error
@@ -336,10 +330,21 @@
         else:
             await self._answer_whole(entry, answer, body)
 
+    @contextlib.contextmanager
+    def _doubt_when_silent(self) -> Iterator[None]:
+        """Let the way to the servers be probed when an answer does not begin for a while."""
+        sent_ms = self._serving.now() * MS_PER_SECOND
+        timer = asyncio.get_running_loop().call_later(
+            SUSPECT_SILENCE_SECONDS, self._pool.reach.note_silence, sent_ms
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     def _allowed_silence(self, entry: ServerEntry) -> float | None:
         """Return how long a server may say nothing before the request goes elsewhere."""
-        others = self._pool.able(self._service, self._caller.target, self._serving.now())
-        has_other = any(other.instance != entry.instance for other in others)
+        has_other = self._choice.has_other(entry, self._serving.now())
         return allowed_silence_seconds(self._route, self._runs, has_other)
 
     async def _answer_whole(self, entry: ServerEntry, answer: OpenAnswer, body: bytes) -> None:
@@ -350,11 +355,104 @@
                 raise failure
             if self._route.repeatable and self._runs + 1 < self._route.max_attempts:
                 raise failure
+        await self._pass_whole(entry, answer, body)
+
+    async def _pass_whole(self, entry: ServerEntry, answer: OpenAnswer, body: bytes) -> None:
+        status = answer.head.status
         if self._exchange.started:
             raise SendFailed(f"{entry.instance}: a resumed stream got {status}", ran=True)
         headers = self._serving.dialect.answer_headers(answer.head)
         await self._exchange.respond(status, headers, body)
 
+    # A peer in place of the servers.
+
+    async def _serve_by_peer(self) -> bool:
+        """Let a peer serve the request; returns whether it has.
+
+        :raises Refused: the peer has refused it.
+        """
+        peer = self._next_peer()
+        if peer is None:
+            self._may_ask_peers = False
+            return False
+        self._server = peer.address
+        try:
+            await self._exchange_with_peer(peer)
+        except RelayDeclined as declined:
+            self._log_peer("relay-declined", peer, str(declined))
+            return False
+        except SendFailed as failure:
+            self._handed_over = False
+            self._runs += 1
+            self._may_have_run = True
+            self._log_peer("relay-failed", peer, str(failure))
+            if not self._may_retry(failure):
+                raise self._give_up(str(failure)) from failure
+            return False
+        except Refused as refusal:
+            self._log_peer("relay-refused", peer, str(refusal))
+            raise self._final(refusal) from refusal
+        return True
+
+    def _is_cut_off(self) -> bool:
+        """Whether a peer may serve the request better: no server can be reached from here."""
+        return self._may_ask_peers and self._choice.is_cut_off(self._serving.now())
+
+    def _next_peer(self) -> PeerEntry | None:
+        if len(self._peers_asked) >= MOST_PEERS_ASKED:
+            return None
+        peer = self._serving.relay.pick(self._peers_asked)
+        if peer is not None:
+            self._peers_asked.add(peer.life)
+        return peer
+
+    async def _exchange_with_peer(self, peer: PeerEntry) -> None:
+        relay = self._serving.relay
+        terms = RelayTerms(self._runs, self._serving.configuration_version())
+        connection = await relay.connect(peer)
+        self._sends += 1
+        self._handed_over = True
+        try:
+            answer = await relay.send(
+                connection,
+                peer,
+                self._outgoing,
+                self._serving.now(),
+                self._stream.last_event_id,
+                terms,
+            )
+        except (RelayDeclined, Refused):
+            self._handed_over = False
+            raise
+        self._log_peer("relayed", peer, "")
+        entry = ServerEntry(
+            peer.address, self._service, peer.relay, peer.zone, 1, ServerState.READY
+        )
+        if answer.streamed:
+            await self._stream.pass_on(entry, answer, ServerHealth())
+            self._serving.forwarder.release(answer.connection)
+        else:
+            body = await self._serving.forwarder.read_whole(answer)
+            await self._pass_whole(entry, answer, body)
+
+    def _log_peer(self, decision: str, peer: PeerEntry, reason: str) -> None:
+        log_decision(
+            decision,
+            self._caller.request_id,
+            peer=peer.address,
+            reason=reason,
+            runs=self._runs,
+            reach=self._pool.reach.state.value,
+        )
+
+    def _final(self, refusal: Refused) -> Exception:
+        """Return a peer's refusal as this daemon's own: it may not know what has run before."""
+        if refusal.status in NOT_RUN_STATUSES and not self._has_not_run():
+            return self._give_up(str(refusal))
+        if self._exchange.started:
+            return StreamCut(str(refusal))
+        return refusal
+
     def _note_first_event(self, entry: ServerEntry) -> None:
         """Say what a late first event was waiting for."""
         seconds = self._serving.now() - self._arrived
--- a/loomwind/settings.py
+++ b/loomwind/settings.py
@@ -39,13 +39,18 @@
 
 
 class ListenSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """The addresses that the daemon listens on; port 0 takes any free one."""
+    """The addresses that the daemon listens on; port 0 takes any free one.
+
+    :param relay: for requests that peers cannot serve themselves; the port after that for peers if
+        it is not given.
+    """
 
     caller: Address = "127.0.0.1:8080"
     peer: Address = "127.0.0.1:7070"
     operator: Address = "127.0.0.1:7071"
     admin: Address = "127.0.0.1:7072"
     ready: Address | None = None
+    relay: Address | None = None
 
 
 class PeerSettings(Struct, frozen=True, forbid_unknown_fields=True):
