Tell by service whether the servers are reached

Callers of a daemon that reaches the servers of one service only were still served badly: connects to the others said again and again that all was well. Cause: one state for all services. Each service has a state of its own now, is probed by itself, and a peer declines by service; silence counts when nothing came from any server of the service.

--- a/features/cut_from_servers.feature
+++ b/features/cut_from_servers.feature
@@ -21,6 +21,14 @@
       | reset      |
       | refuse_new |
 
+  Scenario: a daemon that reaches the servers of one service only
+    Given 3 pool daemons
+    When callers keep every daemon busy for 1.0 s
+    And the links to the servers of tutor become partition
+    And callers keep every daemon busy for 3.0 s
+    And first attempts come to every daemon for 3.0 s
+    Then daemon-1 serves at least 0.67 as many of its first attempts as the others of theirs
+
   Scenario: a request whose time ends while it connects has not run, and its caller is told so
     Given 1 pool daemons
     When the links to the servers become partition
--- a/features/steps/cut_from_servers_steps.py
+++ b/features/steps/cut_from_servers_steps.py
@@ -29,6 +29,13 @@
     link.set_state(state)
 
 
+@when("the links to the servers of {service:w} become {state}")
+def step_service_state(context: Any, service: str, state: str) -> None:
+    site = pool(context)
+    assert site.server_link is not None
+    site.server_link.set_state(state, site.addresses_of(service))
+
+
 @when("callers keep every daemon busy for {seconds:f} s")
 def step_busy(context: Any, seconds: float) -> None:
     """Send requests whose ends do not count, and do not wait for them."""
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -53,8 +53,9 @@
 class PoolServerProcess:
     """One stand-in server."""
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: Process, service: str) -> None:
         self.process = process
+        self.service = service
         self.address = f"{LOCALHOST}:{process.ports()[0]}"
 
     def fault(self, **faults: object) -> None:
@@ -218,15 +219,21 @@
         arguments = ["--service", MODEL_SERVICE, "--store", self.store_address]
         arguments += ["--models", str(sizes), "--held", held, "--memory_mb", str(self.memory_mb)]
         arguments += ["--adapter_slots", "2", "--instance", instance]
-        self._add_server(name, arguments)
+        self._add_server(name, MODEL_SERVICE, arguments)
 
     def add_plain_server(self, name: str) -> None:
         """Start a server without models."""
-        self._add_server(name, ["--service", PLAIN_SERVICE, "--store", self.store_address])
+        self._add_server(
+            name, PLAIN_SERVICE, ["--service", PLAIN_SERVICE, "--store", self.store_address]
+        )
 
-    def _add_server(self, name: str, arguments: list[str]) -> None:
+    def _add_server(self, name: str, service: str, arguments: list[str]) -> None:
         process = Process("standins.pool.server", arguments, self.folder / f"{name}.log")
-        self.servers[name] = PoolServerProcess(process)
+        self.servers[name] = PoolServerProcess(process, service)
+
+    def addresses_of(self, service: str) -> set[str]:
+        """Return the addresses of the servers of a service."""
+        return {each.address for each in self.servers.values() if each.service == service}
 
     def add_daemon(self, name: str, store_address: str = "") -> None:
         """Start a daemon, by default with a direct way to the store."""
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -146,10 +146,14 @@
         pairs = zip(self._links, self._ports, strict=True)
         return {link.target: f"{LOCALHOST}:{p}" for link, p in pairs if link.daemon == daemon}
 
-    def set_state(self, state: str) -> None:
-        """Put the links in a state of :class:`standins.link.LinkState`, and wait for that."""
+    def set_state(self, state: str, targets: set[str] | None = None) -> None:
+        """Put links in a state of :class:`standins.link.LinkState`, and wait for that.
+
+        :param targets: ``host:port`` of the targets whose links change; all of them without it.
+        """
+        words = [state, *sorted(targets or ())]
         with socket.create_connection((LOCALHOST, self._control_port)) as control:
-            control.sendall(state.encode() + b"\n")
+            control.sendall(" ".join(words).encode() + b"\n")
             control.recv(64)
 
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -114,7 +114,7 @@
         self._store = store
         self._health = StoreHealth()
         self._pool = ServerPool(settings.bounds)
-        self.metrics.cut_from_servers.set_function(lambda: float(self._pool.reach.is_cut))
+        self.metrics.cut_from_servers.set_function(lambda: float(self._pool.is_cut()))
         self._beliefs = Beliefs(
             deployment.documents, store.configuration_key, self._pool, self._health, self.metrics
         )
@@ -219,7 +219,7 @@
     def _make_servers(self, deployment: Deployment) -> None:
         """Make what callers and questioners reach."""
         forwarder = Forwarder(
-            self._client, deployment.dialect, self._pool.reach, self._pool.gets_work
+            self._client, deployment.dialect, self._pool.reach_of, self._pool.gets_work
         )
         self._client.on_idle_broken = self._pool.note_broken
         self._probe = ReachProbe(self._pool, forwarder)
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -120,10 +120,6 @@
             if known.entry.service == service and self._may_get_work(known, now)
         ]
 
-    def all_usable(self, now: float) -> list[ServerEntry]:
-        """Return the servers of all services that may get new work."""
-        return [each.entry for each in self._servers.values() if self._may_get_work(each, now)]
-
     def gets_work(self, entry: ServerEntry, now: float) -> bool:
         """Whether a server may still get new work in the life that an entry names."""
         known = self._servers.get(entry.name)
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -53,17 +53,17 @@
         self,
         client: HttpClient,
         dialect: Dialect,
-        reach: ServerReach,
+        reach_of: Callable[[str], ServerReach],
         gets_work: Callable[[ServerEntry], bool] = lambda entry: True,
     ) -> None:
         """Make a forwarder.
 
-        :param reach: is told of each new connection, made or failed.
+        :param reach_of: returns what is told of each new connection to a service, made or failed.
         :param gets_work: whether a server may still get work, asked once it is connected.
         """
         self._client = client
         self._dialect = dialect
-        self._reach = reach
+        self._reach_of = reach_of
         self._gets_work = gets_work
         self._clock = Clock()
 
@@ -112,12 +112,13 @@
 
         :raises SendFailed: the server accepts none.
         """
+        reach = self._reach_of(entry.service)
         try:
             connection = await self._client.open(entry.address, CONNECT_TIMEOUT_SECONDS)
         except ConnectFailed as error:
-            self._reach.note_failed(entry.instance, self._clock.now_ms())
+            reach.note_failed(entry.instance, self._clock.now_ms())
             raise SendFailed(f"{entry.instance}: {error}", ran=False, unreachable=True) from error
-        self._reach.note_connected(self._clock.now_ms())
+        reach.note_connected(self._clock.now_ms())
         return connection
 
     def _as_sent(
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -169,12 +169,10 @@
             raise RelayDeclined("it carries no terms") from error
 
     def _decline_if_unable(self, terms: RelayTerms) -> None:
-        """Check that this daemon can serve a peer's request at least as well as the peer.
+        """Check that this daemon takes requests of peers now.
 
         :raises RelayDeclined: it cannot.
         """
-        if self.pool.reach.is_cut:
-            raise RelayDeclined("no server is reached from here")
         if self.refuses_waiting:
             raise RelayDeclined("this daemon is leaving")
         if self._beliefs.configuration_version < terms.configuration_version:
@@ -192,6 +190,10 @@
         end = "served"
         try:
             await self._run(exchange, own, caller, terms)
+        except RelayDeclined as declined:
+            end = "declined"
+            refusal = Refused(503, str(declined))
+            await self._end_relayed(exchange, RelayEnd.DECLINED, refusal)
         except Refused as refusal:
             end = "refused"
             await self._end_relayed(exchange, RelayEnd.REFUSED, refusal)
@@ -228,8 +230,11 @@
             raise Refused(503, "no configuration is known yet", RETRY_SOON_SECONDS)
         route = routes.match(caller.host, request.path)
         if route is None:
-            raise Refused(404, f"no route; configuration {routes.configuration.version}")
+            detail = f"no route; configuration {routes.configuration.version}"
+            raise Refused(404, detail) if relayed is None else RelayDeclined(detail)
         service = routes.service_of(route)
+        if relayed is not None and self.pool.reach_of(service).is_cut:
+            raise RelayDeclined("no server is reached from here")
         await RequestRun(self, exchange, request, caller, route, service, relayed).serve()
 
     async def _refuse(self, exchange: Exchange, caller: CallerRequest, refusal: Refused) -> None:
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -24,7 +24,7 @@
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.4
-# How long a peer that has declined, or cannot be reached, is not asked again.
+# How long a peer that has declined, or cannot be reached, is not asked again for a service.
 DECLINED_MS = 1000.0
 # A peer's refusal, which says whether the request has run, should come before the time is over.
 ANSWER_MARGIN_SECONDS = 0.05
@@ -46,11 +46,11 @@
         self._dialect = dialect
         self._metrics = metrics
         self._clock = Clock()
-        self._declined_until_ms: dict[str, float] = {}
+        self._declined_until_ms: dict[tuple[str, str], float] = {}
         self._newest_configuration = 0
 
-    def pick(self, asked: set[str]) -> PeerEntry | None:
-        """Return a peer that may reach the servers; None when there is none to ask.
+    def pick(self, service: str, asked: set[str]) -> PeerEntry | None:
+        """Return a peer that may reach a service's servers; None when there is none to ask.
 
         :param asked: the lives of peers that were asked for this request.
         """
@@ -60,12 +60,12 @@
             for peer in self._peers.others()
             if peer.relay
             and peer.life not in asked
-            and self._declined_until_ms.get(peer.life, 0.0) <= now_ms
+            and self._declined_until_ms.get((peer.life, service), 0.0) <= now_ms
         ]
         elsewhere = [peer for peer in able if peer.zone != self._zone]
         return random.choice(elsewhere or able) if able else None
 
-    async def connect(self, peer: PeerEntry) -> ClientConnection:
+    async def connect(self, peer: PeerEntry, service: str) -> ClientConnection:
         """Return a connection to a peer, on which nothing has been sent yet.
 
         :raises RelayDeclined: there is none.
@@ -73,13 +73,14 @@
         try:
             return await self._client.acquire(peer.relay, CONNECT_TIMEOUT_SECONDS)
         except ConnectFailed as error:
-            self._note_declined(peer)
+            self._note_declined(peer, service)
             raise RelayDeclined(f"not reached: {error}") from error
 
     async def send(
         self,
         connection: ClientConnection,
         peer: PeerEntry,
+        service: str,
         outgoing: Outgoing,
         now: float,
         last_event_id: str | None,
@@ -102,7 +103,7 @@
             raise SendFailed(f"{peer.address}: {error}", ran=True) from error
         except RelayDeclined:
             self._client.release(connection)
-            self._note_declined(peer)
+            self._note_declined(peer, service)
             raise
         except BaseException:
             self._client.release(connection)
@@ -128,16 +129,13 @@
             body += piece
         return bytes(body)
 
-    def _note_declined(self, peer: PeerEntry) -> None:
+    def _note_declined(self, peer: PeerEntry, service: str) -> None:
         self._count("declined")
         now_ms = self._clock.now_ms()
-        known = {each.life for each in self._peers.others()}
         self._declined_until_ms = {
-            life: until_ms
-            for life, until_ms in self._declined_until_ms.items()
-            if until_ms > now_ms and life in known
+            key: until_ms for key, until_ms in self._declined_until_ms.items() if until_ms > now_ms
         }
-        self._declined_until_ms[peer.life] = now_ms + DECLINED_MS
+        self._declined_until_ms[(peer.life, service)] = now_ms + DECLINED_MS
 
     def _count(self, end: str) -> None:
         self._metrics.peer_relays.labels("sent", end).inc()
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -1,7 +1,9 @@
 """The servers as one daemon sees them: listed, resident, healthy; with the budgets for retries."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Iterable
+from functools import partial
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.serving.breaker import ServerHealth
@@ -22,14 +24,19 @@
 
 
 class ServerPool:
-    """What requests need to know about servers."""
+    """What requests need to know about servers.
+
+    :ivar reach_doubted: set when it should be found out whether the servers of a service are
+        reached.
+    """
 
     def __init__(self, bounds: BoundSettings) -> None:
         self.directory = ServerDirectory(bounds.drain_seconds)
         self.residency = Residency()
         self.demand = DemandBoard()
         self.expectations = Expectations()
-        self.reach = ServerReach(self._forget_unreachable)
+        self.reach_doubted = asyncio.Event()
+        self._reaches: dict[str, ServerReach] = {}
         self._bounds = bounds
         self._daemons = UNKNOWN_DAEMONS
         self._health: dict[str, ServerHealth] = {}
@@ -38,7 +45,7 @@
     def able(self, service: str, target: ModelKey | None, now: float) -> list[ServerEntry]:
         """Return the servers of a service that can run a request for the target now."""
         usable = self.directory.usable(service, now)
-        reachable = [e for e in usable if not self.health(e.instance).is_unreachable(now)]
+        reachable = [e for e in usable if not self.health(e).is_unreachable(now)]
         if target is None:
             return reachable or usable
         usable = reachable
@@ -55,9 +62,36 @@
         """Whether a server, in the life that an entry names, may still get new work."""
         return self.directory.gets_work(entry, self.now())
 
-    def health(self, instance: str) -> ServerHealth:
+    def health(self, entry: ServerEntry) -> ServerHealth:
         """Return what this daemon has seen of a server."""
-        return self._health.setdefault(instance, ServerHealth(self.reach.note_heard))
+        health = self._health.get(entry.instance)
+        if health is None:
+            health = ServerHealth(self.reach_of(entry.service).note_heard)
+            self._health[entry.instance] = health
+        return health
+
+    def reach_of(self, service: str) -> ServerReach:
+        """Return whether this daemon reaches the servers of a service."""
+        if service not in self._reaches:
+            forget = partial(self._forget_unreachable, service)
+            reach = ServerReach(service, self.reach_doubted.set, forget)
+            reach.list_servers(self._instances_by_service()[service])
+            self._reaches[service] = reach
+        return self._reaches[service]
+
+    def _instances_by_service(self) -> defaultdict[str, set[str]]:
+        by_service: defaultdict[str, set[str]] = defaultdict(set)
+        for entry in self.directory.entries():
+            by_service[entry.service].add(entry.instance)
+        return by_service
+
+    def services_to_probe(self) -> list[str]:
+        """Return the services of which it should be found out whether they are reached."""
+        return [service for service, reach in self._reaches.items() if reach.needs_probe]
+
+    def is_cut(self) -> bool:
+        """Whether the servers of any service accept no connection of this daemon."""
+        return any(reach.is_cut for reach in self._reaches.values())
 
     def budget(self, service: str) -> RetryBudget:
         """Return the budget for repeated sends to a service."""
@@ -102,11 +136,11 @@
         elif failure.missing_target and target is not None:
             self.residency.note_absent(entry.instance, target, now)
         elif failure.unreachable:
-            self.health(entry.instance).note_unreachable(now)
+            self.health(entry).note_unreachable(now)
         elif not failure.ran and target is not None:
             self.residency.note_refused(entry.instance, target, now)
         elif failure.at_fault:
-            self.health(entry.instance).failed(now)
+            self.health(entry).failed(now)
 
     def tell(self, holdings: tuple[ServerHolding, ...]) -> None:
         """Take in what the leader has read, and wake requests that wait."""
@@ -121,20 +155,23 @@
 
     def note_broken(self, address: str) -> None:
         """An idle connection has ended without a proper end; does nothing for one of no server."""
-        if any(entry.address == address for entry in self.directory.entries()):
-            self.reach.note_broken()
+        for entry in self.directory.entries():
+            if entry.address == address:
+                self.reach_of(entry.service).doubt()
 
-    def _forget_unreachable(self) -> None:
+    def _forget_unreachable(self, service: str) -> None:
         """Forget which servers accepted no connection: the fault was on this daemon's side."""
-        for health in self._health.values():
-            health.note_reachable()
+        for entry in self.directory.usable(service, self.now()):
+            self.health(entry).note_reachable()
         self.demand.wake()
 
     def refresh(self) -> None:
         """Forget servers that are gone, and wake requests that wait."""
         known = {entry.instance for entry in self.directory.entries()}
         self.residency.forget(known)
-        self.reach.list_servers(known)
+        by_service = self._instances_by_service()
+        for service, reach in self._reaches.items():
+            reach.list_servers(by_service[service])
         self._health = {name: health for name, health in self._health.items() if name in known}
         self.demand.wake()
 
--- a/loomwind/serving/reach.py
+++ b/loomwind/serving/reach.py
@@ -1,14 +1,12 @@
-"""Whether this daemon reaches the servers at all. Pure; time is passed in, in milliseconds.
+"""Whether this daemon reaches the servers of a service. Pure; time is passed in, in milliseconds.
 
 A connect that fails speaks of one server. Where several servers, one after the other, accept no
 connection, and none accepts one in between, the fault is more likely on this daemon's own side.
 """
 
-import asyncio
 import enum
 from collections.abc import Callable
 
-from loomwind.clock import MS_PER_SECOND
 from loomwind.logs import log_state
 
 # With fewer, a crash of one server would look the same.
@@ -24,18 +22,23 @@
 
 
 class ServerReach:
-    """What connects say of the way to the servers.
-
-    :ivar doubt: set when a connect should tell whether the servers are reached.
-    """
-
-    def __init__(self, on_regained: Callable[[], None] = lambda: None) -> None:
+    """What connects say of the way to the servers of a service."""
+
+    def __init__(
+        self,
+        service: str = "",
+        on_doubt: Callable[[], None] = lambda: None,
+        on_regained: Callable[[], None] = lambda: None,
+    ) -> None:
         """Begin with servers that are reached.
 
+        :param on_doubt: called when a connect should tell whether they are.
         :param on_regained: called when a cut has ended.
         """
+        self._service = service
+        self._on_doubt = on_doubt
         self._on_regained = on_regained
-        self.doubt = asyncio.Event()
+        self._doubted = False
         self._known = 0
         self._heard_at = float("-inf")
         self._failed: set[str] = set()
@@ -55,6 +58,11 @@
         """Whether new connections to servers are not worth a try."""
         return self.state is ReachState.CUT
 
+    @property
+    def needs_probe(self) -> bool:
+        """Whether a connect should tell whether the servers are reached."""
+        return self._doubted or bool(self._failed)
+
     @property
     def failing_since_ms(self) -> float:
         """Return when the first connect failed since one was accepted; not while reached."""
@@ -69,13 +77,14 @@
         if not self._failed:
             self._failing_since_ms = now_ms
         self._failed.add(instance)
-        self.doubt.set()
         self._tell(now_ms)
+        self.doubt()
 
     def note_connected(self, now_ms: float) -> None:
         """A server accepted a new connection."""
         regained = self.is_cut
         self._failed.clear()
+        self._doubted = False
         self._tell(now_ms)
         if regained:
             self._on_regained()
@@ -84,19 +93,22 @@
         """Something has come from a server, at a time in seconds."""
         self._heard_at = now
 
-    def note_silence(self, since_ms: float) -> None:
-        """A server has not answered a request that it was sent at a time."""
-        if self._heard_at * MS_PER_SECOND < since_ms:
-            self.doubt.set()
+    def note_silence(self, since: float) -> None:
+        """A server has not answered a request that it was sent at a time, in seconds."""
+        if self._heard_at < since:
+            self.doubt()
 
-    def note_broken(self) -> None:
-        """A connection that was idle has ended without a proper end."""
-        self.doubt.set()
+    def doubt(self) -> None:
+        """Let it be found out whether the servers are reached."""
+        self._doubted = True
+        self._on_doubt()
 
     def list_servers(self, known: set[str]) -> None:
         """Take in which servers are listed now; one that has gone says nothing any more."""
         self._known = len(known)
         self._failed &= known
+        if not known:
+            self._doubted = False
 
     def _tell(self, now_ms: float) -> None:
         """Log a change between a cut and what is none."""
@@ -107,6 +119,7 @@
         log_state(
             "reach",
             state.value,
+            service=self._service,
             failed=sorted(self._failed),
             known=self._known,
             failing_ms=round(now_ms - self._failing_since_ms),
--- a/loomwind/serving/reach_probe.py
+++ b/loomwind/serving/reach_probe.py
@@ -1,4 +1,4 @@
-"""Finds out whether this daemon reaches the servers as soon as there is a doubt, and when again.
+"""Finds out whether this daemon reaches the servers of a service, while that is in doubt.
 
 A probe is a new connection to servers that have not failed yet; one that is accepted is kept for
 requests.
@@ -10,7 +10,7 @@
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.reach import SERVERS_OF_A_CUT, ReachState
+from loomwind.serving.reach import SERVERS_OF_A_CUT
 from loomwind.serving.views import ServerEntry
 
 PAUSE_SECONDS = 0.25
@@ -21,30 +21,31 @@
 
     def __init__(self, pool: ServerPool, forwarder: Forwarder) -> None:
         self._pool = pool
-        self._reach = pool.reach
         self._forwarder = forwarder
 
     async def run(self) -> None:
         """Probe for ever, whenever there is a doubt."""
         while True:
-            await self._reach.doubt.wait()
-            self._reach.doubt.clear()
-            await self._probe()
-            while self._reach.state is not ReachState.REACHED:
+            await self._pool.reach_doubted.wait()
+            self._pool.reach_doubted.clear()
+            while services := self._pool.services_to_probe():
+                async with asyncio.TaskGroup() as group:
+                    for service in services:
+                        group.create_task(self._probe(service))
                 await asyncio.sleep(PAUSE_SECONDS)
-                await self._probe()
 
-    async def _probe(self) -> None:
+    async def _probe(self, service: str) -> None:
         """Connect to a few servers at once."""
         async with asyncio.TaskGroup() as group:
-            for entry in self._choose():
+            for entry in self._choose(service):
                 group.create_task(self._connect(entry))
 
-    def _choose(self) -> list[ServerEntry]:
+    def _choose(self, service: str) -> list[ServerEntry]:
         """Return servers to connect to: those first that have not failed."""
-        entries = self._pool.directory.all_usable(self._pool.now())
+        entries = self._pool.directory.usable(service, self._pool.now())
         random.shuffle(entries)
-        entries.sort(key=lambda entry: self._reach.failed_at(entry.instance))
+        reach = self._pool.reach_of(service)
+        entries.sort(key=lambda entry: reach.failed_at(entry.instance))
         return entries[:SERVERS_OF_A_CUT]
 
     async def _connect(self, entry: ServerEntry) -> None:
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
@@ -295,7 +294,7 @@
         self._server = entry.instance
         self._serving.observe_list_age()
         target = self._caller.target
-        health = self._pool.health(entry.instance)
+        health = self._pool.health(entry)
         health.sent(self._serving.now())
         if target is not None:
             self._pool.demand.begin_run(entry.instance, target)
@@ -323,9 +322,9 @@
                 body = None if answer.streamed else await forwarder.read_whole(answer)
         except TimeoutError as error:
             raise SendFailed(f"{entry.instance}: silent for {silence} s", ran=True) from error
-        self._pool.health(entry.instance).heard(self._serving.now())
+        self._pool.health(entry).heard(self._serving.now())
         if body is None:
-            await self._stream.pass_on(entry, answer, self._pool.health(entry.instance))
+            await self._stream.pass_on(entry, answer, self._pool.health(entry))
             forwarder.release(answer.connection)
         else:
             await self._answer_whole(entry, answer, body)
@@ -333,9 +332,9 @@
     @contextlib.contextmanager
     def _doubt_when_silent(self) -> Iterator[None]:
         """Let the way to the servers be probed when an answer does not begin for a while."""
-        sent_ms = self._serving.now() * MS_PER_SECOND
+        reach = self._pool.reach_of(self._service)
         timer = asyncio.get_running_loop().call_later(
-            SUSPECT_SILENCE_SECONDS, self._pool.reach.note_silence, sent_ms
+            SUSPECT_SILENCE_SECONDS, reach.note_silence, self._serving.now()
         )
         try:
             yield
@@ -401,7 +400,7 @@
     def _next_peer(self) -> PeerEntry | None:
         if len(self._peers_asked) >= MOST_PEERS_ASKED:
             return None
-        peer = self._serving.relay.pick(self._peers_asked)
+        peer = self._serving.relay.pick(self._service, self._peers_asked)
         if peer is not None:
             self._peers_asked.add(peer.life)
         return peer
@@ -409,13 +408,14 @@
     async def _exchange_with_peer(self, peer: PeerEntry) -> None:
         relay = self._serving.relay
         terms = RelayTerms(self._runs, self._serving.configuration_version())
-        connection = await relay.connect(peer)
+        connection = await relay.connect(peer, self._service)
         self._sends += 1
         self._handed_over = True
         try:
             answer = await relay.send(
                 connection,
                 peer,
+                self._service,
                 self._outgoing,
                 self._serving.now(),
                 self._stream.last_event_id,
@@ -442,7 +442,7 @@
             peer=peer.address,
             reason=reason,
             runs=self._runs,
-            reach=self._pool.reach.state.value,
+            reach=self._pool.reach_of(self._service).state.value,
         )
 
     def _final(self, refusal: Refused) -> Exception:
--- a/loomwind/serving/server_choice.py
+++ b/loomwind/serving/server_choice.py
@@ -23,6 +23,7 @@
         :param zone: this daemon's own zone.
         """
         self._pool = pool
+        self._reach = pool.reach_of(service)
         self._forwarder = forwarder
         self._zone = zone
         self._service = service
@@ -39,12 +40,12 @@
         return chosen.entry if chosen else None
 
     def _able(self, now: float) -> list[ServerEntry]:
-        if self._pool.reach.is_cut and (proven := self._proven(now)):
+        if self._reach.is_cut and (proven := self._proven(now)):
             return proven
         return self._pool.able(self._service, self._caller.target, now)
 
     def _candidate(self, entry: ServerEntry, now: float) -> Candidate:
-        health = self._pool.health(entry.instance)
+        health = self._pool.health(entry)
         return Candidate(
             entry,
             health.in_flight,
@@ -56,17 +57,17 @@
 
     def is_cut_off(self, now: float) -> bool:
         """Whether servers accept no connection, and none of those that are open can be used."""
-        return self._pool.reach.is_cut and not self._proven(now)
+        return self._reach.is_cut and not self._proven(now)
 
     def _proven(self, now: float) -> list[ServerEntry]:
         """Return the servers from which something has come, on connections that are idle now, since
         new ones have failed.
         """
-        since = self._pool.reach.failing_since_ms / MS_PER_SECOND
+        since = self._reach.failing_since_ms / MS_PER_SECOND
         return [
             entry
             for entry in self._pool.holders(self._service, self._caller.target, now)
-            if self._pool.health(entry.instance).heard_at > since
+            if self._pool.health(entry).heard_at > since
             and self._forwarder.has_idle_connection(entry)
         ]
 
--- a/standins/link.py
+++ b/standins/link.py
@@ -2,7 +2,7 @@
 
 ``python -m standins.link --targets HOST:PORT,HOST:PORT`` prints ``ready``, the port of each link
 in order, and the port of the control. A line with one of the states of :class:`LinkState` on the
-control port changes all links and is echoed.
+control port changes all links, or those to the targets that follow it, and is echoed.
 """
 
 import asyncio
@@ -51,8 +51,9 @@
     """Forwards connections to one target."""
 
     def __init__(self, target: str, host: str) -> None:
+        self.target = target
         target_host, _, target_port = target.rpartition(":")
-        self._target = (target_host, int(target_port))
+        self._target_address = (target_host, int(target_port))
         self._state = LinkState.OPEN
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -124,7 +125,7 @@
             writer.transport.abort()
             return
         try:
-            onward_reader, onward = await asyncio.open_connection(*self._target)
+            onward_reader, onward = await asyncio.open_connection(*self._target_address)
         except OSError:
             writer.transport.abort()
             return
@@ -159,8 +160,10 @@
     async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Take commands, one a line."""
         while line := await reader.readline():
+            state, *targets = line.decode().split()
             for link in self.links:
-                await link.set_state(LinkState(line.decode().strip()))
+                if not targets or link.target in targets:
+                    await link.set_state(LinkState(state))
             writer.write(line)
         writer.close()
 
