Hand the lease over when the leader reaches no model server

While the daemon that leads is cut from the model servers, nobody can order a load: callers of all daemons waited in vain for models that nothing held. Cause: the lease says that the leader lives and reaches the store, and nothing asks whether it can do its work. Now a leader that has not reached the servers of a service with models for a second waits for its last orders, removes the lease's row and takes no part meanwhile; a daemon that is cut waits three seconds longer before it takes a free lease, so that one that reaches the servers is first, and one leads still when none does.

--- a/features/cut_from_servers.feature
+++ b/features/cut_from_servers.feature
@@ -29,6 +29,17 @@
     And first attempts come to every daemon for 3.0 s
     Then daemon-1 serves at least 0.67 as many of its first attempts as the others of theirs
 
+  Scenario: a leader that reaches no model server hands over, and a cold model is loaded
+    Given 1 pool daemons
+    And the daemon daemon-1 leads
+    And 2 further pool daemons
+    When the links to the servers become partition
+    And callers keep every daemon busy for 3.0 s
+    Then another pool daemon leads
+    When daemon-2 gets a model request on draft for m4
+    Then the last reply is whole with 3 events in order
+    And the fences of the orders at each server never fall
+
   Scenario: a request whose time ends while it connects has not run, and its caller is told so
     Given 1 pool daemons
     When the links to the servers become partition
--- a/features/steps/cut_from_servers_steps.py
+++ b/features/steps/cut_from_servers_steps.py
@@ -22,6 +22,27 @@
     pool(context).link_to_servers(daemon)
 
 
+@given("{count:d} further pool daemons")
+def step_further(context: Any, count: int) -> None:
+    site = pool(context)
+    for _ in range(count):
+        site.add_daemon(f"daemon-{len(site.daemons) + 1}")
+    site.wait_ready()
+
+
+@given("the daemon {name:S} leads")
+def step_leads(context: Any, name: str) -> None:
+    context.old_leader = pool(context).leader()
+    assert context.old_leader is not None and context.old_leader.name == name
+
+
+@when("{name} gets a model request on {route} for {target}")
+def step_request_at(context: Any, name: str, route: str, target: str) -> None:
+    site = pool(context)
+    site.callers.begin([site.request(site.daemons[name], route, target)])
+    replies_of(context)
+
+
 @when("the links to the servers become {state}")
 def step_state(context: Any, state: str) -> None:
     link = pool(context).server_link
--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -1,6 +1,8 @@
 """Carries out what the lease state machine decides, by writes to the store."""
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 import msgspec
 
@@ -64,6 +66,7 @@
     :ivar wrote: set when this daemon wrote the row, or failed to: others want to know.
     :ivar longer_seconds: how much longer this daemon waits for a renewal than the lease asks.
     :ivar daemons: how many daemons there are.
+    :ivar cut_seconds: how much longer it waits in any case, since it does not reach the servers.
     """
 
     def __init__(
@@ -81,9 +84,11 @@
         self._health = health
         self._led = False
         self._stopping = False
+        self._paused = False
         self._unanswered_since: float | None = None
         self.wrote = asyncio.Event()
         self.longer_seconds = 0.0
+        self.cut_seconds = 0.0
         self.confirmations = PeerConfirmations()
         self.daemons = 1
 
@@ -130,7 +135,10 @@
 
     async def _step(self) -> None:
         now = self._now()
-        action = self.lease.action(now, self._health.answers_for(now), self.longer_seconds)
+        if self._paused:
+            return
+        longer = self.longer_seconds + self.cut_seconds
+        action = self.lease.action(now, self._health.answers_for(now), longer)
         if action is LeaseAction.WAIT:
             return
         write = Write(LEASE_KEY, msgspec.json.encode(self._own), self.lease.expected_version)
@@ -167,7 +175,7 @@
 
     def leads(self) -> bool:
         """Whether this daemon may act as the leader now; never again once it has released."""
-        if self._stopping:
+        if self._stopping or self._paused:
             return False
         now = self._now()
         if self.lease.leads(now):
@@ -193,6 +201,17 @@
         self._report()
         return leads
 
+    @contextlib.contextmanager
+    def paused(self) -> Iterator[None]:
+        """Lead no more, and neither take nor renew the lease meanwhile."""
+        self._paused = True
+        self.lease.released()
+        self._report()
+        try:
+            yield
+        finally:
+            self._paused = False
+
     async def hand_over(self) -> None:
         """Remove the row of a lease that was released: another daemon need not wait for its end."""
         expected = self.lease.expected_version
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -26,6 +26,7 @@
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
+from loomwind.serving.leader_reach import LeaderReach
 from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.metered import MeteredStore
 from loomwind.serving.peer_exchange import PeerExchange
@@ -213,6 +214,14 @@
             self.metrics,
         )
 
+        self._leader_reach = LeaderReach(
+            self._election,
+            self._pool,
+            self._beliefs,
+            self._peers,
+            self._controller.finish_orders,
+        )
+
     async def _on_message(self, message: AnyMessage) -> AnyMessage | None:
         return await self._exchange.on_message(message)
 
@@ -254,6 +263,7 @@
         self._spawn(self._controller.run())
         self._spawn(self._peers.register())
         self._spawn(self._probe.run())
+        self._spawn(self._leader_reach.run())
         self._spawn(self._exchange.send_demand())
         self._spawn(self._anti_entropy.run())
         self._spawn(self._server_list.run())
