--- a/loomwind/serving/leader_reach.py
+++ b/loomwind/serving/leader_reach.py
@@ -1,4 +1,4 @@
-"""Hands the lease over when the leader can neither read nor order the model servers of a service."""
+"""Hands the lease over when the leader cannot reach the model servers that it would order."""
 
 from collections.abc import Awaitable, Callable
 
