--- /dev/null
+++ b/features/steps/prompt_crash_steps.py
@@ -0,0 +1,126 @@
+"""Steps about requests whose prompts crash servers."""
+
+import itertools
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.pool_steps import pool
+from features.support.caller import Reply
+from features.support.pool_site import PoolDaemonProcess, PoolSite
+from features.support.processes import WAIT_TIMEOUT_SECONDS
+
+MODEL = "m1"
+FIRST_PART = "route:100"
+ROUND_SECONDS = 0.25
+DEADLINE_SECONDS = 4.0
+BACK_AFTER_SECONDS = 0.8
+_numbers = itertools.count()
+
+
+@given("all servers crash on the prompt part {part}")
+def step_crash_part(context: Any, part: str) -> None:
+    for server in pool(context).servers.values():
+        server.fault(crash_part=part, back_after_seconds=BACK_AFTER_SECONDS)
+
+
+@when("sound requests come to every daemon for {seconds:f} s")
+def step_sound(context: Any, seconds: float) -> None:
+    _send(context, pool(context).daemons.values(), ("good",), _for(seconds))
+
+
+@when(
+    "bad and sound requests come to every daemon until servers ended {count:d} times, "
+    "and for {seconds:f} s more"
+)
+def step_until_crashes(context: Any, count: int, seconds: float) -> None:
+    site = pool(context)
+    limit = time.monotonic() + WAIT_TIMEOUT_SECONDS
+
+    def goes_on() -> bool:
+        assert time.monotonic() < limit, f"servers ended {_ended(site)} times only"
+        return _ended(site) < count
+
+    _send(context, site.daemons.values(), ("bad", "good"), goes_on)
+    _send(context, site.daemons.values(), ("bad", "good"), _for(seconds))
+
+
+@when("bad and sound requests come to every daemon for {seconds:f} s")
+def step_counted(context: Any, seconds: float) -> None:
+    _count(context, pool(context).daemons.values(), ("bad", "good"), seconds)
+
+
+@when("daemon-1 starts again")
+def step_restart(context: Any) -> None:
+    daemon = pool(context).daemons["daemon-1"]
+    assert daemon.process is not None
+    daemon.process.kill()
+    daemon.start()
+    pool(context).wait_ready()
+
+
+@when("bad requests come to daemon-1 for {seconds:f} s")
+def step_counted_bad(context: Any, seconds: float) -> None:
+    _count(context, [pool(context).daemons["daemon-1"]], ("bad",), seconds)
+
+
+def _count(
+    context: Any, daemons: Iterable[PoolDaemonProcess], parts: tuple[str, ...], seconds: float
+) -> None:
+    """Send requests whose ends count."""
+    pool(context).callers.finish()
+    context.counted_from_s = time.time()
+    context.counted = _send(context, daemons, parts, _for(seconds))
+
+
+def _for(seconds: float) -> Callable[[], bool]:
+    ends = time.monotonic() + seconds
+    return lambda: time.monotonic() < ends
+
+
+def _ended(site: PoolSite) -> int:
+    return sum(len(server.crash_state()["crash_times_s"]) for server in site.servers.values())
+
+
+def _send(
+    context: Any,
+    daemons: Iterable[PoolDaemonProcess],
+    parts: tuple[str, ...],
+    goes_on: Callable[[], bool],
+) -> list[tuple[str, Any]]:
+    """Send a request with each of the parts to each daemon in each round."""
+    site = pool(context)
+    sent = []
+    listed = list(daemons)
+    while goes_on():
+        for daemon, part in itertools.product(listed, parts):
+            prompt = f"{FIRST_PART},{part}:50,own{next(_numbers)}:10"
+            request = site.request(
+                daemon, "drill", MODEL, timeout_seconds=DEADLINE_SECONDS, prompt=prompt
+            )
+            site.callers.begin([request])
+            sent.append((part, site.callers.pending[-1]))
+        time.sleep(ROUND_SECONDS)
+    return sent
+
+
+@then("at most {count:d} of the last bad requests reached servers")
+def step_few(context: Any, count: int) -> None:
+    replies = [future.result() for _, future in context.counted]
+    times = [
+        at_s
+        for server in pool(context).servers.values()
+        for at_s in server.crash_state()["crash_part_times_s"]
+        if at_s >= context.counted_from_s
+    ]
+    assert len(times) <= count, (len(times), len(replies), _ended(pool(context)))
+
+
+@then("at least {part:f} of the last sound requests were served at the first attempt")
+def step_sound_served(context: Any, part: float) -> None:
+    replies: list[Reply] = [future.result() for name, future in context.counted if name == "good"]
+    served = [reply for reply in replies if reply.status == 200 and reply.whole]
+    ends = [(reply.status, reply.body[:60]) for reply in replies if reply not in served]
+    assert len(served) >= part * len(replies), (len(served), len(replies), ends)
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -56,12 +56,20 @@
     def __init__(self, process: Process, service: str) -> None:
         self.process = process
         self.service = service
+        self._last_state: dict[str, Any] = {"crash_times_s": [], "crash_part_times_s": []}
         self.address = f"{LOCALHOST}:{process.ports()[0]}"
 
     def fault(self, **faults: object) -> None:
         """Switch faults on; those not named are off."""
         send(plain(self.address, "POST", "/_fault", json.dumps(faults).encode()))
 
+    def crash_state(self) -> dict[str, Any]:
+        """Return the state, or the last one known while the server has ended and is not back."""
+        reply = send(plain(self.address, "GET", "/_state"))
+        if reply.status == 200:
+            self._last_state = json.loads(reply.body)
+        return self._last_state
+
     def state(self) -> dict[str, Any]:
         """Return runs, orders and violations."""
         state: dict[str, Any] = json.loads(send(plain(self.address, "GET", "/_state")).body)
@@ -303,11 +311,14 @@
         events: int = 3,
         timeout_seconds: float = 6.0,
         body: bytes = b"hello",
+        prompt: str = "",
     ) -> Request:
         """Return a request on a route."""
         headers = {"host": HOST, "x_deadline_ms": str(int(timeout_seconds * 1000))}
         if target:
             headers |= {"x_model": target, "x_token_usage": f"10,{events}"}
+        if prompt:
+            headers |= {"x_prompt_prefix": prompt}
         path = f"/{route_name}/item"
         return plain(daemon.address, "POST", path, body, timeout_seconds, **headers)
 
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -296,6 +296,12 @@
         if self._state is ConnectionState.CLOSED:
             raise ConnectionBroken("the caller is gone")
 
+    def abort(self) -> None:
+        """Close at once; what was written may be lost."""
+        self._disarm()
+        if self._transport is not None:
+            self._transport.abort()
+
     def close(self) -> None:
         """Close after what was written has been sent."""
         self._disarm()
@@ -368,6 +374,18 @@
             if connection.idle:
                 connection.close()
 
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are taken."""
+        return self._server is not None and self._server.is_serving()
+
+    def abort(self) -> None:
+        """Listen no more, and break all connections off; it may be started again."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     def close(self) -> None:
         """Stop at once."""
         self.stop_listening()
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -40,6 +40,8 @@
     :param late_order_seconds: orders get no answer and are carried out so much later.
     :param event_seconds: time between the events of a stream.
     :param work_seconds: how long a plain request takes.
+    :param crash_part: a part of prompts: the server ends when it begins to answer on it.
+    :param back_after_seconds: when a server that has ended is back, under another name.
     """
 
     mode: str = ""
@@ -49,6 +51,8 @@
     late_order_seconds: float = 0.0
     event_seconds: float = EVENT_SECONDS
     work_seconds: float = 0.0
+    crash_part: str = ""
+    back_after_seconds: float = 1.0
     state: str = "ready"
     listed: bool = True
 
@@ -71,6 +75,8 @@
         self.server = HttpServer(self._serve)
         self._store = store
         self._client = HttpClient(Connector())
+        self.crash_times_s: list[float] = []
+        self.crash_part_times_s: list[float] = []
         self._late: set[asyncio.Task[None]] = set()
 
     # The list of servers.
@@ -79,7 +85,8 @@
         """List this server, again and again."""
         while True:
             with contextlib.suppress(HttpError):
-                await self._list()
+                if self.server.listening:
+                    await self._list()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _list(self) -> None:
@@ -92,6 +99,11 @@
         request = HttpRequest("POST", "/_apply", (), msgspec.json.encode(body))
         await self._client.request(self._store, request, 1.0)
 
+    async def _unlist(self, instance: str) -> None:
+        body = {"remove": [{"table": "servers", "key": instance}]}
+        request = HttpRequest("POST", "/_apply", (), msgspec.json.encode(body))
+        await self._client.request(self._store, request, 1.0)
+
     def _entry(self) -> dict[str, object]:
         holdings = self.holdings
         return {
@@ -148,6 +160,8 @@
             "violations": holdings.violations if holdings else [],
             "held": holdings.held if holdings else {},
             "store_loads": holdings.store_loads if holdings else 0,
+            "crash_times_s": self.crash_times_s,
+            "crash_part_times_s": self.crash_part_times_s,
         }
 
     def _report(self) -> dict[str, object]:
@@ -250,8 +264,12 @@
             await self._stream_unframed(exchange, headers, range(first, last + 1))
             return
         await exchange.start(200, headers)
+        crashes = self._has_crash_part(request)
         for sent, number in enumerate(range(first, last + 1)):
             await asyncio.sleep(self.faults.event_seconds)
+            if crashes:
+                self._crash()
+                return
             event = _event(number)
             if self.faults.cut_after_events and sent == self.faults.cut_after_events:
                 await exchange.send(event[: len(event) // 2])
@@ -260,6 +278,32 @@
             await exchange.send(event)
         await exchange.finish()
 
+    def _has_crash_part(self, request: HttpRequest) -> bool:
+        """Whether an answer to a request ends this server; counts such requests."""
+        parts = (request.header("x-prompt-prefix") or "").split(",")
+        names = [part.partition(":")[0] for part in parts]
+        if not self.faults.crash_part or self.faults.crash_part not in names:
+            return False
+        self.crash_part_times_s.append(time.time())
+        return True
+
+    def _crash(self) -> None:
+        """Break all connections off, take none, and be back later as another life."""
+        self.crash_times_s.append(time.time())
+        port = self.server.port
+        self.server.abort()
+        task = asyncio.get_running_loop().create_task(self._come_back(self.instance, port))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _come_back(self, earlier: str, port: int) -> None:
+        await asyncio.sleep(self.faults.back_after_seconds)
+        with contextlib.suppress(HttpError):
+            await self._unlist(earlier)
+        self.instance = f"i-{uuid.uuid4().hex[:10]}"
+        self.born_ms = time.time_ns() // 1_000_000
+        await self.server.start("127.0.0.1", port)
+
     async def _stream_unframed(
         self, exchange: Exchange, headers: Headers, numbers: Iterable[int]
     ) -> None:
