Send no requests with a part that crashes servers, and share between daemons what crashes say of parts

Requests of one kind kept crashing servers one after the other, whoever sent them. Cause: a failure spoke of its server alone. A request that had ended one was repeated at the next; nothing linked requests with the same part; and what one daemon could have learned was neither told to the others nor outlived its process.

Now a connection that ends before an answer has gone on for a few events puts the parts of its prompt, all but the last, under suspicion at that life of a server; an answer that ends well clears them.

--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -17,6 +17,7 @@
 from loomwind.serving.handler import RequestHandler
 from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.pool import ServerPool
+from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.request_run import RequestRun
 from loomwind.serving.residency import Residency, ServerHolding
 from loomwind.serving.views import (
@@ -79,6 +80,14 @@
     list_age_ms = float("inf")
 
 
+class GoodPrompts:
+    """Knows no prompt that crashes servers."""
+
+    def banned_for_ms(self, caller: CallerRequest) -> float:
+        """Return that it may be sent."""
+        return 0.0
+
+
 class UnstartedExchange:
     """An exchange whose answer has not begun."""
 
@@ -106,6 +115,7 @@
         Metrics(),
         cast(Beliefs, NoBeliefs()),
         cast(PeerRelay, None),
+        cast(PromptGuard, GoodPrompts()),
     )
     parts = (WeightedService(SERVICE, 1.0),)
     route = RouteRule("r", "h", "/", RequestKind.STREAMING, parts, 30.0, 0.6)
--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -28,6 +28,7 @@
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Store
+from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.settings import BoundSettings
 
@@ -142,12 +143,16 @@
             self.beliefs,
             bounds,
         )
+        prompts = PromptGuard(
+            name, cast(PeerTransport, LinksOfDaemon(links, name)), cast(PeerTable, peers)
+        )
         self._anti_entropy = AntiEntropy(
             name,
             cast(PeerTransport, LinksOfDaemon(links, name)),
             cast(PeerTable, peers),
             self.beliefs,
             health,
+            prompts,
         )
         DepartureGossip(
             name,
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -57,6 +57,9 @@
     PoolDigest,
     PoolExpectations,
     PoolHoldings,
+    PromptCrash,
+    PromptCrashes,
+    PromptsAnswered,
     ServerDeparture,
     ServerDepartures,
     ServerListAnswer,
@@ -101,6 +104,8 @@
     | ServerListQuestion
     | ServerListAnswer
     | ServerDepartures
+    | PromptCrashes
+    | PromptsAnswered
 )
 
 __all__ = [
@@ -147,6 +152,9 @@
     "ProbeAnswer",
     "ProbeRequest",
     "Promise",
+    "PromptCrash",
+    "PromptCrashes",
+    "PromptsAnswered",
     "Refused",
     "RegisterValue",
     "RoutingRequest",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -1,5 +1,7 @@
 """Messages between daemons that serve one pool: demand, holdings, and newer contents."""
 
+from msgspec import Struct
+
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages.identity import Message
 from loomwind.serving.demand import RunningCount, TargetDemand
@@ -79,12 +81,14 @@
 
     :param sender: ``host:port`` of the daemon for peers.
     :param store_answers: whether the daemon reaches the store.
+    :param prompt_crashes: what it knows of prompts that crash servers, as one number; 0 for none.
     """
 
     sender: str
     configuration_version: int
     server_version: int
     store_answers: bool
+    prompt_crashes: int = 0
 
 
 class ConfigurationCopy(Message, frozen=True, tag=True, array_like=True):
@@ -162,3 +166,34 @@
 
     teller: str
     departures: tuple[ServerDeparture, ...]
+
+
+class PromptCrash(Struct, frozen=True, array_like=True):
+    """A server ended as it began to answer a request.
+
+    :param identity: names a part of the request's prompt that others may share.
+    :param position: the part's place in the prompt, from 0.
+    :param instance: names the life of the server.
+    :param age_ms: how long ago it was.
+    """
+
+    identity: str
+    position: int
+    instance: str
+    age_ms: float
+
+
+class PromptCrashes(Message, frozen=True, tag=True, array_like=True):
+    """Told by a daemon that has just learned of crashes, or that knows more than a peer.
+
+    :param teller: ``host:port`` of the daemon for peers.
+    """
+
+    teller: str
+    crashes: tuple[PromptCrash, ...]
+
+
+class PromptsAnswered(Message, frozen=True, tag=True, array_like=True):
+    """Names parts of prompts, suspected to crash servers, that were answered whole."""
+
+    identities: tuple[str, ...]
--- a/loomwind/serving/anti_entropy.py
+++ b/loomwind/serving/anti_entropy.py
@@ -9,6 +9,10 @@
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.peers import PeerTable
+from loomwind.serving.prompt_guard import PromptGuard
+
+# Until any peer is known: a daemon that has just started lacks what the others have learned.
+FIRST_PEER_SECONDS = 0.05
 
 
 class AntiEntropy:
@@ -24,33 +28,40 @@
         peers: PeerTable,
         beliefs: Beliefs,
         health: StoreHealth,
+        prompts: PromptGuard,
     ) -> None:
         self._own_address = own_address
         self._transport = transport
         self._peers = peers
         self._beliefs = beliefs
         self._health = health
+        self._prompts = prompts
 
     async def run(self) -> None:
         """Let a peer know for ever what this daemon knows."""
         while True:
-            await asyncio.sleep(constants.POOL_DIGEST_INTERVAL_SECONDS)
             others = self._peers.others()
             if not others:
+                await asyncio.sleep(FIRST_PEER_SECONDS)
                 continue
             digest = PoolDigest(
                 self._own_address,
                 self._beliefs.configuration_version,
                 self._beliefs.server_version,
                 self._health.answering_since is not None,
+                self._prompts.digest(),
             )
             self._transport.cast(random.choice(others).address, digest)
+            await asyncio.sleep(constants.POOL_DIGEST_INTERVAL_SECONDS)
 
     def on_digest(self, digest: PoolDigest) -> None:
         """Send a peer what it lacks."""
         configuration = self._beliefs.configuration_copy(digest.configuration_version)
         if configuration is not None:
             self._transport.cast(digest.sender, configuration)
+        own_crashes = self._prompts.digest()
+        if own_crashes and own_crashes != digest.prompt_crashes:
+            self._transport.cast(digest.sender, self._prompts.all_crashes())
         if digest.store_answers:
             return
         directory = self._beliefs.directory_copy(digest.server_version)
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -34,6 +34,7 @@
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect, Documents, EngineControl, Store
+from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.reach_probe import ReachProbe
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
@@ -185,8 +186,14 @@
             self._beliefs,
             self.settings.bounds,
         )
+        self._prompts = PromptGuard(self._own.address, self._transport, self._peers)
         self._anti_entropy = AntiEntropy(
-            self._own.address, self._transport, self._peers, self._beliefs, self._health
+            self._own.address,
+            self._transport,
+            self._peers,
+            self._beliefs,
+            self._health,
+            self._prompts,
         )
         self._gossip = DepartureGossip(
             self._own.address, self._transport, self._peers, self._beliefs
@@ -202,6 +209,7 @@
             self._watch,
             self._server_list,
             self._anti_entropy,
+            self._prompts,
         )
         self._controller = PlacementController(
             self.settings.name,
@@ -242,6 +250,7 @@
             PeerRelay(
                 self.settings.zone, self._peers, self._client, deployment.dialect, self.metrics
             ),
+            self._prompts,
         )
         self._relayed = HttpServer(self._on_relayed)
         self._callers = HttpServer(self._on_request)
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -18,6 +18,7 @@
     :param at_fault: whether it speaks against the server.
     :param unreachable: whether nothing listens at its address, or nothing answers there.
     :param unsent: whether nothing was sent, because the server began to leave before.
+    :param broken: whether the connection ended before the answer did.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         at_fault: bool = True,
         unreachable: bool = False,
         unsent: bool = False,
+        broken: bool = False,
     ) -> None:
         super().__init__(detail)
         self.ran = ran
@@ -37,6 +39,7 @@
         self.at_fault = at_fault
         self.unreachable = unreachable
         self.unsent = unsent
+        self.broken = broken
 
 
 class RelayDeclined(ServingError):
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -99,7 +99,7 @@
                 await self._finish_refused(connection)
         except HttpError as error:
             connection.close()
-            raise SendFailed(f"{entry.instance}: {error}", ran=True) from error
+            raise SendFailed(f"{entry.instance}: {error}", ran=True, broken=True) from error
         except BaseException:
             connection.close()
             raise
@@ -175,7 +175,7 @@
                     raise SendFailed("the answer is too large", ran=True)
         except HttpError as error:
             connection.close()
-            raise SendFailed(f"{connection.address}: {error}", ran=True) from error
+            raise SendFailed(f"{connection.address}: {error}", ran=True, broken=True) from error
         except BaseException:
             connection.close()
             raise
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -21,6 +21,7 @@
 from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect
+from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.relay_protocol import (
     RelayEnd,
     RelayTerms,
@@ -47,6 +48,7 @@
         metrics: Metrics,
         beliefs: Beliefs,
         relay: PeerRelay,
+        prompts: PromptGuard,
     ) -> None:
         """Make a handler.
 
@@ -59,6 +61,7 @@
         self.metrics = metrics
         self._beliefs = beliefs
         self.relay = relay
+        self.prompts = prompts
         self.open_requests = 0
         self._open_relayed = 0
         self.limits: set[asyncio.Timeout] = set()
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -17,6 +17,8 @@
     PoolDigest,
     PoolExpectations,
     PoolHoldings,
+    PromptCrashes,
+    PromptsAnswered,
     ServerDepartures,
     ServerListQuestion,
 )
@@ -27,6 +29,7 @@
 from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
+from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.residency import ServerHolding
 from loomwind.serving.server_list import ServerListFollower
 
@@ -69,6 +72,7 @@
         watch: LeaderWatch,
         server_list: ServerListFollower,
         anti_entropy: AntiEntropy,
+        prompts: PromptGuard,
     ) -> None:
         self._own = own
         self._transport = transport
@@ -80,6 +84,7 @@
         self._watch = watch
         self._server_list = server_list
         self._anti_entropy = anti_entropy
+        self._prompts = prompts
         self._holdings_fence = 0
         self._untold: dict[str, ServerHolding] = {}
         self._telling: asyncio.TimerHandle | None = None
@@ -108,6 +113,10 @@
                 self._beliefs.on_directory_copy(message)
             case ServerDepartures():
                 self._beliefs.on_departure_notice(message)
+            case PromptCrashes():
+                self._prompts.on_crashes(message)
+            case PromptsAnswered():
+                self._prompts.on_answered(message)
         return None
 
     def _on_demand(self, message: PoolDemand) -> None:
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
@@ -38,6 +39,8 @@
 EXTRA_UNSTARTED_SENDS = 3
 REFUSED_PAUSE_SECONDS = 0.03
 SERVED = "served"
+# What a server may have sent before it ends by the prompt that it answers.
+EVENTS_OF_A_BEGIN = 16
 # Peers that are asked to serve one request; then it is tried from here, as it would be otherwise.
 MOST_PEERS_ASKED = 4
 NOT_RUN_STATUSES = frozenset({503})
@@ -77,6 +80,7 @@
         self._may_ask_peers = relayed is None
         self._runs = relayed.runs if relayed else 0
         self._sends = 0
+        self._events_before = 0
         self._may_have_run = self._runs > 0
         self._handed_over = False
         self._waited_seconds = 0.0
@@ -162,6 +166,7 @@
 
     async def _try_servers(self) -> None:
         while True:
+            self._refuse_if_banned()
             if self._is_cut_off():
                 if await self._serve_by_peer():
                     return
@@ -179,8 +184,20 @@
                 if not failure.ran:
                     await asyncio.sleep(REFUSED_PAUSE_SECONDS)
 
+    def _refuse_if_banned(self) -> None:
+        """End a request that would crash the next server.
+
+        :raises Refused: it has a part that has crashed several.
+        """
+        banned_ms = self._serving.prompts.banned_for_ms(self._caller)
+        if banned_ms > 0:
+            reason = "a part of the prompt has ended several servers"
+            raise self._give_up(reason, banned_ms / MS_PER_SECOND)
+
     def _note_failure(self, entry: ServerEntry, failure: SendFailed) -> None:
         self._handed_over = False
+        if failure.broken and self._stream.events - self._events_before < EVENTS_OF_A_BEGIN:
+            self._serving.prompts.note_crash(self._caller, entry.instance)
         self._choice.tried.add(entry.instance)
         self._runs += failure.ran
         self._may_have_run |= failure.ran
@@ -209,6 +226,8 @@
             return not self._serving.refuses_waiting
         if failure.ran and not self._route.repeatable:
             return False
+        if failure.ran and not self._serving.prompts.may_repeat(self._caller):
+            return False
         if self._runs >= self._route.max_attempts:
             return False
         if self._sends >= self._route.max_attempts + EXTRA_UNSTARTED_SENDS:
@@ -291,6 +310,7 @@
 
     async def _try_server(self, entry: ServerEntry) -> None:
         self._sends += 1
+        self._events_before = self._stream.events
         self._server = entry.instance
         self._serving.observe_list_age()
         target = self._caller.target
@@ -305,6 +325,7 @@
             if target is not None:
                 self._pool.demand.end_run(entry.instance, target)
         health.succeeded()
+        self._serving.prompts.note_answered(self._caller)
         self._serving.count_send(entry, SERVED)
 
     async def _exchange_with(self, entry: ServerEntry) -> None:
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -92,7 +92,7 @@
         except TimeoutError as error:
             raise SendFailed(f"{entry.instance}: stream silent for {silence} s", True) from error
         except HttpError as error:
-            raise SendFailed(f"{entry.instance}: {error}", ran=True) from error
+            raise SendFailed(f"{entry.instance}: {error}", ran=True, broken=True) from error
 
     def _end(self, entry: ServerEntry, answer: OpenAnswer) -> bytes:
         """Take in that a stream's body has ended, as its framing says; returns what is left.
@@ -105,7 +105,7 @@
             return self._cutter.end()
         except StreamEndedInsideEvent as error:
             detail = f"{entry.instance}: {error}, framed by {framing}"
-            raise SendFailed(detail, ran=True) from error
+            raise SendFailed(detail, ran=True, broken=True) from error
 
     def _note_pause(self, entry: ServerEntry, gaps: StreamGaps, health: ServerHealth) -> None:
         """Say that a whole stream has paused for longer than its route allows."""
