Keep the lease where no daemon reaches the model servers

A leader that reached no model server handed the lease over also where all of them were down, as after a row of crashes: each next leader did the same, the state it had learned was lost, and no one led for seconds when servers came back. Each daemon now tells the leader with its demand which services it does not reach, and the leader steps down only for one that a peer reaches. The scenario (all model servers killed, three daemons) failed before: the leader had changed; the cut leader's scenario still passes.

--- a/features/steps/cut_from_servers_steps.py
+++ b/features/steps/cut_from_servers_steps.py
@@ -10,7 +10,7 @@
 
 from features.steps.pool_steps import pool, replies_of
 from features.support.caller import Reply
-from features.support.pool_site import PoolDaemonProcess, PoolSite
+from features.support.pool_site import MODEL_SERVICE, PoolDaemonProcess, PoolSite
 
 ROUND_SECONDS = 0.2
 # Route, model, and how long the caller waits, in seconds.
@@ -36,6 +36,23 @@
     assert context.old_leader is not None and context.old_leader.name == name
 
 
+@when("all model servers are killed")
+def step_kill_model_servers(context: Any) -> None:
+    leader = context.old_leader
+    context.old_fence = leader.metric("loomwind_lease_fence")
+    for server in pool(context).servers.values():
+        if server.service == MODEL_SERVICE:
+            server.process.kill()
+
+
+@then("daemon-1 leads still, under the same fence")
+def step_leads_still(context: Any) -> None:
+    leader = context.old_leader
+    assert leader.leading
+    fence = leader.metric("loomwind_lease_fence")
+    assert fence == context.old_fence, (fence, context.old_fence)
+
+
 @when("{name} gets a model request on {route} for {target}")
 def step_request_at(context: Any, name: str, route: str, target: str) -> None:
     site = pool(context)
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -15,6 +15,7 @@
     :param sender: the daemon's name.
     :param store_answers: whether the daemon reaches the store.
     :param next_in_ms: the time until the daemon's next report; longer in a large fleet.
+    :param cut_services: the services whose servers it does not reach.
     """
 
     sender: str
@@ -22,6 +23,7 @@
     running: tuple[RunningCount, ...]
     store_answers: bool = True
     next_in_ms: float = 0.0
+    cut_services: tuple[str, ...] = ()
 
 
 class LeaderQuestion(Message, frozen=True, tag=True, array_like=True):
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -116,7 +116,7 @@
         self._store = store
         self._health = StoreHealth()
         self._pool = ServerPool(settings.bounds)
-        self.metrics.cut_from_servers.set_function(lambda: float(self._pool.is_cut()))
+        self.metrics.cut_from_servers.set_function(lambda: float(bool(self._pool.cut_services())))
         self._beliefs = Beliefs(
             deployment.documents, store.configuration_key, self._pool, self._health, self.metrics
         )
@@ -226,7 +226,7 @@
             self._election,
             self._pool,
             self._beliefs,
-            self._peers,
+            self._exchange,
             self._controller.finish_orders,
         )
 
--- a/loomwind/serving/leader_reach.py
+++ b/loomwind/serving/leader_reach.py
@@ -1,4 +1,7 @@
-"""Hands the lease over when the leader cannot reach the model servers that it would order."""
+"""Hands the lease over when the leader does not reach model servers that peers reach.
+
+Where no daemon reaches them the servers are down, and another leader would do no better.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -6,7 +9,7 @@
 from loomwind.leadership.election import Election
 from loomwind.logs import log_state
 from loomwind.serving.beliefs import Beliefs
-from loomwind.serving.peers import PeerTable
+from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.pool import ServerPool
 
 LOOK_MS = 250.0
@@ -24,7 +27,7 @@
         election: Election,
         pool: ServerPool,
         beliefs: Beliefs,
-        peers: PeerTable,
+        exchange: PeerExchange,
         finish_orders: Callable[[], Awaitable[None]],
     ) -> None:
         """Make one.
@@ -34,7 +37,7 @@
         self._election = election
         self._pool = pool
         self._beliefs = beliefs
-        self._peers = peers
+        self._exchange = exchange
         self._finish_orders = finish_orders
         self._clock = Clock()
 
@@ -43,8 +46,10 @@
         while True:
             cut = self._cut_services()
             self._election.cut_seconds = CUT_TAKER_SECONDS if cut else 0.0
-            if cut and self._peers.others() and self._election.leads():
-                log_state("election", "steps-down", reason="no model server is reached", cut=cut)
+            elsewhere = [each for each in cut if self._exchange.is_reached_by_peers(each)]
+            if elsewhere and self._election.leads():
+                reason = "model servers are not reached, and are by peers"
+                log_state("election", "steps-down", reason=reason, cut=elsewhere)
                 await self._step_down()
             await self._clock.sleep_ms(LOOK_MS)
 
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import deque
 
+from attrs import frozen
+
 from loomwind import constants
 from loomwind.clock import MS_PER_SECOND
 from loomwind.leadership.election import Election
@@ -35,6 +37,19 @@
 
 TELL_DELAY_SECONDS = 0.02
 MOST_REPORTS_KEPT = 4096
+# A peer whose reports are missing for so many intervals says nothing any more.
+REPORTS_KEPT = 4
+
+
+@frozen
+class CutServices:
+    """The services whose servers a peer does not reach.
+
+    :ivar good_until: loop time until which its report counts.
+    """
+
+    services: tuple[str, ...]
+    good_until: float
 
 
 class DemandInbox:
@@ -89,6 +104,7 @@
         self._untold: dict[str, ServerHolding] = {}
         self._telling: asyncio.TimerHandle | None = None
         self.inbox = DemandInbox()
+        self._cut_at_peers: dict[str, CutServices] = {}
 
     async def on_message(self, message: AnyMessage) -> AnyMessage | None:
         """Act on a peer's message; returns the answer of one that wants one."""
@@ -121,12 +137,22 @@
 
     def _on_demand(self, message: PoolDemand) -> None:
         self.inbox.put(message)
+        good_for = REPORTS_KEPT * message.next_in_ms / MS_PER_SECOND
+        self._cut_at_peers[message.sender] = CutServices(
+            message.cut_services, self._now() + good_for
+        )
         confirmations = self._election.confirmations
         if message.store_answers:
             confirmations.forget(message.sender)
         else:
             confirmations.note(message.sender, self._now())
 
+    def is_reached_by_peers(self, service: str) -> bool:
+        """Whether a peer that reports its demand here reaches the servers of a service."""
+        now = self._now()
+        fresh = (each for each in self._cut_at_peers.values() if now < each.good_until)
+        return any(service not in each.services for each in fresh)
+
     def _on_holdings(self, message: PoolHoldings) -> None:
         """Take in what servers hold; that of an earlier leader is ignored."""
         if message.fence >= self._holdings_fence:
@@ -203,6 +229,7 @@
             demand.running(),
             not self._health.is_away(self._now()),
             self._report_interval_seconds() * MS_PER_SECOND,
+            self._pool.cut_services(),
         )
 
     def _report_interval_seconds(self) -> float:
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -89,9 +89,9 @@
         """Return the services of which it should be found out whether they are reached."""
         return [service for service, reach in self._reaches.items() if reach.needs_probe]
 
-    def is_cut(self) -> bool:
-        """Whether the servers of any service accept no connection of this daemon."""
-        return any(reach.is_cut for reach in self._reaches.values())
+    def cut_services(self) -> tuple[str, ...]:
+        """Return the services whose servers accept no connection of this daemon."""
+        return tuple(service for service, reach in self._reaches.items() if reach.is_cut)
 
     def budget(self, service: str) -> RetryBudget:
         """Return the budget for repeated sends to a service."""
