Split what is done with peers out of the request run and the handler, and clear parts by whole streams alone

One module for a request's attempts at peers, one for the requests that this daemon serves for peers; the daemon's wiring of the exchange apart from that of the leader's work. A request that waits for its model is refused as soon as one of its parts is banned, and only a whole stream clears a part: an answer of another kind from a model server is an error.

--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -36,6 +36,7 @@
 from loomwind.serving.ports import Dialect, Documents, EngineControl, Store
 from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.reach_probe import ReachProbe
+from loomwind.serving.relay_service import RelayService
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
 
@@ -105,6 +106,7 @@
         self._client = client
         self._tasks: set[asyncio.Task[None]] = set()
         self._make_knowledge(deployment)
+        self._make_exchange()
         self._make_control(deployment)
         self._make_servers(deployment)
 
@@ -163,8 +165,8 @@
             longest_retry_seconds=self._peers.retry_seconds,
         )
 
-    def _make_control(self, deployment: Deployment) -> None:
-        """Make what speaks to peers, and what works while this daemon leads."""
+    def _make_exchange(self) -> None:
+        """Make what speaks to peers."""
         self._transport = PeerTransport(
             self._on_message,
             Connector(silence_ms=constants.POOL_SILENCE_MS),
@@ -211,6 +213,9 @@
             self._anti_entropy,
             self._prompts,
         )
+
+    def _make_control(self, deployment: Deployment) -> None:
+        """Make what works while this daemon leads."""
         self._controller = PlacementController(
             self.settings.name,
             self._election,
@@ -252,6 +257,7 @@
             ),
             self._prompts,
         )
+        self._relay_service = RelayService(self._handler)
         self._relayed = HttpServer(self._on_relayed)
         self._callers = HttpServer(self._on_request)
         self._ready = HttpServer(self._on_ready_question)
@@ -305,7 +311,7 @@
         self._relayed.limits = msgspec.structs.replace(
             limits, max_head_bytes=limits.max_head_bytes + RELAY_HEAD_BYTES
         )
-        await self._handler.handle_relayed(exchange)
+        await self._relay_service.handle(exchange)
 
     async def _on_ready_question(self, exchange: Exchange) -> None:
         await exchange.respond(200 if self.is_ready() else 503, (), b"")
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -7,7 +7,6 @@
 import asyncio
 import math
 
-from loomwind import constants
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest
@@ -22,14 +21,7 @@
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect
 from loomwind.serving.prompt_guard import PromptGuard
-from loomwind.serving.relay_protocol import (
-    RelayEnd,
-    RelayTerms,
-    configuration_headers,
-    end_headers,
-    read_terms,
-    without_own_fields,
-)
+from loomwind.serving.relay_protocol import RelayTerms
 from loomwind.serving.request_run import RequestRun
 from loomwind.serving.views import CallerRequest, ServerEntry
 
@@ -63,7 +55,6 @@
         self.relay = relay
         self.prompts = prompts
         self.open_requests = 0
-        self._open_relayed = 0
         self.limits: set[asyncio.Timeout] = set()
         self.refuses_waiting = False
 
@@ -124,7 +115,7 @@
             return
         caller = self.dialect.read_request(request)
         try:
-            await self._run(exchange, request, caller)
+            await self.run(exchange, request, caller)
             self.metrics.answered.inc()
         except Refused as refusal:
             await self._refuse(exchange, caller, refusal)
@@ -139,95 +130,20 @@
             log_decision("failed", caller.request_id, reason=repr(error))
             exchange.abort()
 
-    # Requests of peers.
-
-    async def handle_relayed(self, exchange: Exchange) -> None:
-        """Answer a request that a peer cannot serve, or decline it."""
-        version = self._beliefs.configuration_version
-        exchange.extra_headers = configuration_headers(version)
-        request = exchange.request
-        try:
-            if request is None:
-                raise RelayDeclined("the request cannot be read")
-            terms = self._read_terms(request)
-            self._decline_if_unable(terms)
-        except RelayDeclined as declined:
-            self.metrics.peer_relays.labels("taken", "declined").inc()
-            log_decision("declined-to-serve", "", reason=str(declined))
-            await self._end_relayed(exchange, RelayEnd.DECLINED, Refused(503, str(declined)))
-            return
-        self.open_requests += 1
-        self._open_relayed += 1
-        try:
-            await self._answer_relayed(exchange, request, terms)
-        finally:
-            self._open_relayed -= 1
-            self.open_requests -= 1
-
-    @staticmethod
-    def _read_terms(request: HttpRequest) -> RelayTerms:
-        try:
-            return read_terms(request)
-        except ValueError as error:
-            raise RelayDeclined("it carries no terms") from error
-
-    def _decline_if_unable(self, terms: RelayTerms) -> None:
-        """Check that this daemon takes requests of peers now.
-
-        :raises RelayDeclined: it cannot.
-        """
-        if self.refuses_waiting:
-            raise RelayDeclined("this daemon is leaving")
-        if self._beliefs.configuration_version < terms.configuration_version:
-            raise RelayDeclined("the configuration here is older")
-        if self._open_relayed >= constants.MOST_RELAYED_REQUESTS:
-            raise RelayDeclined("too many requests of peers are here")
-
-    async def _answer_relayed(
-        self, exchange: Exchange, request: HttpRequest, terms: RelayTerms
-    ) -> None:
-        own = HttpRequest(
-            request.method, request.target, without_own_fields(request.headers), request.body
-        )
-        caller = self.dialect.read_request(own)
-        end = "served"
-        try:
-            await self._run(exchange, own, caller, terms)
-        except RelayDeclined as declined:
-            end = "declined"
-            refusal = Refused(503, str(declined))
-            await self._end_relayed(exchange, RelayEnd.DECLINED, refusal)
-        except Refused as refusal:
-            end = "refused"
-            await self._end_relayed(exchange, RelayEnd.REFUSED, refusal)
-        except StreamCut as cut:
-            end = "cut"
-            log_decision("cut", caller.request_id, reason=str(cut))
-            exchange.abort()
-        except (ConnectionBroken, asyncio.CancelledError):
-            end = "cancelled"
-            raise
-        except Exception as error:
-            end = "failed"
-            log_decision("failed", caller.request_id, reason=repr(error))
-            exchange.abort()
-        finally:
-            self.metrics.peer_relays.labels("taken", end).inc()
-
-    @staticmethod
-    async def _end_relayed(exchange: Exchange, end: RelayEnd, refusal: Refused) -> None:
-        headers = end_headers(end, refusal.retry_after_seconds)
-        await exchange.respond(refusal.status, headers, str(refusal).encode())
-
-    # The way of every request.
-
-    async def _run(
+    async def run(
         self,
         exchange: Exchange,
         request: HttpRequest,
         caller: CallerRequest,
         relayed: RelayTerms | None = None,
     ) -> None:
+        """Find a request's route, and serve it.
+
+        :param relayed: given for a request that a peer could not serve itself.
+        :raises Refused: it gets a daemon's own answer.
+        :raises RelayDeclined: another daemon may serve a peer's request better.
+        :raises StreamCut: its stream has begun and cannot be completed.
+        """
         routes = self._beliefs.routes
         if routes is None:
             raise Refused(503, "no configuration is known yet", RETRY_SOON_SECONDS)
--- /dev/null
+++ b/loomwind/serving/relay_service.py
@@ -0,0 +1,95 @@
+"""Serves requests of peers that reach no server themselves, or declines them."""
+
+import asyncio
+
+from loomwind import constants
+from loomwind.http.errors import ConnectionBroken
+from loomwind.http.messages import HttpRequest
+from loomwind.http.server import Exchange
+from loomwind.logs import log_decision
+from loomwind.serving.errors import Refused, RelayDeclined, StreamCut
+from loomwind.serving.handler import RequestHandler
+from loomwind.serving.relay_protocol import (
+    RelayEnd,
+    RelayTerms,
+    configuration_headers,
+    end_headers,
+    read_terms,
+    without_own_fields,
+)
+
+
+class RelayService:
+    """Gives every request of a peer one answer: a server's, a refusal, or that it is declined."""
+
+    def __init__(self, handler: RequestHandler) -> None:
+        self._handler = handler
+        self._open = 0
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        exchange.extra_headers = configuration_headers(self._handler.configuration_version())
+        try:
+            terms, request = self._take(exchange)
+        except RelayDeclined as declined:
+            await self._decline(exchange, declined)
+            return
+        self._open += 1
+        self._handler.open_requests += 1
+        try:
+            await self._serve(exchange, request, terms)
+        finally:
+            self._handler.open_requests -= 1
+            self._open -= 1
+
+    def _take(self, exchange: Exchange) -> tuple[RelayTerms, HttpRequest]:
+        """Return a peer's request as its caller sent it, with what the peer says of it.
+
+        :raises RelayDeclined: this daemon takes no such request now.
+        """
+        request = exchange.request
+        if request is None:
+            raise RelayDeclined("the request cannot be read")
+        try:
+            terms = read_terms(request)
+        except ValueError as error:
+            raise RelayDeclined("it carries no terms") from error
+        if self._handler.refuses_waiting:
+            raise RelayDeclined("this daemon is leaving")
+        if self._handler.configuration_version() < terms.configuration_version:
+            raise RelayDeclined("the configuration here is older")
+        if self._open >= constants.MOST_RELAYED_REQUESTS:
+            raise RelayDeclined("too many requests of peers are here")
+        headers = without_own_fields(request.headers)
+        return terms, HttpRequest(request.method, request.target, headers, request.body)
+
+    async def _serve(self, exchange: Exchange, request: HttpRequest, terms: RelayTerms) -> None:
+        caller = self._handler.dialect.read_request(request)
+        end = "served"
+        try:
+            await self._handler.run(exchange, request, caller, terms)
+        except RelayDeclined as declined:
+            end = "declined"
+            await self._decline(exchange, declined)
+        except Refused as refusal:
+            end = "refused"
+            headers = end_headers(RelayEnd.REFUSED, refusal.retry_after_seconds)
+            await exchange.respond(refusal.status, headers, str(refusal).encode())
+        except StreamCut as cut:
+            end = "cut"
+            log_decision("cut", caller.request_id, reason=str(cut))
+            exchange.abort()
+        except (ConnectionBroken, asyncio.CancelledError):
+            end = "cancelled"
+            raise
+        except Exception as error:
+            end = "failed"
+            log_decision("failed", caller.request_id, reason=repr(error))
+            exchange.abort()
+        finally:
+            self._handler.metrics.peer_relays.labels("taken", end).inc()
+
+    @staticmethod
+    async def _decline(exchange: Exchange, declined: RelayDeclined) -> None:
+        log_decision("relay-not-taken", "", reason=str(declined))
+        await exchange.respond(503, end_headers(RelayEnd.DECLINED), str(declined).encode())
--- a/loomwind/serving/request_run.py
+++ b/loomwind/serving/request_run.py
@@ -13,7 +13,7 @@
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
-from loomwind.serving.breaker import SUSPECT_SILENCE_SECONDS, ServerHealth
+from loomwind.serving.breaker import SUSPECT_SILENCE_SECONDS
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import (
     RETRY_SOON_SECONDS,
@@ -25,12 +25,12 @@
 )
 from loomwind.serving.forwarder import OpenAnswer, Outgoing
 from loomwind.serving.model_wait import ModelWait
-from loomwind.serving.peers import PeerEntry
+from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.relay_protocol import RelayTerms
 from loomwind.serving.server_choice import ServerChoice
 from loomwind.serving.silence import allowed_silence_seconds
 from loomwind.serving.stream_relay import StreamRelay
-from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry, ServerState
+from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 if TYPE_CHECKING:
     from loomwind.serving.handler import RequestHandler
@@ -41,8 +41,6 @@
 SERVED = "served"
 # What a server may have sent before it ends by the prompt that it answers.
 EVENTS_OF_A_BEGIN = 16
-# Peers that are asked to serve one request; then it is tried from here, as it would be otherwise.
-MOST_PEERS_ASKED = 4
 NOT_RUN_STATUSES = frozenset({503})
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -76,8 +74,6 @@
             limit = min(limit, caller.remaining_seconds)
         self._outgoing = Outgoing(request, caller, route, self._arrived + limit)
         self._relayed = relayed
-        self._peers_asked: set[str] = set()
-        self._may_ask_peers = relayed is None
         self._runs = relayed.runs if relayed else 0
         self._sends = 0
         self._events_before = 0
@@ -97,6 +93,15 @@
             self._allowed_silence,
             self._note_first_event,
         )
+        self._peers = PeerAttempts(
+            serving,
+            exchange,
+            self._outgoing,
+            service,
+            self._choice,
+            self._stream,
+            allowed=relayed is None,
+        )
 
     # The request as a whole.
 
@@ -142,7 +147,7 @@
             may_have_run=self._may_have_run or self._handed_over,
             server=self._server,
             passed_over=self._choice.passed_over(self._server),
-            peers_asked=len(self._peers_asked),
+            peers_asked=self._peers.asked,
             events=self._stream.events,
             configuration=self._serving.configuration_version(),
             servers=self._pool.directory.version,
@@ -167,7 +172,7 @@
     async def _try_servers(self) -> None:
         while True:
             self._refuse_if_banned()
-            if self._is_cut_off():
+            if self._peers.are_better():
                 if await self._serve_by_peer():
                     return
                 continue
@@ -271,8 +276,9 @@
         self._serving.metrics.waiting_for_model.inc()
         try:
             with wait:
-                while entry is None and not self._is_cut_off():
+                while entry is None and not self._peers.are_better():
                     self._refuse_if_leaving()
+                    self._refuse_if_banned()
                     await wait.look_again(self._has_not_run())
                     entry = self._choose_paid()
         except ModelNotInTime as error:
@@ -325,7 +331,6 @@
             if target is not None:
                 self._pool.demand.end_run(entry.instance, target)
         health.succeeded()
-        self._serving.prompts.note_answered(self._caller)
         self._serving.count_send(entry, SERVED)
 
     async def _exchange_with(self, entry: ServerEntry) -> None:
@@ -346,6 +351,7 @@
         self._pool.health(entry).heard(self._serving.now())
         if body is None:
             await self._stream.pass_on(entry, answer, self._pool.health(entry))
+            self._serving.prompts.note_answered(self._caller)
             forwarder.release(answer.connection)
         else:
             await self._answer_whole(entry, answer, body)
@@ -375,10 +381,6 @@
                 raise failure
             if self._route.repeatable and self._runs + 1 < self._route.max_attempts:
                 raise failure
-        await self._pass_whole(entry, answer, body)
-
-    async def _pass_whole(self, entry: ServerEntry, answer: OpenAnswer, body: bytes) -> None:
-        status = answer.head.status
         if self._exchange.started:
             raise SendFailed(f"{entry.instance}: a resumed stream got {status}", ran=True)
         headers = self._serving.dialect.answer_headers(answer.head)
@@ -390,81 +392,35 @@
         """Let a peer serve the request; returns whether it has.
 
         :raises Refused: the peer has refused it.
+        :raises StreamCut: its stream has begun and cannot be completed.
         """
-        peer = self._next_peer()
+        peer = self._peers.next_peer()
         if peer is None:
-            self._may_ask_peers = False
             return False
         self._server = peer.address
         try:
-            await self._exchange_with_peer(peer)
+            await self._peers.exchange_with(peer, self._runs, self._note_handed_over)
         except RelayDeclined as declined:
-            self._log_peer("relay-declined", peer, str(declined))
+            self._handed_over = False
+            self._peers.log("relay-declined", peer, str(declined))
             return False
         except SendFailed as failure:
             self._handed_over = False
             self._runs += 1
             self._may_have_run = True
-            self._log_peer("relay-failed", peer, str(failure))
+            self._peers.log("relay-failed", peer, str(failure))
             if not self._may_retry(failure):
                 raise self._give_up(str(failure)) from failure
             return False
         except Refused as refusal:
-            self._log_peer("relay-refused", peer, str(refusal))
+            self._handed_over = False
+            self._peers.log("relay-refused", peer, str(refusal))
             raise self._final(refusal) from refusal
         return True
 
-    def _is_cut_off(self) -> bool:
-        """Whether a peer may serve the request better: no server can be reached from here."""
-        return self._may_ask_peers and self._choice.is_cut_off(self._serving.now())
-
-    def _next_peer(self) -> PeerEntry | None:
-        if len(self._peers_asked) >= MOST_PEERS_ASKED:
-            return None
-        peer = self._serving.relay.pick(self._service, self._peers_asked)
-        if peer is not None:
-            self._peers_asked.add(peer.life)
-        return peer
-
-    async def _exchange_with_peer(self, peer: PeerEntry) -> None:
-        relay = self._serving.relay
-        terms = RelayTerms(self._runs, self._serving.configuration_version())
-        connection = await relay.connect(peer, self._service)
+    def _note_handed_over(self) -> None:
         self._sends += 1
         self._handed_over = True
-        try:
-            answer = await relay.send(
-                connection,
-                peer,
-                self._service,
-                self._outgoing,
-                self._serving.now(),
-                self._stream.last_event_id,
-                terms,
-            )
-        except (RelayDeclined, Refused):
-            self._handed_over = False
-            raise
-        self._log_peer("relayed", peer, "")
-        entry = ServerEntry(
-            peer.address, self._service, peer.relay, peer.zone, 1, ServerState.READY
-        )
-        if answer.streamed:
-            await self._stream.pass_on(entry, answer, ServerHealth())
-            self._serving.forwarder.release(answer.connection)
-        else:
-            body = await self._serving.forwarder.read_whole(answer)
-            await self._pass_whole(entry, answer, body)
-
-    def _log_peer(self, decision: str, peer: PeerEntry, reason: str) -> None:
-        log_decision(
-            decision,
-            self._caller.request_id,
-            peer=peer.address,
-            reason=reason,
-            runs=self._runs,
-            reach=self._pool.reach_of(self._service).state.value,
-        )
 
     def _final(self, refusal: Refused) -> Exception:
         """Return a peer's refusal as this daemon's own: it may not know what has run before."""
