--- a/features/pool_promises.feature
+++ b/features/pool_promises.feature
@@ -89,6 +89,18 @@
     Then the last reply has status 200
     And the last reply's body is "POST /book/item hello"
 
+  Scenario: answers of HTTP 1.0, which end with their connection, are passed on whole
+    Given a model server one that holds m1
+    And a plain server shop
+    And 1 pool daemons
+    And server one has faults unframed=true, http_version=1.0
+    And server shop has faults unframed=true, http_version=1.0
+    When a stream on draft for m1 with 6 events begins
+    Then the last reply is whole with 6 events in order
+    When a plain request on book is sent
+    Then the last reply has status 200
+    And the last reply's body is "POST /book/item hello"
+
   Scenario: a caller that leaves has its work cancelled
     Given a model server one that holds m1
     And 1 pool daemons
--- a/features/steps/pool_steps.py
+++ b/features/steps/pool_steps.py
@@ -76,6 +76,8 @@
             faults[name] = value == "true"
         else:
             faults[name] = float(value) if value.replace(".", "").isdigit() else value
+    if "http_version" in faults:
+        faults["http_version"] = str(faults["http_version"])
     if "cut_after_events" in faults:
         faults["cut_after_events"] = int(str(faults["cut_after_events"]).partition(".")[0])
     return faults
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -37,6 +37,7 @@
     :param surplus: a second answer follows each answer, in the place of the next one.
     :param cut_after_events: a stream breaks off in the middle of the event after so many; 0: never.
     :param unframed: answers have neither a length nor chunks, and end with their connection.
+    :param http_version: of the heads of unframed answers.
     :param late_order_seconds: orders get no answer and are carried out so much later.
     :param event_seconds: time between the events of a stream.
     :param work_seconds: how long a plain request takes.
@@ -48,6 +49,7 @@
     surplus: bool = False
     cut_after_events: int = 0
     unframed: bool = False
+    http_version: str = "1.1"
     late_order_seconds: float = 0.0
     event_seconds: float = EVENT_SECONDS
     work_seconds: float = 0.0
@@ -248,7 +250,7 @@
             await asyncio.sleep(self.faults.work_seconds)
             body = f"{request.method} {request.target} ".encode() + request.body
             if self.faults.unframed:
-                start_unframed(exchange, headers)
+                start_unframed(exchange, headers, self.faults.http_version)
                 exchange.send_raw(body)
                 exchange.abort()
             else:
@@ -308,7 +310,7 @@
         self, exchange: Exchange, headers: Headers, numbers: Iterable[int]
     ) -> None:
         """Send events whose end is told by the connection's end alone."""
-        start_unframed(exchange, headers)
+        start_unframed(exchange, headers, self.faults.http_version)
         for sent, number in enumerate(numbers):
             await asyncio.sleep(self.faults.event_seconds)
             event = _event(number)
