--- a/features/departures.feature
+++ b/features/departures.feature
@@ -1,7 +1,7 @@
 Feature: All daemons learn in time that a server leaves, whatever one way of learning it does
 
   Scenario Outline: a server that leaves gets no request after the drain bound: <trouble>
-    Given a fleet of <daemons> daemons, <mirrors> of them mirrors, under a drain bound of <bound> s
+    Given a fleet of <daemons> daemons, <mirrors> of them mirrors, under a bound of <bound> s
     And entries of servers that change twice a second
     When <trouble>, and a server says that it leaves, in each of 4 plays
     Then each daemon that has a way to know stops using it within the bound
--- a/features/support/made_store.py
+++ b/features/support/made_store.py
@@ -20,6 +20,11 @@
     return msgspec.json.encode(entry | {"models": [{"name": f"m{held}"}]})
 
 
+def configuration_document(version: int) -> bytes:
+    """Return a configuration as it stands in the store."""
+    return msgspec.json.encode({"version": version, "routes": [], "services": [], "limits": {}})
+
+
 @define
 class StoreFaults:
     """What is wrong with the store now.
@@ -35,10 +40,10 @@
 
 
 class MadeStore:
-    """The servers' table with its feed."""
+    """One table with its feed; it begins with the entries of some servers."""
 
-    def __init__(self, servers: int) -> None:
-        self.faults = StoreFaults()
+    def __init__(self, servers: int, faults: StoreFaults | None = None) -> None:
+        self.faults = faults or StoreFaults()
         self._version = 1
         self._rows = {f"s{number}": (1, server_document("ready")) for number in range(servers)}
         self._changed = asyncio.Event()
--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of daemons that follow the list of servers: the real followers, a made store and links.
+"""A fleet of daemons that follow a store: the real followers, a made store and links.
 
 It runs in virtual time. The store and the links can be given faults.
 """
@@ -8,10 +8,18 @@
 from collections.abc import Coroutine
 from typing import cast
 
-from features.support.made_store import SERVICE, MadeStore, StoreOfDaemon
+from attrs import frozen
+
+from features.support.made_store import (
+    SERVICE,
+    MadeStore,
+    StoreOfDaemon,
+    configuration_document,
+)
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import AnyMessage
 from loomwind.messages.serving import (
+    ConfigurationCopy,
     DirectoryCopy,
     PoolDigest,
     ServerDepartures,
@@ -23,6 +31,7 @@
 from loomwind.platform.documents import PlatformDocuments
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.daemon import configuration_rest_seconds
 from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.peers import PeerEntry, PeerTable
@@ -33,6 +42,7 @@
 from loomwind.settings import BoundSettings
 
 LINK_SECONDS = 0.002
+CONFIGURATION_KEY = "config"
 
 
 class Links:
@@ -123,17 +133,42 @@
         return [self._entries[(place + (1 << i)) % count] for i in range((count - 1).bit_length())]
 
 
+@frozen
+class FleetTables:
+    """The store's tables that daemons follow."""
+
+    servers: MadeStore
+    configuration: MadeStore
+
+
 class FleetDaemon:
-    """One daemon's part that follows the list."""
+    """One daemon's part that follows the store."""
 
     def __init__(
-        self, name: str, store: MadeStore, links: Links, peers: PeersOfDaemon, bounds: BoundSettings
+        self,
+        name: str,
+        tables: FleetTables,
+        links: Links,
+        peers: PeersOfDaemon,
+        bounds: BoundSettings,
     ) -> None:
         self.name = name
         health = StoreHealth()
-        self.beliefs = Beliefs(PlatformDocuments(), "config", ServerPool(bounds), health, Metrics())
+        self.beliefs = Beliefs(
+            PlatformDocuments(), CONFIGURATION_KEY, ServerPool(bounds), health, Metrics()
+        )
         self._table = TableFollower(
-            cast(Store, StoreOfDaemon(store, name)), "servers", health, self.beliefs.on_server_rows
+            cast(Store, StoreOfDaemon(tables.servers, name)),
+            "servers",
+            health,
+            self.beliefs.on_server_rows,
+        )
+        self._configuration = TableFollower(
+            cast(Store, StoreOfDaemon(tables.configuration, name)),
+            "op",
+            health,
+            self.beliefs.on_configuration_rows,
+            lambda: configuration_rest_seconds(bounds),
         )
         self._follower = ServerListFollower(
             LeaseHolder(name, f"life-{name}", name),
@@ -168,6 +203,8 @@
                 return await self._follower.answer(message)
             case PoolDigest():
                 self._anti_entropy.on_digest(message)
+            case ConfigurationCopy():
+                self.beliefs.on_configuration_copy(message)
             case DirectoryCopy():
                 self.beliefs.on_directory_copy(message)
             case ServerDepartures():
@@ -183,28 +220,42 @@
 
     async def run(self) -> None:
         """Follow for ever."""
-        await asyncio.gather(self._follower.run(), self._anti_entropy.run())
+        await asyncio.gather(
+            self._follower.run(), self._configuration.run(), self._anti_entropy.run()
+        )
 
 
 class Fleet:
     """Daemons, store and links, with their faults."""
 
-    def __init__(self, daemons: int, mirrors: int, servers: int, drain_ms: float) -> None:
+    def __init__(self, daemons: int, mirrors: int, servers: int, bound_ms: float) -> None:
+        """Make a fleet.
+
+        :param bound_ms: how soon a departure, or a configuration, has to count everywhere.
+        """
         self.store = MadeStore(servers)
+        self.configuration = MadeStore(0, self.store.faults)
+        self._configuration_version = 0
         self.links = Links()
         self.names = [f"d{number}" for number in range(daemons)]
         self.mirrors = self.names[:mirrors]
-        bounds = BoundSettings(drain_ms=drain_ms)
+        bounds = BoundSettings(drain_ms=bound_ms, apply_ms=bound_ms)
+        tables = FleetTables(self.store, self.configuration)
         self.daemons = [
-            FleetDaemon(
-                name, self.store, self.links, PeersOfDaemon(name, self.names, mirrors), bounds
-            )
+            FleetDaemon(name, tables, self.links, PeersOfDaemon(name, self.names, mirrors), bounds)
             for name in self.names
         ]
         for daemon in self.daemons:
             self.links.add(daemon)
         self._tasks: list[asyncio.Task[None]] = []
 
+    def write_configuration(self) -> int:
+        """Write the next version of the configuration, and return it."""
+        self._configuration_version += 1
+        document = configuration_document(self._configuration_version)
+        self.configuration.put(CONFIGURATION_KEY, document)
+        return self._configuration_version
+
     async def start(self, draw: random.Random) -> None:
         """Let the daemons begin within a second of each other."""
         for daemon in self.daemons:
