Spread versions of the configuration by gossip

Callers saw routes and time-outs of an older version at daemons that the platform's store did not serve, though the store itself was well: such a daemon learned a version only when the peer that it told its own version to, one at random each half second, knew more.

Now who has a new version tells its number to its fingers at once, as departures are told, and who lacks it fetches the document from a teller, once, compressed. A digest is answered by the number too. The line says who told, and whether the feed or the whole table did.

--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -19,7 +19,8 @@
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import AnyMessage
 from loomwind.messages.serving import (
-    ConfigurationCopy,
+    ConfigurationNotice,
+    ConfigurationQuestion,
     DirectoryCopy,
     PoolDigest,
     ServerDepartures,
@@ -31,6 +32,7 @@
 from loomwind.platform.documents import PlatformDocuments
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.daemon import configuration_rest_seconds
 from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
@@ -49,7 +51,7 @@
     """The links between daemons.
 
     :ivar silent: daemons that answer no peer, and hear none.
-    :ivar loses_gossip: whether word of departures is lost.
+    :ivar loses_gossip: whether word of departures, and of versions, is lost.
     """
 
     def __init__(self) -> None:
@@ -83,7 +85,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _cast(self, sender: str, address: str, message: AnyMessage) -> None:
-        lost = self.loses_gossip and isinstance(message, ServerDepartures)
+        lost = self.loses_gossip and isinstance(message, ServerDepartures | ConfigurationNotice)
         if not lost and not {sender, address} & self.silent:
             await asyncio.sleep(LINK_SECONDS)
             await self._daemons[address].on_message(message)
@@ -181,6 +183,12 @@
         prompts = PromptGuard(
             name, cast(PeerTransport, LinksOfDaemon(links, name)), cast(PeerTable, peers)
         )
+        self._configurations = ConfigurationGossip(
+            name,
+            cast(PeerTransport, LinksOfDaemon(links, name)),
+            cast(PeerTable, peers),
+            self.beliefs,
+        )
         self._anti_entropy = AntiEntropy(
             name,
             cast(PeerTransport, LinksOfDaemon(links, name)),
@@ -188,6 +196,7 @@
             self.beliefs,
             health,
             prompts,
+            self._configurations,
         )
         DepartureGossip(
             name,
@@ -203,8 +212,10 @@
                 return await self._follower.answer(message)
             case PoolDigest():
                 self._anti_entropy.on_digest(message)
-            case ConfigurationCopy():
-                self.beliefs.on_configuration_copy(message)
+            case ConfigurationNotice():
+                self._configurations.note_version(message.teller, message.version)
+            case ConfigurationQuestion():
+                return self._configurations.answer(message)
             case DirectoryCopy():
                 self.beliefs.on_directory_copy(message)
             case ServerDepartures():
@@ -221,7 +232,10 @@
     async def run(self) -> None:
         """Follow for ever."""
         await asyncio.gather(
-            self._follower.run(), self._configuration.run(), self._anti_entropy.run()
+            self._follower.run(),
+            self._configuration.run(),
+            self._configurations.run(),
+            self._anti_entropy.run(),
         )
 
 
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -49,6 +49,8 @@
 )
 from loomwind.messages.serving import (
     ConfigurationCopy,
+    ConfigurationNotice,
+    ConfigurationQuestion,
     DirectoryCopy,
     LeaderAnswer,
     LeaderQuestion,
@@ -98,6 +100,8 @@
     | PoolHoldings
     | PoolDigest
     | ConfigurationCopy
+    | ConfigurationNotice
+    | ConfigurationQuestion
     | DirectoryCopy
     | LeaseNotice
     | PoolExpectations
@@ -128,6 +132,8 @@
     "ClaimTransferRequest",
     "ClaimVerdict",
     "ConfigurationCopy",
+    "ConfigurationNotice",
+    "ConfigurationQuestion",
     "DemandEntry",
     "DemandReport",
     "Digest",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -93,8 +93,27 @@
     prompt_crashes: int = 0
 
 
+class ConfigurationNotice(Message, frozen=True, tag=True, array_like=True):
+    """Told by a daemon that has a version of the configuration in force.
+
+    :param teller: ``host:port`` of the daemon for peers.
+    """
+
+    teller: str
+    version: int
+
+
+class ConfigurationQuestion(Message, frozen=True, tag=True, array_like=True):
+    """Asks a peer for its configuration.
+
+    :param version: what the asker has in force.
+    """
+
+    version: int
+
+
 class ConfigurationCopy(Message, frozen=True, tag=True, array_like=True):
-    """The configuration's document, for a peer that the store does not serve."""
+    """The configuration's document, compressed by zlib."""
 
     version: int
     document: bytes
--- a/loomwind/serving/anti_entropy.py
+++ b/loomwind/serving/anti_entropy.py
@@ -7,6 +7,7 @@
 from loomwind.messages.serving import PoolDigest
 from loomwind.peering.transport import PeerTransport
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.prompt_guard import PromptGuard
@@ -29,6 +30,7 @@
         beliefs: Beliefs,
         health: StoreHealth,
         prompts: PromptGuard,
+        configurations: ConfigurationGossip,
     ) -> None:
         self._own_address = own_address
         self._transport = transport
@@ -36,6 +38,7 @@
         self._beliefs = beliefs
         self._health = health
         self._prompts = prompts
+        self._configurations = configurations
 
     async def run(self) -> None:
         """Let a peer know for ever what this daemon knows."""
@@ -56,9 +59,7 @@
 
     def on_digest(self, digest: PoolDigest) -> None:
         """Send a peer what it lacks."""
-        configuration = self._beliefs.configuration_copy(digest.configuration_version)
-        if configuration is not None:
-            self._transport.cast(digest.sender, configuration)
+        self._configurations.note_version(digest.sender, digest.configuration_version)
         own_crashes = self._prompts.digest()
         if own_crashes and own_crashes != digest.prompt_crashes:
             self._transport.cast(digest.sender, self._prompts.all_crashes())
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import math
+import zlib
 from collections.abc import Callable, Iterable
 
 from attrs import frozen
@@ -31,7 +32,7 @@
 
 
 class Source(enum.Enum):
-    """By which way the list of servers was learned."""
+    """By which way the list of servers, or the configuration, was learned."""
 
     FEED = "feed"
     TABLE = "table"
@@ -41,9 +42,10 @@
 
 @frozen
 class Origin:
-    """Where a change in the list of servers comes from.
+    """Where a change in the list of servers, or of the configuration, comes from.
 
-    :param version: the store's version that the list stands at with the change.
+    :param version: the store's version that the list stands at with the change, or that wrote the
+        configuration; 0 when a peer did not say.
     :param teller: the peer's ``host:port``; empty when the store itself has told.
     """
 
@@ -58,6 +60,7 @@
     :ivar routes: the routes in force; None before a configuration is known.
     :ivar limits: what callers may send; those of the configuration once there is one.
     :ivar servers_fresh_at: loop time at which the list of servers was as the store has it.
+    :ivar on_configuration: called when a newer configuration is in force.
     :ivar on_departures: called with servers that leave, as soon as that is first known here.
     """
 
@@ -75,6 +78,8 @@
         self._health = health
         self._metrics = metrics
         self._configuration_document = b""
+        self._copy: ConfigurationCopy | None = None
+        self.on_configuration: Callable[[], None] = lambda: None
         self._server_documents: dict[str, bytes] = {}
         self._server_changes: dict[str, int] = {}
         self._servers_changed = asyncio.Event()
@@ -98,16 +103,28 @@
 
     def on_configuration_rows(self, snapshot: Snapshot, whole: bool) -> None:
         """Take in rows of the configuration's table."""
+        source = Source.TABLE if whole else Source.FEED
         for row in snapshot.rows:
             if row.key == self._configuration_key and not row.gone:
-                self._apply(row.value, "store")
+                self._apply(row.value, Origin(source, row.version))
 
-    def on_configuration_copy(self, copy: ConfigurationCopy) -> None:
-        """Take in what a peer has sent."""
-        self._apply(copy.document, "peer")
+    def on_configuration_copy(self, copy: ConfigurationCopy, teller: str) -> None:
+        """Take in what a peer has sent.
 
-    def _apply(self, document: bytes, source: str) -> None:
+        :param teller: the peer's ``host:port``, for the log.
+        """
+        if copy.version <= self.configuration_version:
+            return
+        try:
+            document = zlib.decompress(copy.document)
+        except zlib.error as error:
+            log_state("configuration", "unreadable", error=str(error), teller=teller)
+            return
+        self._apply(document, Origin(Source.PEER, 0, teller))
+
+    def _apply(self, document: bytes, origin: Origin) -> None:
         """Put a configuration in force, unless one as new is in force already."""
+        source = origin.source.value
         try:
             configuration = self._documents.configuration(document)
         except MalformedDocument as error:
@@ -119,14 +136,23 @@
         self._configuration_document = document
         self.limits = _server_limits(configuration)
         self._metrics.catalog_version.set(configuration.version)
-        log_state("configuration", "in-force", version=configuration.version, source=source)
+        log_state(
+            "configuration",
+            "in-force",
+            version=configuration.version,
+            source=source,
+            teller=origin.teller,
+            row_version=origin.version,
+        )
         self.pool.demand.wake()
-
-    def configuration_copy(self, than_version: int) -> ConfigurationCopy | None:
-        """Return the configuration for a peer that has an older one; None when it has not."""
-        if self.configuration_version <= than_version:
-            return None
-        return ConfigurationCopy(self.configuration_version, self._configuration_document)
+        self.on_configuration()
+
+    def configuration_copy(self) -> ConfigurationCopy:
+        """Return the configuration in force for a peer; one of version 0 when there is none."""
+        version = self.configuration_version
+        if self._copy is None or self._copy.version != version:
+            self._copy = ConfigurationCopy(version, zlib.compress(self._configuration_document, 1))
+        return self._copy
 
     # Servers.
 
--- /dev/null
+++ b/loomwind/serving/configuration_gossip.py
@@ -0,0 +1,99 @@
+"""Spreads versions of the configuration: who has a new one tells its fingers, others fetch it.
+
+Only the version's number is passed on, so that each daemon is sent the document once. Daemons that
+the store does not serve learn a version as soon as the others do. Where messages are lost, digests
+(:mod:`loomwind.serving.anti_entropy`) tell the same later.
+"""
+
+import asyncio
+
+from loomwind.logs import log_state
+from loomwind.messages.serving import (
+    ConfigurationCopy,
+    ConfigurationNotice,
+    ConfigurationQuestion,
+)
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
+from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.peers import PeerTable
+
+# Versions that come within this time are told as one.
+TELL_PAUSE_SECONDS = 0.05
+FETCH_TIMEOUT_SECONDS = 0.5
+
+
+class ConfigurationGossip:
+    """One daemon's part in spreading versions.
+
+    :param own_address: ``host:port`` of this daemon for peers.
+    """
+
+    def __init__(
+        self, own_address: str, transport: PeerTransport, peers: PeerTable, beliefs: Beliefs
+    ) -> None:
+        self._own_address = own_address
+        self._transport = transport
+        self._peers = peers
+        self._beliefs = beliefs
+        self._changed = asyncio.Event()
+        self._heard = asyncio.Event()
+        self._heard_version = 0
+        self._tellers: list[str] = []
+        beliefs.on_configuration = self._changed.set
+
+    async def run(self) -> None:
+        """Tell and fetch for ever."""
+        async with asyncio.TaskGroup() as work:
+            work.create_task(self._tell_changes())
+            work.create_task(self._fetch_news())
+
+    # What this daemon says.
+
+    async def _tell_changes(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            for peer in self._peers.fingers():
+                self._tell(peer.address)
+            await asyncio.sleep(TELL_PAUSE_SECONDS)
+
+    def _tell(self, address: str) -> None:
+        version = self._beliefs.configuration_version
+        self._transport.cast(address, ConfigurationNotice(self._own_address, version))
+
+    def answer(self, question: ConfigurationQuestion) -> ConfigurationCopy:
+        """Return the configuration in force, for a peer that has heard of it."""
+        return self._beliefs.configuration_copy()
+
+    # What this daemon hears.
+
+    def note_version(self, address: str, version: int) -> None:
+        """Take in which version a peer has in force; one that has an older one is told."""
+        own = self._beliefs.configuration_version
+        if version < own:
+            self._tell(address)
+        if version <= max(own, self._heard_version - 1):
+            return
+        if version > self._heard_version:
+            self._heard_version = version
+            self._tellers.clear()
+        self._tellers.append(address)
+        self._heard.set()
+
+    async def _fetch_news(self) -> None:
+        while True:
+            await self._heard.wait()
+            self._heard.clear()
+            while self._tellers and self._heard_version > self._beliefs.configuration_version:
+                await self._fetch(self._tellers.pop(0))
+
+    async def _fetch(self, teller: str) -> None:
+        question = ConfigurationQuestion(self._beliefs.configuration_version)
+        try:
+            copy = await self._transport.call(teller, question, FETCH_TIMEOUT_SECONDS)
+        except PeerUnreachable as error:
+            log_state("configuration", "not-fetched", teller=teller, reason=str(error))
+            return
+        if isinstance(copy, ConfigurationCopy):
+            self._beliefs.on_configuration_copy(copy, teller)
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -22,6 +22,7 @@
 from loomwind.placement.controller import PlacementController
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
@@ -189,6 +190,9 @@
             self.settings.bounds,
         )
         self._prompts = PromptGuard(self._own.address, self._transport, self._peers)
+        self._configurations = ConfigurationGossip(
+            self._own.address, self._transport, self._peers, self._beliefs
+        )
         self._anti_entropy = AntiEntropy(
             self._own.address,
             self._transport,
@@ -196,6 +200,7 @@
             self._beliefs,
             self._health,
             self._prompts,
+            self._configurations,
         )
         self._gossip = DepartureGossip(
             self._own.address, self._transport, self._peers, self._beliefs
@@ -212,6 +217,7 @@
             self._server_list,
             self._anti_entropy,
             self._prompts,
+            self._configurations,
         )
 
     def _make_control(self, deployment: Deployment) -> None:
@@ -281,6 +287,7 @@
         self._spawn(self._leader_reach.run())
         self._spawn(self._exchange.send_demand())
         self._spawn(self._anti_entropy.run())
+        self._spawn(self._configurations.run())
         self._spawn(self._server_list.run())
         self._spawn(self._watch.watch())
         self._spawn(self._watch.tell())
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -11,7 +11,8 @@
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import (
     AnyMessage,
-    ConfigurationCopy,
+    ConfigurationNotice,
+    ConfigurationQuestion,
     DirectoryCopy,
     LeaderQuestion,
     LeaseNotice,
@@ -27,6 +28,7 @@
 from loomwind.peering.transport import PeerTransport
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.peers import PeerTable
@@ -88,6 +90,7 @@
         server_list: ServerListFollower,
         anti_entropy: AntiEntropy,
         prompts: PromptGuard,
+        configurations: ConfigurationGossip,
     ) -> None:
         self._own = own
         self._transport = transport
@@ -100,6 +103,7 @@
         self._server_list = server_list
         self._anti_entropy = anti_entropy
         self._prompts = prompts
+        self._configurations = configurations
         self._holdings_fence = 0
         self._untold: dict[str, ServerHolding] = {}
         self._telling: asyncio.TimerHandle | None = None
@@ -123,8 +127,10 @@
                 self._on_expectations(message)
             case PoolDigest():
                 self._anti_entropy.on_digest(message)
-            case ConfigurationCopy():
-                self._beliefs.on_configuration_copy(message)
+            case ConfigurationNotice():
+                self._configurations.note_version(message.teller, message.version)
+            case ConfigurationQuestion():
+                return self._configurations.answer(message)
             case DirectoryCopy():
                 self._beliefs.on_directory_copy(message)
             case ServerDepartures():
