--- /dev/null
+++ b/features/steps/weight_store_admission_steps.py
@@ -0,0 +1,133 @@
+"""Steps about which loads from the weight store may begin: plays of a made pool, single cases."""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import given as hypothesis_given
+from hypothesis import strategies as st
+
+from features.steps.planner_steps import SERVICE, profile
+from features.support.made_pool import MadePool
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.ledger import ServerLedger
+from loomwind.placement.store_pace import FinishedLoad, LoadInProgress, StorePace
+from loomwind.serving.demand import TargetDemand
+from loomwind.serving.residency import LearnedPace, LoadUnderWay
+from loomwind.serving.views import ModelKey, ServerEntry, ServerState
+
+MS = 1000.0
+LONGEST_PLAY = 60
+STEPS_AN_EVENT = 5
+
+
+@frozen
+class Event:
+    """What happens in a play, and for how many steps the pool then works on."""
+
+    act: Callable[[MadePool], None]
+    steps: int
+
+
+def _asks(model: int, count: int, waits: bool) -> Callable[[MadePool], None]:
+    return lambda pool: pool.ask(model, count, waits)
+
+
+ASKS = st.builds(_asks, st.integers(0, 11), st.integers(1, 12), st.booleans())
+CHANGES = st.sampled_from([MadePool.remove_server, MadePool.add_server, MadePool.change_leader])
+EVENTS = st.builds(
+    Event, st.one_of(ASKS, ASKS, ASKS, ASKS, CHANGES), st.integers(1, STEPS_AN_EVENT)
+)
+
+
+@given("a pool of {servers:d} model servers, each with room for 2 of {models:d} models")
+def step_pool(context: Any, servers: int, models: int) -> None:
+    context.servers, context.models = servers, models
+
+
+@when(
+    "requests, reports, departures and changes of the leader come in any order, in {count:d} plays"
+)
+def step_plays(context: Any, count: int) -> None:
+    context.beyond, context.second = [], []
+
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @hypothesis_given(st.lists(EVENTS, min_size=20, max_size=LONGEST_PLAY), st.integers(0, 99))
+    def play(events: list[Event], seed: int) -> None:
+        pool = MadePool(context.servers, context.models, seed)
+        for event in events:
+            event.act(pool)
+            for _ in range(event.steps):
+                pool.step()
+        context.beyond += [turn for turn in pool.turns if turn.under_way >= turn.limit]
+        context.second += [turn for turn in pool.turns if turn.again and turn.without]
+
+    play()
+
+
+@then("no load from the weight store began beyond the limit")
+def step_within_limit(context: Any) -> None:
+    assert not context.beyond, (len(context.beyond), context.beyond[:3])
+
+
+@then("no model got a second turn while another one was asked for and had none")
+def step_no_second_turn(context: Any) -> None:
+    assert not context.second, (len(context.second), context.second[:3])
+
+
+@when(
+    "a leader with a limit of {limit:d} has {count:d} loads under way from the start, "
+    "and none has ended by {seconds:d} s"
+)
+def step_overdue(context: Any, limit: int, count: int, seconds: int) -> None:
+    context.pace = StorePace(LearnedPace(SERVICE, limit, False))
+    loads = [LoadInProgress(0.0, context.load_ms)] * count
+    for second in range(seconds + 1):
+        context.pace.observe(count, second * MS)
+        context.pace.note_under_way(loads, second * MS)
+
+
+@when(
+    "a leader with a limit of {limit:d} has {count:d} loads under way at a time for {seconds:d} s"
+)
+def step_unused(context: Any, limit: int, count: int, seconds: int) -> None:
+    context.pace = StorePace(LearnedPace(SERVICE, limit, False))
+    for began_ms in range(0, seconds * 1000, int(context.load_ms)):
+        context.pace.observe(count, began_ms)
+        done_ms = began_ms + context.load_ms
+        context.pace.observe(count, done_ms)
+        for _ in range(count):
+            context.pace.note(FinishedLoad(began_ms, done_ms, context.load_ms), done_ms)
+
+
+@then("the leader may have {count:d} or fewer under way")
+def step_may_have_at_most(context: Any, count: int) -> None:
+    assert context.pace.limit <= count, context.pace.limit
+
+
+@when("an earlier leader has told at {told:f} s that {name} loads {model}")
+def step_heard(context: Any, told: float, name: str, model: str) -> None:
+    entry = ServerEntry(name, SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+    context.ledgers[name] = ServerLedger(entry, profile(100), LoadUnderWay(model, told))
+
+
+@then("at {now:f} s {count} load from the weight store is known to be under way")
+def step_known(context: Any, now: float, count: str) -> None:
+    used = sum(ledger.uses_store(now) for ledger in context.ledgers.values())
+    assert used == (0 if count == "no" else 1), used
+
+
+@when("{count:d} requests with an objective of {seconds:f} s wait for {model} at {now:f} s")
+def step_many_wait(context: Any, count: int, seconds: float, model: str, now: float) -> None:
+    context.now = now
+    wanted = TargetDemand(SERVICE, ModelKey(model), count, count, seconds, seconds)
+    context.demand.note(PoolDemand("daemon-4", (wanted,), ()), now)
--- /dev/null
+++ b/features/support/made_pool.py
@@ -0,0 +1,254 @@
+"""A pool of model servers, its weight store and its leader, step by step; no process, no clock.
+
+The leader's side is the real planner, ledgers, pace and window, wired as the controller wires them.
+"""
+
+import random
+
+from attrs import define, field, frozen
+
+from loomwind.clock import MS_PER_SECOND
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.demand_view import DemandView
+from loomwind.placement.ledger import ServerLedger
+from loomwind.placement.load_window import LoadWindow
+from loomwind.placement.plan import PlanInput, PlannedOrder
+from loomwind.placement.planner import Planner
+from loomwind.placement.store_pace import StorePace
+from loomwind.serving.demand import TargetDemand
+from loomwind.serving.residency import LearnedPace, LoadUnderWay
+from loomwind.serving.views import (
+    EngineProfile,
+    HeldModel,
+    ModelKey,
+    ModelProfile,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    ServerEntry,
+    ServerReport,
+    ServerState,
+)
+
+SERVICE = "tutor"
+STEP_SECONDS = 0.1
+STORE_LOAD_SECONDS = 4.0
+DISK_LOAD_SECONDS = 1.5
+MODEL_MB = 48_000.0
+LOADS_PER_SECOND = 34.0
+WINDOW_SECONDS = 5.0
+SERVED_AT_ONCE = 2
+
+
+@define
+class MadeServer:
+    """A model server.
+
+    :ivar loading: what it loads; empty for nothing.
+    :ivar left_seconds: how long that takes yet, at full speed.
+    """
+
+    name: str
+    held: list[str] = field(factory=list)
+    on_disk: set[str] = field(factory=set)
+    loading: str = ""
+    from_store: bool = False
+    left_seconds: float = 0.0
+    revision: int = 0
+
+    def report(self) -> ServerReport:
+        """Return what it says of itself."""
+        held = tuple(HeldModel(name) for name in self.held)
+        return ServerReport(
+            self.revision, bool(self.loading), held, on_disk=frozenset(self.on_disk)
+        )
+
+    def take(self, order: PlannedOrder) -> None:
+        """Carry an order out."""
+        self.revision += 1
+        if order.kind is OrderKind.UNLOAD:
+            self.held.remove(order.target.model)
+            return
+        self.loading = order.target.model
+        self.from_store = self.loading not in self.on_disk
+        self.left_seconds = STORE_LOAD_SECONDS if self.from_store else DISK_LOAD_SECONDS
+
+    def work(self, store_speed: float) -> None:
+        """Load on for one step."""
+        if not self.loading:
+            return
+        self.left_seconds -= STEP_SECONDS * (store_speed if self.from_store else 1.0)
+        if self.left_seconds <= 0:
+            self.held.append(self.loading)
+            self.on_disk.add(self.loading)
+            self.loading = ""
+
+
+@frozen
+class StoreTurn:
+    """A load from the weight store that was ordered, or that another model made way for.
+
+    :ivar under_way: the loads under way and the rooms made, before this step.
+    :ivar limit: how many there may be.
+    :ivar again: whether the model was held or had a turn already.
+    :ivar without: other models that were asked for and had no turn.
+    """
+
+    model: str
+    under_way: int
+    limit: int
+    again: bool
+    without: tuple[str, ...]
+
+
+class MadePool:
+    """Servers and leader. :meth:`step` is what happens in a tenth of a second."""
+
+    def __init__(self, servers: int, models: int, seed: int) -> None:
+        self._draw = random.Random(seed)
+        self._names = [f"m{number}" for number in range(models)]
+        profiles = tuple(
+            ModelProfile(name, MODEL_MB, STORE_LOAD_SECONDS, DISK_LOAD_SECONDS, DISK_LOAD_SECONDS)
+            for name in self._names
+        )
+        self._profile = EngineProfile(2 * MODEL_MB + 1, 8, LOADS_PER_SECOND, profiles)
+        self._servers: dict[str, MadeServer] = {}
+        self._count = 0
+        for _ in range(servers):
+            self.add_server()
+        self.now = 10.0
+        self.turns: list[StoreTurn] = []
+        self._pace = StorePace()
+        self.change_leader()
+
+    # What may happen.
+
+    def add_server(self) -> None:
+        """Let an empty server come."""
+        name = f"s{self._count}"
+        self._count += 1
+        self._servers[name] = MadeServer(name)
+
+    def remove_server(self) -> None:
+        """Let a server go, whatever it does."""
+        if len(self._servers) > 1:
+            gone = self._draw.choice(sorted(self._servers))
+            del self._servers[gone]
+            self._ledgers.pop(gone, None)
+
+    def change_leader(self) -> None:
+        """Let another daemon lead: it knows what the one before has told."""
+        told = {
+            name: LoadUnderWay(server.loading, self.now)
+            for name, server in self._servers.items()
+            if server.loading
+        }
+        learned: LearnedPace = self._pace.learned(SERVICE)
+        self._pace = StorePace(learned, self.now * MS_PER_SECOND)
+        self._window = LoadWindow(LOADS_PER_SECOND, WINDOW_SECONDS, self.now)
+        self._demand = DemandView()
+        self._ledgers: dict[str, ServerLedger] = {}
+        self._heard = told
+
+    def ask(self, model: int, count: int, waits: bool) -> None:
+        """Let requests for a model come; some of them wait for it."""
+        wanted = TargetDemand(
+            SERVICE, ModelKey(self._names[model % len(self._names)]), int(waits), count, 0.6, 0.6
+        )
+        sender = f"daemon-{self._draw.randrange(4)}"
+        self._demand.note(PoolDemand(sender, (wanted,), ()), self.now)
+
+    # One step.
+
+    def step(self, plans: bool = True) -> None:
+        """Let the servers load on, and the leader read them and plan."""
+        self.now += STEP_SECONDS
+        loading = sum(1 for s in self._servers.values() if s.loading and s.from_store)
+        for server in self._servers.values():
+            server.work(min(1.0, SERVED_AT_ONCE / max(1, loading)))
+        self._read()
+        if plans:
+            self._plan()
+
+    def _read(self) -> None:
+        for name, server in self._servers.items():
+            ledger = self._ledgers.get(name)
+            if ledger is None:
+                entry = ServerEntry(name, SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+                ledger = ServerLedger(entry, self._profile, self._heard.get(name))
+                self._ledgers[name] = ledger
+            elif self._draw.random() < 0.5:
+                ledger.note_report(server.report(), self.now)
+            finished = ledger.take_finished()
+            if finished is not None:
+                self._pace.note(finished, self.now * MS_PER_SECOND)
+
+    def _plan(self) -> None:
+        servers = list(self._ledgers.values())
+        under_way = sum(server.uses_store(self.now) for server in servers)
+        self._pace.observe(under_way, self.now * MS_PER_SECOND)
+        given = PlanInput(
+            SERVICE,
+            servers,
+            self._demand,
+            {},
+            self.now,
+            self._window.allows(self.now),
+            False,
+            max(0, self._pace.limit - under_way),
+        )
+        wanted = {want.key.target.model for want in self._demand.wants(self.now)}
+        for order in Planner(given).plan():
+            self._note_turn(order, wanted)
+            if order.from_store:
+                self._window.note(self.now)
+            self._give(order)
+        self._demand.note_available(SERVICE, given.index.holders)
+
+    def _note_turn(self, order: PlannedOrder, wanted: set[str]) -> None:
+        """Note a load from the weight store, as it begins or as another model makes way for it."""
+        name = order.makes_way_for or order.target.model
+        loads = order.kind is OrderKind.LOAD or bool(order.makes_way_for)
+        from_store = name not in self._servers[order.instance].on_disk
+        if not loads or not from_store or self._room(order.instance) == name:
+            return
+        others = [server for server in self._servers if server != order.instance]
+        with_turn = {self._servers[server].loading for server in self._servers}
+        with_turn |= {self._room(server) for server in others}
+        with_turn |= {held for server in self._servers.values() for held in server.held}
+        turn = StoreTurn(
+            name,
+            self._under_way(),
+            self._pace.limit,
+            name in with_turn,
+            tuple(sorted(wanted - with_turn - {name})),
+        )
+        self.turns.append(turn)
+
+    def _under_way(self) -> int:
+        """Return how many servers load from the weight store, or have made room for such a load."""
+        return sum(self._uses_store(name) for name in self._servers)
+
+    def _uses_store(self, name: str) -> bool:
+        server, room = self._servers[name], self._room(name)
+        if server.loading:
+            return server.from_store
+        return bool(room) and room not in server.on_disk
+
+    def _room(self, server: str) -> str:
+        """Return the model that another one has made way for at a server; empty for none."""
+        return self._ledgers[server].room_reserved_for(self.now) or ""
+
+    def _give(self, order: PlannedOrder) -> None:
+        ledger = self._ledgers[order.instance]
+        report = ledger.report
+        assert report is not None
+        if order.makes_way_for:
+            ledger.reserve_room(order.makes_way_for, self.now)
+        given = Order(order.kind, order.target, order.instance, "daemon", 7, report.revision)
+        server = self._servers[order.instance]
+        if server.loading or server.revision != report.revision:
+            ledger.note_answer(given, OrderAnswer.CONFLICT, self.now)
+            return
+        server.take(order)
+        ledger.note_answer(given, OrderAnswer.ACCEPTED, self.now, in_use=False)
--- a/loomwind/placement/store_pace.py
+++ b/loomwind/placement/store_pace.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 
 import attrs
 
@@ -41,6 +42,18 @@
         return max(1.0, (self.done_ms - self.began_ms) / max(1.0, self.expected_ms))
 
 
+@attrs.frozen
+class LoadInProgress:
+    """A load from the weight store that is under way.
+
+    :ivar began_ms: when it began.
+    :ivar expected_ms: how long it should take, by its model's profile.
+    """
+
+    began_ms: float
+    expected_ms: float
+
+
 @attrs.frozen
 class _Sample:
     """How many loads were under way up to a time, summed over time."""
@@ -114,6 +127,9 @@
         elif load.slowness <= SLOW_FACTOR and at_once >= USED_PART * self._limit:
             self._grow(now_ms)
 
+    def note_under_way(self, loads: Sequence[LoadInProgress], now_ms: float) -> None:
+        """Learn from loads that have not ended yet."""
+
     def _grow(self, now_ms: float) -> None:
         if self._last_slow_ms is None:
             self._limit += 1.0
