Ask the store again when it has lost a question about the configuration

Now the mirrors, a few daemons that read the store for others as it is, let the store hold an answer about the configuration for 0.4 of the bound, and the others learn from them by gossip. The others pause for up to half of the bound in a large fleet, since each version answers the question of each daemon. A call that has failed is repeated without the pause on top of its own.

configuration_spread.feature, new rows: "the store loses the questions that it holds" is red with the former times (all 9 daemons lack a version after 2.0 s), green now.

--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -15,3 +15,5 @@
       | 65      | 3       | 3.0   | now and then     | the feeds hear nothing for 1 s and lose their history |
       | 65      | 3       | 3.0   | now and then     | a third of the daemons is gone, the mirrors first     |
       | 195     | 7       | 4.0   | several a second | the store is silent to four fifths of the daemons     |
+      | 9       | 3       | 2.0   | now and then     | the store loses the questions that it holds           |
+      | 195     | 7       | 4.0   | now and then     | gossip is lost                                        |
--- a/features/support/fleet_troubles.py
+++ b/features/support/fleet_troubles.py
@@ -49,6 +49,12 @@
     return set()
 
 
+def _lose_questions(fleet: Fleet, draw: random.Random) -> set[str]:
+    for table in (fleet.store, fleet.configuration):
+        table.lose_questions()
+    return set()
+
+
 def _cut_a_mirror_off(fleet: Fleet, draw: random.Random) -> set[str]:
     fleet.links.silent.add(draw.choice(fleet.mirrors))
     return set(fleet.links.silent)
@@ -99,6 +105,7 @@
     "the store is silent to a third of the daemons": Trouble(_silent_to_a_third),
     "the store is silent to four fifths of the daemons": Trouble(_silent_to_four_fifths),
     "the store is silent to all mirrors": Trouble(_silent_to_mirrors),
+    "the store loses the questions that it holds": Trouble(_lose_questions),
     "a mirror is cut off, and the feeds lose their history": Trouble(_cut_a_mirror_off, True),
     "a third of the daemons is gone, the mirrors first": Trouble(_lose_a_third),
     "gossip is lost": Trouble(_lose_gossip),
--- a/features/support/made_store.py
+++ b/features/support/made_store.py
@@ -48,6 +48,7 @@
         self._rows = {f"s{number}": (1, server_document("ready")) for number in range(servers)}
         self._changed = asyncio.Event()
         self._oldest_kept = 1
+        self._epoch = 0
 
     @property
     def version(self) -> int:
@@ -65,6 +66,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def lose_questions(self) -> None:
+        """Never answer what is asked by now and held."""
+        self._epoch += 1
+        self.wake()
+
     def forget_history(self) -> None:
         """Drop what feeds could tell of earlier changes, and cut them."""
         self._oldest_kept = self._version + 1
@@ -80,7 +86,11 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_seconds
         await self._reach(daemon, wait_seconds + FEED_MARGIN_SECONDS)
+        epoch = self._epoch
         while True:
+            if epoch != self._epoch:
+                await asyncio.sleep(until + FEED_MARGIN_SECONDS - loop.time())
+                raise StoreUnavailable("no answer")
             if after < self._oldest_kept - 1:
                 raise HistoryLost("the history is gone")
             found = self._since(after)
--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -16,6 +16,7 @@
     StoreOfDaemon,
     configuration_document,
 )
+from loomwind import constants
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import AnyMessage
 from loomwind.messages.serving import (
@@ -33,7 +34,7 @@
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.configuration_gossip import ConfigurationGossip
-from loomwind.serving.daemon import configuration_rest_seconds
+from loomwind.serving.configuration_pace import ConfigurationPace
 from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.peers import PeerEntry, PeerTable
@@ -128,6 +129,14 @@
         """Return the daemons that read the store for others."""
         return self._entries[: self._mirrors]
 
+    def is_mirror(self) -> bool:
+        """Whether this daemon reads the store for others."""
+        return any(entry.address == self._own for entry in self.mirrors())
+
+    def paced(self, seconds: float) -> float:
+        """Return an interval, longer in a large fleet."""
+        return seconds * max(1.0, len(self._entries) / constants.SMALL_FLEET_DAEMONS)
+
     def fingers(self) -> list[PeerEntry]:
         """Return the daemons that this one passes word on to."""
         count = len(self._entries)
@@ -165,12 +174,14 @@
             health,
             self.beliefs.on_server_rows,
         )
+        pace = ConfigurationPace(cast(PeerTable, peers), lambda: bounds)
         self._configuration = TableFollower(
             cast(Store, StoreOfDaemon(tables.configuration, name)),
             "op",
             health,
             self.beliefs.on_configuration_rows,
-            lambda: configuration_rest_seconds(bounds),
+            pace.rest_seconds,
+            wait_seconds=pace.wait_seconds,
         )
         self._follower = ServerListFollower(
             LeaseHolder(name, f"life-{name}", name),
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -23,6 +23,7 @@
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.beliefs import Beliefs
 from loomwind.serving.configuration_gossip import ConfigurationGossip
+from loomwind.serving.configuration_pace import ConfigurationPace
 from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
@@ -47,8 +48,6 @@
 # A short lease is renewed sooner, so that it holds over two failed renewals.
 LEASE_RENEW_PART = 0.25
 LEASE_MARGIN_PART = 0.2
-# Part of the time in which a configuration must be in force; the rest is for calls that fail.
-CONFIGURATION_REST_PART = 0.25
 STOP_MARGIN_SECONDS = 0.6
 LAST_ANSWERS_SECONDS = 0.3
 WAITING_GRACE_PART = 0.55
@@ -77,14 +76,6 @@
     return LEASE_PART * bounds.lease_ms / MS_PER_SECOND
 
 
-def configuration_rest_seconds(bounds: BoundSettings) -> float:
-    """Return the pause between two looks at the configuration; versions of it come together.
-
-    Each version answers the feed of each daemon, and an operator may write several a second.
-    """
-    return CONFIGURATION_REST_PART * bounds.apply_ms / MS_PER_SECOND
-
-
 def _relay_address(listen: ListenSettings) -> str:
     """Return where requests of peers are taken."""
     if listen.relay is not None:
@@ -140,14 +131,16 @@
             self._pool,
             _relay_address(settings.listen),
         )
+        pace = ConfigurationPace(self._peers, lambda: self.settings.bounds)
         self._followers = (
             TableFollower(
                 store,
                 store.configuration_table,
                 self._health,
                 self._beliefs.on_configuration_rows,
-                lambda: configuration_rest_seconds(self.settings.bounds),
-                longest_retry_seconds=self._peers.retry_seconds,
+                pace.rest_seconds,
+                self._peers.retry_seconds,
+                pace.wait_seconds,
             ),
             TableFollower(
                 store,
--- a/loomwind/serving/follower.py
+++ b/loomwind/serving/follower.py
@@ -53,6 +53,7 @@
 
     :param on_rows: called with rows and whether they are the whole table.
     :param rest_seconds: returns the pause before the next call; changes of it come together.
+    :param wait_seconds: returns how long the store may hold its answer until something changes.
     :param longest_retry_seconds: returns the longest pause after a call that failed.
     """
 
@@ -64,12 +65,14 @@
         on_rows: Callable[[Snapshot, bool], None],
         rest_seconds: Callable[[], float] = lambda: 0.0,
         longest_retry_seconds: Callable[[], float] = lambda: LONGEST_RETRY_SECONDS,
+        wait_seconds: Callable[[], float] = lambda: FEED_WAIT_SECONDS,
     ) -> None:
         self._store = store
         self._table = table
         self._health = health
         self._on_rows = on_rows
         self._rest = rest_seconds
+        self._wait = wait_seconds
         self._longest_retry = longest_retry_seconds
         self._retry = RETRY_SECONDS
         self.version = 0
@@ -78,8 +81,8 @@
     async def run(self) -> None:
         """Follow for ever."""
         while True:
-            await self.follow_once(FEED_WAIT_SECONDS)
-            await asyncio.sleep(self._rest())
+            if await self.follow_once(self._wait()):
+                await asyncio.sleep(self._rest())
 
     async def follow_once(self, wait_seconds: float) -> bool:
         """Make one call, and pause after one that failed; returns whether the rows are the newest.
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -127,7 +127,7 @@
 
         The daemons that read for others keep the pace of a small fleet.
         """
-        if any(mirror.life == self._own.life for mirror in self.mirrors()):
+        if self.is_mirror():
             return RETRY_SECONDS
         return min(LONGEST_RETRY_SECONDS, self.paced(RETRY_SECONDS))
 
@@ -141,6 +141,11 @@
         count = max(LEAST_MIRRORS, len(self._peers) // DAEMONS_A_MIRROR)
         return [self._peers[name] for name in self._ranked[:count]]
 
+    def is_mirror(self) -> bool:
+        """Whether this daemon follows the store for others; all do until they know any daemon."""
+        mirrors = self.mirrors()
+        return not mirrors or any(mirror.life == self._own.life for mirror in mirrors)
+
     def fingers(self) -> list[PeerEntry]:
         """Return the daemons at distances of 1, 2, 4 and so on in the order of all.
 
--- a/loomwind/serving/server_list.py
+++ b/loomwind/serving/server_list.py
@@ -73,7 +73,7 @@
         while True:
             began = self._now()
             due = self._beliefs.servers_fresh_at + self._longest_age
-            if not self._is_mirror() and began < due:
+            if not self._peers.is_mirror() and began < due:
                 await asyncio.sleep(max(LEAST_PAUSE_SECONDS, due - began))
             elif await self._read_store():
                 await asyncio.sleep(max(0.0, began + self._period - self._now()))
@@ -86,11 +86,6 @@
         except TimeoutError:
             return
 
-    def _is_mirror(self) -> bool:
-        """Whether this daemon reads the store for others; all do until they know any daemon."""
-        mirrors = self._peers.mirrors()
-        return not mirrors or any(mirror.life == self._own.life for mirror in mirrors)
-
     async def _read_store(self) -> bool:
         """Make one call; returns whether the list is fresh by it."""
         began = self._now()
@@ -106,7 +101,7 @@
         """Ask mirrors for ever: one in each period, and others when that one does not help."""
         while True:
             began = self._now()
-            if not self._is_mirror() or self._age() >= self._longest_age:
+            if not self._peers.is_mirror() or self._age() >= self._longest_age:
                 await self._ask_until_fresh()
             self._asked.set()
             await asyncio.sleep(max(0.0, began + self._period - self._now()))
