Hold callers to the limits of a version as soon as it is in force

The limits on callers were put in force by a daemon's next request. Until one came, connections went by the idle time of the version before: one that rested could be closed though a newer version let it rest longer, and its caller's next request met a closed connection.

configuration_effects.feature, in virtual time on a daemon and a connection of its own, without any request: red without the change (neither version's idle time counted), green with it.

--- /dev/null
+++ b/features/configuration_effects.feature
@@ -0,0 +1,7 @@
+Feature: All that a version of the configuration changes counts as soon as it is in force
+
+  Scenario: a connection rests as long as the newest version lets it, though no request has come since
+    Given a daemon whose configuration lets connections rest for 2.0 s
+    And a caller's connection that begins to rest
+    When a version that lets them rest for 10.0 s is in force 1.0 s later
+    Then the connection is open 8.0 s later, and closed 2.5 s after that
--- /dev/null
+++ b/features/steps/configuration_effect_steps.py
@@ -0,0 +1,67 @@
+"""Steps about what a version of the configuration changes, in virtual time."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from features.support.made_store import configuration_document
+from features.support.virtual_time import run_in_virtual_time
+from loomwind.http.server import ServerConnection
+from loomwind.platform.deployment import pool_daemon
+from loomwind.serving.daemon import PoolDaemon
+from loomwind.serving.ports import Snapshot, StoredRow
+from loomwind.settings import Settings, StoreSettings
+
+MS = 1000
+
+
+class SilentTransport(asyncio.Transport):
+    """A caller's connection on which nothing comes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.closed = False
+
+    def close(self) -> None:
+        """Note that the daemon has closed it."""
+        self.closed = True
+
+
+def _put_in_force(daemon: PoolDaemon, version: int, idle_seconds: float) -> None:
+    document = configuration_document(version, round(idle_seconds * MS))
+    row = StoredRow("config", version, document)
+    daemon.beliefs.on_configuration_rows(Snapshot((row,), version), False)
+
+
+@given("a daemon whose configuration lets connections rest for {seconds:f} s")
+def step_rest(context: Any, seconds: float) -> None:
+    context.first_seconds = seconds
+
+
+@given("a caller's connection that begins to rest")
+def step_connection(context: Any) -> None:
+    context.transport = SilentTransport()
+
+
+@when("a version that lets them rest for {seconds:f} s is in force {later:f} s later")
+def step_new_version(context: Any, seconds: float, later: float) -> None:
+    context.second_seconds, context.later = seconds, later
+
+
+@then("the connection is open {first:f} s later, and closed {second:f} s after that")
+def step_open_then_closed(context: Any, first: float, second: float) -> None:
+    run_in_virtual_time(_rest(context, first, second))
+
+
+async def _rest(context: Any, first: float, second: float) -> None:
+    store = StoreSettings("store:1")
+    daemon = pool_daemon(Settings("daemon-1", store=store), store)
+    _put_in_force(daemon, 1, context.first_seconds)
+    ServerConnection(daemon.callers).connection_made(context.transport)
+    await asyncio.sleep(context.later)
+    _put_in_force(daemon, 2, context.second_seconds)
+    await asyncio.sleep(first)
+    assert not context.transport.closed
+    await asyncio.sleep(second)
+    assert context.transport.closed
--- a/features/support/made_store.py
+++ b/features/support/made_store.py
@@ -20,9 +20,10 @@
     return msgspec.json.encode(entry | {"models": [{"name": f"m{held}"}]})
 
 
-def configuration_document(version: int) -> bytes:
+def configuration_document(version: int, idle_timeout_ms: int = 15_000) -> bytes:
     """Return a configuration as it stands in the store."""
-    return msgspec.json.encode({"version": version, "routes": [], "services": [], "limits": {}})
+    limits = {"idle-timeout-ms": idle_timeout_ms}
+    return msgspec.json.encode({"version": version, "routes": [], "services": [], "limits": limits})
 
 
 @define
--- a/loomwind/serving/beliefs.py
+++ b/loomwind/serving/beliefs.py
@@ -60,7 +60,7 @@
     :ivar routes: the routes in force; None before a configuration is known.
     :ivar limits: what callers may send; those of the configuration once there is one.
     :ivar servers_fresh_at: loop time at which the list of servers was as the store has it.
-    :ivar on_configuration: called when a newer configuration is in force.
+    :ivar configuration_listeners: called when a newer configuration is in force.
     :ivar on_departures: called with servers that leave, as soon as that is first known here.
     """
 
@@ -79,7 +79,7 @@
         self._metrics = metrics
         self._configuration_document = b""
         self._copy: ConfigurationCopy | None = None
-        self.on_configuration: Callable[[], None] = lambda: None
+        self.configuration_listeners: list[Callable[[], None]] = []
         self._server_documents: dict[str, bytes] = {}
         self._server_changes: dict[str, int] = {}
         self._servers_changed = asyncio.Event()
@@ -145,7 +145,8 @@
             row_version=origin.version,
         )
         self.pool.demand.wake()
-        self.on_configuration()
+        for listener in self.configuration_listeners:
+            listener()
 
     def configuration_copy(self) -> ConfigurationCopy:
         """Return the configuration in force for a peer; one of version 0 when there is none."""
--- a/loomwind/serving/configuration_gossip.py
+++ b/loomwind/serving/configuration_gossip.py
@@ -40,7 +40,7 @@
         self._heard = asyncio.Event()
         self._heard_version = 0
         self._tellers: list[str] = []
-        beliefs.on_configuration = self._changed.set
+        beliefs.configuration_listeners.append(self._changed.set)
 
     async def run(self) -> None:
         """Tell and fetch for ever."""
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -85,7 +85,11 @@
 
 
 class PoolDaemon:
-    """One daemon. Call :meth:`start`, and later :meth:`stop`."""
+    """One daemon. Call :meth:`start`, and later :meth:`stop`.
+
+    :ivar beliefs: the configuration and the servers, as this daemon knows them.
+    :ivar callers: what callers reach.
+    """
 
     def __init__(self, settings: Settings, deployment: Deployment, client: HttpClient) -> None:
         """Make a daemon.
@@ -111,7 +115,7 @@
         self._health = StoreHealth()
         self._pool = ServerPool(settings.bounds)
         self.metrics.cut_from_servers.set_function(lambda: float(bool(self._pool.cut_services())))
-        self._beliefs = Beliefs(
+        self.beliefs = Beliefs(
             deployment.documents, store.configuration_key, self._pool, self._health, self.metrics
         )
         duration = _lease_seconds(settings.bounds)
@@ -137,7 +141,7 @@
                 store,
                 store.configuration_table,
                 self._health,
-                self._beliefs.on_configuration_rows,
+                self.beliefs.on_configuration_rows,
                 pace.rest_seconds,
                 self._peers.retry_seconds,
                 pace.wait_seconds,
@@ -155,7 +159,7 @@
             store,
             store.server_table,
             self._health,
-            self._beliefs.on_server_rows,
+            self.beliefs.on_server_rows,
             longest_retry_seconds=self._peers.retry_seconds,
         )
 
@@ -179,24 +183,24 @@
             self._servers,
             self._transport,
             self._peers,
-            self._beliefs,
+            self.beliefs,
             self.settings.bounds,
         )
         self._prompts = PromptGuard(self._own.address, self._transport, self._peers)
         self._configurations = ConfigurationGossip(
-            self._own.address, self._transport, self._peers, self._beliefs
+            self._own.address, self._transport, self._peers, self.beliefs
         )
         self._anti_entropy = AntiEntropy(
             self._own.address,
             self._transport,
             self._peers,
-            self._beliefs,
+            self.beliefs,
             self._health,
             self._prompts,
             self._configurations,
         )
         self._gossip = DepartureGossip(
-            self._own.address, self._transport, self._peers, self._beliefs
+            self._own.address, self._transport, self._peers, self.beliefs
         )
         self._exchange = PeerExchange(
             self._own,
@@ -204,7 +208,7 @@
             self._peers,
             self._election,
             self._pool,
-            self._beliefs,
+            self.beliefs,
             self._health,
             self._watch,
             self._server_list,
@@ -219,7 +223,7 @@
             self.settings.name,
             self._election,
             self._pool,
-            self._beliefs,
+            self.beliefs,
             deployment.engine_control,
             self._exchange,
             self.settings.bounds,
@@ -229,7 +233,7 @@
         self._leader_reach = LeaderReach(
             self._election,
             self._pool,
-            self._beliefs,
+            self.beliefs,
             self._exchange,
             self._controller.finish_orders,
         )
@@ -250,23 +254,28 @@
             forwarder,
             deployment.dialect,
             self.metrics,
-            self._beliefs,
+            self.beliefs,
             PeerRelay(
-                self.settings.zone, self._peers, self._client, deployment.dialect, self.metrics
+                self.settings.zone,
+                self._peers,
+                self._client,
+                deployment.dialect,
+                self.metrics,
             ),
             self._prompts,
         )
         self._relay_service = RelayService(self._handler)
         self._relayed = HttpServer(self._on_relayed)
-        self._callers = HttpServer(self._on_request)
+        self.callers = HttpServer(self._on_request)
         self._ready = HttpServer(self._on_ready_question)
         self._admin = AdminServer(self.metrics, self.is_ready)
+        self.beliefs.configuration_listeners.append(self._limit_callers)
 
     async def start(self) -> None:
         """Listen, and serve as soon as a configuration and servers are known."""
         listen = self.settings.listen
         await self._transport.start(*split_address(listen.peer))
-        await self._callers.start(*split_address(listen.caller))
+        await self.callers.start(*split_address(listen.caller))
         await self._relayed.start(*split_address(_relay_address(listen)))
         await self._ready.start(*split_address(listen.ready or "127.0.0.1:0"))
         await self._admin.server.start(*split_address(listen.admin))
@@ -299,19 +308,22 @@
 
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
-        known = self._beliefs.routes is not None and bool(self._pool.directory.entries())
+        known = self.beliefs.routes is not None and bool(self._pool.directory.entries())
         return known and not self.stopping
 
     async def _on_request(self, exchange: Exchange) -> None:
-        self._callers.limits = self._beliefs.limits
         await self._handler.handle(exchange)
 
     async def _on_relayed(self, exchange: Exchange) -> None:
-        limits = self._beliefs.limits
+        await self._relay_service.handle(exchange)
+
+    def _limit_callers(self) -> None:
+        """Hold open connections, too, to the limits of the configuration that is in force now."""
+        limits = self.beliefs.limits
+        self.callers.limits = limits
         self._relayed.limits = msgspec.structs.replace(
             limits, max_head_bytes=limits.max_head_bytes + RELAY_HEAD_BYTES
         )
-        await self._relay_service.handle(exchange)
 
     async def _on_ready_question(self, exchange: Exchange) -> None:
         await exchange.respond(200 if self.is_ready() else 503, (), b"")
@@ -346,10 +358,10 @@
         self.stopping = True
         began = self._now()
         log_state("daemon", "leaving", name=self.settings.name)
-        self._callers.start_draining()
+        self.callers.start_draining()
         self._spawn(self._hand_over())
         await asyncio.sleep(self.settings.bounds.notice_seconds)
-        self._callers.stop_listening()
+        self.callers.stop_listening()
         self._relayed.stop_listening()
         grace = self.settings.bounds.grace_seconds
         await self._finish_requests(began + grace * WAITING_GRACE_PART)
@@ -376,7 +388,7 @@
         """End everything at once."""
         for task in list(self._tasks):
             task.cancel()
-        self._callers.close()
+        self.callers.close()
         self._relayed.close()
         self._ready.close()
         self._admin.server.close()
