Fetch the version of the configuration by which a peer has served a request

A daemon that reaches no server lets a peer serve its requests, by the peer's configuration, which may be newer. Its own next answers went by the older one: a caller saw a version's effect, and then an answer that only the version before allows. Now it fetches the version from that peer at once.

--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -261,6 +261,7 @@
                 self._client,
                 deployment.dialect,
                 self.metrics,
+                self._configurations.note_version,
             ),
             self._prompts,
         )
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 from loomwind.clock import Clock
 from loomwind.http.client import ClientConnection, HttpClient
@@ -34,11 +35,19 @@
     """This daemon's requests that peers serve."""
 
     def __init__(
-        self, zone: str, peers: PeerTable, client: HttpClient, dialect: Dialect, metrics: Metrics
+        self,
+        zone: str,
+        peers: PeerTable,
+        client: HttpClient,
+        dialect: Dialect,
+        metrics: Metrics,
+        on_configuration: Callable[[str, int], None],
     ) -> None:
         """Make a relay.
 
         :param zone: this daemon's own zone.
+        :param on_configuration: called with a peer's ``host:port`` and the version of the
+            configuration by which it has served a request.
         """
         self._zone = zone
         self._peers = peers
@@ -47,6 +56,7 @@
         self._metrics = metrics
         self._clock = Clock()
         self._declined_until_ms: dict[tuple[str, str], float] = {}
+        self._on_configuration = on_configuration
         self._newest_configuration = 0
 
     def pick(self, service: str, asked: set[str]) -> PeerEntry | None:
@@ -109,7 +119,9 @@
             self._client.release(connection)
             raise
         self._count("answered")
-        self._newest_configuration = max(self._newest_configuration, configuration_of(head))
+        version = configuration_of(head)
+        self._newest_configuration = max(self._newest_configuration, version)
+        self._on_configuration(peer.address, version)
         own_head = HttpResponse(head.status, without_own_fields(head.headers))
         return OpenAnswer(connection, own_head)
 
