A daemon that starts while the store refuses it learns all from the peers that find it

A daemon that was killed and started again while the platform's store turned it away knew no peer, since it finds them by their rows alone. Peers reach it by the row of its earlier life and told it of the configuration, but it asked nobody for servers, and answered 503 until the store served it.

Now a daemon that knows no peer answers each digest with its own, so that the peer sends what it lacks.

lone_daemon.feature, in virtual time: red without the change (no server known after 4 s), green with it.

--- /dev/null
+++ b/features/steps/lone_daemon_steps.py
@@ -0,0 +1,39 @@
+"""Steps about a daemon that starts while the store refuses it, in virtual time."""
+
+import asyncio
+import random
+from typing import Any
+
+from behave import then, when
+
+from features.support.server_list_fleet import Fleet
+from features.support.virtual_time import run_in_virtual_time
+
+SETTLE_SECONDS = 5.0
+REFUSED = "d8"
+SERVER = "s0"
+
+
+@when("the store refuses one of the daemons for good, and it starts again and knows no peer")
+def step_starts_again(context: Any) -> None:
+    context.play = _play
+
+
+async def _play(context: Any, within_seconds: float) -> None:
+    draw = random.Random(0)
+    random.seed(0)
+    fleet: Fleet = context.make_fleet()
+    await fleet.start(draw)
+    fleet.write_configuration()
+    await asyncio.sleep(SETTLE_SECONDS)
+    fleet.store.faults.refuses.add(REFUSED)
+    daemon = fleet.restart(REFUSED)
+    await asyncio.sleep(within_seconds)
+    assert daemon.beliefs.configuration_version == 1, daemon.beliefs.configuration_version
+    assert daemon.uses(SERVER)
+    await fleet.stop()
+
+
+@then("it has the configuration and a server of the newest lists within {seconds:f} s")
+def step_knows_all(context: Any, seconds: float) -> None:
+    run_in_virtual_time(_play(context, seconds))
--- a/features/support/server_list_fleet.py
+++ b/features/support/server_list_fleet.py
@@ -131,7 +131,8 @@
 
     def is_mirror(self) -> bool:
         """Whether this daemon reads the store for others."""
-        return any(entry.address == self._own for entry in self.mirrors())
+        mirrors = self.mirrors()
+        return not mirrors or any(entry.address == self._own for entry in mirrors)
 
     def paced(self, seconds: float) -> float:
         """Return an interval, longer in a large fleet."""
@@ -140,6 +141,8 @@
     def fingers(self) -> list[PeerEntry]:
         """Return the daemons that this one passes word on to."""
         count = len(self._entries)
+        if not count:
+            return []
         place = next(i for i, entry in enumerate(self._entries) if entry.address == self._own)
         return [self._entries[(place + (1 << i)) % count] for i in range((count - 1).bit_length())]
 
@@ -264,8 +267,8 @@
         self.links = Links()
         self.names = [f"d{number}" for number in range(daemons)]
         self.mirrors = self.names[:mirrors]
-        bounds = BoundSettings(drain_ms=bound_ms, apply_ms=bound_ms)
-        tables = FleetTables(self.store, self.configuration)
+        self._bounds = bounds = BoundSettings(drain_ms=bound_ms, apply_ms=bound_ms)
+        self._tables = tables = FleetTables(self.store, self.configuration)
         self.daemons = [
             FleetDaemon(name, tables, self.links, PeersOfDaemon(name, self.names, mirrors), bounds)
             for name in self.names
@@ -274,6 +277,14 @@
             self.links.add(daemon)
         self._tasks: list[asyncio.Task[None]] = []
 
+    def restart(self, name: str) -> FleetDaemon:
+        """Let a daemon start again: it knows nothing, no peer either; the others know of it."""
+        alone = PeersOfDaemon(name, [], 0)
+        daemon = FleetDaemon(name, self._tables, self.links, alone, self._bounds)
+        self.links.add(daemon)
+        self._tasks.append(asyncio.ensure_future(daemon.run()))
+        return daemon
+
     def write_configuration(self) -> int:
         """Write the next version of the configuration, and return it."""
         self._configuration_version += 1
--- a/loomwind/serving/anti_entropy.py
+++ b/loomwind/serving/anti_entropy.py
@@ -47,18 +47,22 @@
             if not others:
                 await asyncio.sleep(FIRST_PEER_SECONDS)
                 continue
-            digest = PoolDigest(
-                self._own_address,
-                self._beliefs.configuration_version,
-                self._beliefs.server_version,
-                self._health.answering_since is not None,
-                self._prompts.digest(),
-            )
-            self._transport.cast(random.choice(others).address, digest)
+            self._transport.cast(random.choice(others).address, self._own_digest())
             await asyncio.sleep(constants.POOL_DIGEST_INTERVAL_SECONDS)
 
+    def _own_digest(self) -> PoolDigest:
+        return PoolDigest(
+            self._own_address,
+            self._beliefs.configuration_version,
+            self._beliefs.server_version,
+            self._health.answering_since is not None,
+            self._prompts.digest(),
+        )
+
     def on_digest(self, digest: PoolDigest) -> None:
-        """Send a peer what it lacks."""
+        """Send a peer what it lacks, and ask it for what is lacked here if no other is known."""
+        if not self._peers.others():
+            self._transport.cast(digest.sender, self._own_digest())
         self._configurations.note_version(digest.sender, digest.configuration_version)
         own_crashes = self._prompts.digest()
         if own_crashes and own_crashes != digest.prompt_crashes:
