Learn the weight store's pace from loads that are overdue, and raise it only where it is used

It also rose with loads that had half of it beside them: from 4 to 7 in 8 s, though 4 is what that store serves.

Now the limit is halved while three loads are overdue, once a load's time, and a load raises it only where three quarters of the limit that held as it began were under way with it.

weight_store_admission.feature: two scenarios that were red pass; their entries leave KNOWN-RED. planner.feature: what is learned for stores that serve 2, 4, 30 at once is as before.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -10,7 +10,7 @@
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.expectation_notices import ExpectationNotices
-from loomwind.placement.ledger import ADAPTER_SETTLES_SECONDS, ServerLedger
+from loomwind.placement.ledger import ADAPTER_SETTLES_SECONDS, ServerLedger, store_load_of
 from loomwind.placement.load_window import LoadWindow
 from loomwind.placement.plan import PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
@@ -276,6 +276,10 @@
         ]
         store_loads = sum(server.uses_store(now) for server in servers)
         pace.observe(store_loads, now * MS_PER_SECOND)
+        pace.note_under_way(
+            [load for load in map(store_load_of, servers) if load is not None],
+            now * MS_PER_SECOND,
+        )
         given = PlanInput(
             service,
             servers,
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -12,7 +12,7 @@
 from loomwind.placement.late_orders import LateOrders
 from loomwind.placement.report_changes import with_adapter, with_adapter_order, with_loaded
 from loomwind.placement.server_state import has_copy, load_seconds, used_mb
-from loomwind.placement.store_pace import FinishedLoad
+from loomwind.placement.store_pace import FinishedLoad, LoadInProgress
 from loomwind.serving.residency import LoadUnderWay, holds
 from loomwind.serving.views import (
     EngineProfile,
@@ -374,6 +374,16 @@
         return not self.has_copy(name)
 
 
+def store_load_of(ledger: ServerLedger) -> LoadInProgress | None:
+    """Return the load from the weight store that a server carries out; None when there is none."""
+    operation = ledger.operation
+    if operation is None or not operation.from_store:
+        return None
+    return LoadInProgress(
+        operation.began * MS_PER_SECOND, operation.expected_seconds * MS_PER_SECOND
+    )
+
+
 def _finished(load: Operation, now: float, on_time: bool) -> FinishedLoad:
     """Return what is learned from a load of the weight store that a report shows to be done."""
     expected_done = load.began + load.expected_seconds
--- a/loomwind/placement/store_pace.py
+++ b/loomwind/placement/store_pace.py
@@ -15,8 +15,10 @@
 
 FIRST_LIMIT = 4
 SLOW_FACTOR = 1.15
-# A load that had fewer beside it than this part of the limit says nothing about a higher one.
-USED_PART = 0.5
+OVERDUE_FACTOR = 1.3
+# A load that had fewer beside it than this part of the limit as it began says nothing of a higher
+# one.
+USED_PART = 0.75
 # A server that runs many requests loads slowly too: the store is slow when so many in a row are.
 ALIKE_LOADS = 3
 PROBE_AFTER_MS = 20_000.0
@@ -53,13 +55,18 @@
     began_ms: float
     expected_ms: float
 
+    def slowness(self, now_ms: float) -> float:
+        """Return the time it has taken by now as a multiple of what it should take."""
+        return (now_ms - self.began_ms) / max(1.0, self.expected_ms)
+
 
 @attrs.frozen
 class _Sample:
-    """How many loads were under way up to a time, summed over time."""
+    """How many loads were under way up to a time, summed over time, and the limit from then on."""
 
     at_ms: float
     load_ms: float
+    limit: float
 
 
 @attrs.frozen
@@ -84,8 +91,9 @@
         self._limit = float(FIRST_LIMIT if learned is None else learned.loads_at_once)
         was_slow = learned is not None and learned.was_slow
         self._last_slow_ms: float | None = now_ms if was_slow else None
+        self._halved_ms = float("-inf")
         self._under_way = 0
-        self._samples = [_Sample(0.0, 0.0)]
+        self._samples = [_Sample(0.0, 0.0, self._limit)]
         self._recent: deque[_Seen] = deque(maxlen=ALIKE_LOADS)
 
     @property
@@ -101,7 +109,7 @@
         """Take in how many loads are under way from now on."""
         last = self._samples[-1]
         summed = last.load_ms + self._under_way * (now_ms - last.at_ms)
-        self._samples.append(_Sample(now_ms, summed))
+        self._samples.append(_Sample(now_ms, summed, self._limit))
         self._under_way = under_way
         while self._samples[1].at_ms < now_ms - REMEMBERED_MS:
             self._samples.pop(0)
@@ -124,11 +132,27 @@
             self._limit = max(1.0, min(self._limit, served))
             self._last_slow_ms = now_ms
             self._recent.clear()
-        elif load.slowness <= SLOW_FACTOR and at_once >= USED_PART * self._limit:
+        elif load.slowness <= SLOW_FACTOR and at_once >= USED_PART * self._limit_at(load.began_ms):
             self._grow(now_ms)
 
+    def _limit_at(self, at_ms: float) -> float:
+        """Return the limit of a time."""
+        since = (sample.limit for sample in self._samples if sample.at_ms >= at_ms)
+        return next(since, self._limit)
+
     def note_under_way(self, loads: Sequence[LoadInProgress], now_ms: float) -> None:
-        """Learn from loads that have not ended yet."""
+        """Learn from loads that have not ended yet: halve the limit while several are overdue.
+
+        Where all are slow, none may end for long. Once a load's time, since what began before the
+        limit fell goes on being slow.
+        """
+        overdue = [load for load in loads if load.slowness(now_ms) > OVERDUE_FACTOR]
+        if len(overdue) < ALIKE_LOADS:
+            return
+        if now_ms - self._halved_ms < min(load.expected_ms for load in overdue):
+            return
+        self._limit = max(1.0, self._limit / 2)
+        self._halved_ms = self._last_slow_ms = now_ms
 
     def _grow(self, now_ms: float) -> None:
         if self._last_slow_ms is None:
