One admission of loads from the weight store: within its limit, to the model that most callers ask for

Ways round the limit: a model asked for more than every other second passed it when no server held it, also while its copy was on its way; room that another model had made was used for a second load; a new leader counted no load until it had read its server.

Now every load from the weight store passes StoreAdmission: places are the limit less what is under way, with what an earlier leader has told; each goes to the model with most callers (that wait, were told to come back, come in the time over which a rate is taken, or were refused since it was held); a further copy waits until each of these has its turn. A model that no server can take leaves its place to the next. When callers are told to come back follows that order. The leader's line names the models that are next.

Two scenarios demanded the way round the limit ("does not wait for a place", "need not wait until another load is done"): they contradict a limit that holds, and are replaced by ones as strict: such a model gets the next place before others, and none beyond the limit.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -134,15 +134,6 @@
     And 1 load from the weight store may begin
     Then the plan loads a at 1 server, as further-copy
 
-  Scenario: a model that is asked for often and that no server holds does not wait for a place
-    Given model servers one, two and three of 100 GB
-    And one holds b, two holds nothing
-    And three holds nothing
-    When a is asked for 2 times a second at 10.0 s
-    And a request waits for a at 10.0 s
-    And no load from the weight store may begin
-    Then the plan loads a at 1 server, as wanted
-
   Scenario: no more loads from the weight store are planned than may be under way
     Given 40 model servers and 400 models, three at each server
     When requests wait for 100 models that no server has, and 3 loads may begin
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -29,6 +29,7 @@
 STORE_LOAD_S = 4.0
 DISK_LOAD_S = 1.5
 FENCE = 7
+PLACES = 8
 
 
 def profile(memory_gb: int) -> EngineProfile:
@@ -36,7 +37,7 @@
     models = tuple(
         ModelProfile(name, MODEL_MB, STORE_LOAD_S, DISK_LOAD_S, DISK_LOAD_S) for name in "abcdefgh"
     )
-    return EngineProfile(memory_gb * 1000.0, 8, 4.0, models)
+    return EngineProfile(memory_gb * 1000.0, 8, 4.0, models, PLACES)
 
 
 def report(held: list[str], on_disk: set[str], revision: int = 0) -> ServerReport:
@@ -119,7 +120,8 @@
     servers = list(context.ledgers.values())
     allowed = getattr(context, "store_load_allowed", True)
     left = getattr(context, "store_loads_left", NO_LIMIT)
-    given = PlanInput(SERVICE, servers, context.demand, {}, context.now, allowed, False, left)
+    running = getattr(context, "running", {})
+    given = PlanInput(SERVICE, servers, context.demand, running, context.now, allowed, False, left)
     return Planner(given).plan()
 
 
--- a/features/steps/weight_store_admission_steps.py
+++ b/features/steps/weight_store_admission_steps.py
@@ -3,20 +3,28 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from attrs import frozen
 from behave import given, then, when
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
-from features.steps.planner_steps import SERVICE, profile
+from features.steps.planner_steps import FENCE, SERVICE, hold, profile, report
 from features.support.made_pool import MadePool
 from loomwind.messages.serving import PoolDemand
 from loomwind.placement.ledger import ServerLedger
 from loomwind.placement.store_pace import FinishedLoad, LoadInProgress, StorePace
 from loomwind.serving.demand import TargetDemand
 from loomwind.serving.residency import LearnedPace, LoadUnderWay
-from loomwind.serving.views import ModelKey, ServerEntry, ServerState
+from loomwind.serving.views import (
+    ModelKey,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    ServerEntry,
+    ServerState,
+)
 
 MS = 1000.0
 LONGEST_PLAY = 60
@@ -131,3 +139,41 @@
     context.now = now
     wanted = TargetDemand(SERVICE, ModelKey(model), count, count, seconds, seconds)
     context.demand.note(PoolDemand("daemon-4", (wanted,), ()), now)
+
+
+@when("{count:d} requests for {model} run at {server:w}, which has {places:d} places")
+def step_run(context: Any, count: int, model: str, server: str, places: int) -> None:
+    assert context.ledgers[server].profile.slots == places
+    context.running = {(server, ModelKey(model)): count}
+
+
+@when("two has unloaded for it at {now:f} s")
+def step_unloaded(context: Any, now: float) -> None:
+    ledger: ServerLedger = context.ledgers["two"]
+    assert ledger.report is not None
+    held = [known.name for known in ledger.report.held]
+    ledger.note_report(report(held, set(held), ledger.report.revision), now)
+    context.now = now
+
+
+@given("one holds a, two is loading b")
+def step_two_loads(context: Any) -> None:
+    hold(context, "one", "a")
+    hold(context, "two", "nothing")
+    ledger: ServerLedger = context.ledgers["two"]
+    order = Order(OrderKind.LOAD, ModelKey("b"), "two", "daemon", FENCE, 0)
+    ledger.note_answer(order, OrderAnswer.ACCEPTED, 9.5)
+
+
+@when(
+    "{count:d} requests with an objective of {seconds:f} s wait for h, "
+    "which is too large for any server"
+)
+def step_too_large(context: Any, count: int, seconds: float) -> None:
+    for ledger in context.ledgers.values():
+        models = tuple(
+            msgspec.structs.replace(model, memory_mb=1e9) if model.name == "h" else model
+            for model in ledger.profile.models
+        )
+        ledger.profile = msgspec.structs.replace(ledger.profile, models=models)
+    step_many_wait(context, count, seconds, "h", 10.0)
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -69,8 +69,11 @@
     And requests wait for c and d at 12.0 s, and no more may be under way
     Then c is expected in about 2 s, and d in about 6 s
 
-  Scenario: a model that is asked for all the time need not wait until another load is done
+  Scenario: a model that is asked for all the time gets the next place, and none beyond the limit
     Given model servers one and two of 100 GB
     And one holds a, two holds b
     When requests wait for c, which is asked for 2 times a second, and no more may be under way
+    Then the plan is empty
+    When a request waits for d at 19.5 s
+    And 1 load from the weight store may begin
     Then the plan is to load c
--- a/features/weight_store_admission.feature
+++ b/features/weight_store_admission.feature
@@ -16,6 +16,14 @@
     Then the plan loads d at 1 server, as wanted
     And the plan loads nothing else from the weight store
 
+  Scenario: a model that no server can take does not keep the place from the next one
+    Given model servers one and two of 100 GB
+    And one holds a, two is loading b
+    When 6 requests with an objective of 4.0 s wait for h, which is too large for any server
+    And a request waits for c at 10.0 s
+    And 1 load from the weight store may begin
+    Then the plan loads c at 1 server, as wanted
+
   Scenario: a model that is asked for often goes first, and within the limit
     Given model servers one, two and three of 100 GB
     And one holds b, two holds nothing
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -151,6 +151,21 @@
         ]
         return sorted(wants, key=lambda want: want.rank)
 
+    def callers(self, wants: Iterable[Want], now: float) -> dict[str, float]:
+        """Return how many callers ask for each wanted model.
+
+        These are the ones that wait or were told to come back, as many as come in the time over
+        which a rate is taken, and those that were refused since it was last held.
+        """
+        callers: dict[str, float] = {}
+        for want in wants:
+            name = want.key.target.model
+            if name not in callers:
+                rate = self.rate(want.key.service, ModelKey(name), now)
+                callers[name] = rate / DECAY_PER_SECOND + want.unserved
+            callers[name] += want.waiting + want.returning
+        return callers
+
     def asked_in_vain(self) -> list[UnservedModel]:
         """Return the models asked for more than once in vain, the most asked for first."""
         found = [UnservedModel(key, n) for key, n in self._unserved.items() if n >= ASKED_IN_VAIN]
--- a/loomwind/placement/ledger.py
+++ b/loomwind/placement/ledger.py
@@ -166,7 +166,12 @@
         return self.report is not None and self.report.busy
 
     def uses_store(self, now: float) -> bool:
-        """Whether a load from the weight store is under way, or another model makes way for one."""
+        """Whether a load from the weight store is under way, or another model makes way for one.
+
+        Until this leader has read the server, what an earlier one has told counts.
+        """
+        if self.report is None and self.operation is None and self.in_flight is None:
+            return self._heard_load_lasts(now)
         coming = self.room_reserved_for(now)
         return self.loads_from_store_now or (coming is not None and self.loads_from_store(coming))
 
@@ -237,6 +242,14 @@
             return self._reserved_for
         return self._reserved_for if now - self._reserved_at <= ROOM_RESERVED_SECONDS else None
 
+    def _heard_load_lasts(self, now: float) -> bool:
+        """Whether a load that an earlier leader has told of can still be under way."""
+        heard = self._heard_load
+        model = None if heard is None else self.profile.model(heard.model)
+        if heard is None or model is None:
+            return False
+        return now - heard.since <= LATEST_HEARD_PART * model.load_seconds
+
     def note_silence(self) -> None:
         """A report was asked for and did not come."""
         self.failed_reads += 1
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -42,7 +42,7 @@
             model = server.profile.model(name) if name is not None else None
             if name is None or model is None or server.free_mb() < model.memory_mb:
                 continue
-            if self._given.store_load_allowed or not server.loads_from_store(name):
+            if self._draft.may_use_room(server, name):
                 purpose = (
                     OrderPurpose.FURTHER_COPY if self._given.holders(name) else OrderPurpose.WANTED
                 )
@@ -61,7 +61,9 @@
         choices = [self._choice(server, name) for server in self._candidates(name, may_wait)]
         best = _cheapest(choices, self._cost_with_wait)
         if best is None:
-            if not self._draft.may_load_from_store(name):
+            if self._draft.may_load_from_store(name):
+                self._draft.pass_over(name)
+            else:
                 self.queued.append(name)
             return
         if self._draft.is_free(best.server):
@@ -112,6 +114,17 @@
             if 0 < copies < COPIES_WANTED:
                 self._plan_copy(model.name, rate)
 
+    def bring_queued(self) -> None:
+        """Try once more what was behind models that no server could take."""
+        queued, self.queued = self.queued, []
+        for name in queued:
+            self.bring(name, may_wait=True)
+
+    def queue(self) -> list[str]:
+        """Return the models that wait for the weight store; the one that is next comes first."""
+        queued = set(self.queued)
+        return [name for name in self._draft.lacking() if name in queued]
+
     def _plan_copy(self, name: str, rate: float) -> None:
         """Bring one more copy of a model, if what makes way is asked for much less."""
         servers = [s for s in self._draft.free_servers() if not s.holds(ModelKey(name))]
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -1,18 +1,18 @@
 """What a plan is made from, and the plan while it is made: orders, reserved turns, free servers."""
 
 import enum
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 
 import attrs
 
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.index import PlacementIndex
 from loomwind.placement.ledger import ServerLedger
+from loomwind.placement.store_admission import StoreAdmission
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
 
 NOTICE_SECONDS = 0.2
 UNKNOWN_BUSY_SECONDS = 0.5
-OFTEN_ASKED_RATE = 0.5
 NO_LIMIT = 1_000_000
 
 
@@ -100,10 +100,10 @@
 class DraftPlan:
     """The orders of one step, at most one for each server, and the turns that are reserved."""
 
-    def __init__(self, given: PlanInput, wanted: Iterable[str] = ()) -> None:
+    def __init__(self, given: PlanInput, callers: Mapping[str, float] | None = None) -> None:
         """Begin a plan.
 
-        :param wanted: the models that requests wait for, or have asked for in vain.
+        :param callers: how many callers ask for each wanted model.
         """
         self.orders: list[PlannedOrder] = []
         self._given = given
@@ -112,15 +112,20 @@
         self._turns: dict[str, float] = {}
         self._ordered: set[ModelKey] = set()
         self._making_way: set[str] = set()
-        self._store_loads = 0
-        self._missing_models = {name for name in wanted if not self.is_available(ModelKey(name))}
+        missing = {
+            name: count
+            for name, count in (callers or {}).items()
+            if not self.is_available(ModelKey(name))
+        }
+        places = given.store_loads_left if given.store_load_allowed else 0
+        self._admission = StoreAdmission(places, missing)
 
     def load(self, server: ServerLedger, target: ModelKey, purpose: OrderPurpose) -> None:
         """Order a model or an adapter to be loaded."""
         from_store = not target.adapter and server.loads_from_store(target.model)
         instance = server.entry.instance
         if from_store and server.room_reserved_for(self._given.now) != target.model:
-            self._store_loads += 1
+            self._admission.take_place()
         self._add(PlannedOrder(instance, OrderKind.LOAD, target, purpose, from_store))
 
     def unload(
@@ -132,37 +137,46 @@
             instance, OrderKind.UNLOAD, target, purpose, makes_way_for=makes_way_for
         )
         if makes_way_for and server.loads_from_store(makes_way_for):
-            self._store_loads += 1
+            self._admission.take_place()
         self._add(order)
 
     def may_load_from_store(self, name: str) -> bool:
-        """Whether one more load from the weight store may be planned.
+        """Whether one more load from the weight store may be planned."""
+        return self._admission.admits(name)
 
-        A model that no server holds and that is asked for all the time need not wait until another
-        load is done. A further copy waits until each wanted model is held or on its way.
+    def pass_over(self, name: str) -> None:
+        """Leave a model's place to the next one: no server can take it now."""
+        self._admission.leave_out(name)
+
+    def lacking(self) -> tuple[str, ...]:
+        """Return the models that lack a copy; the one that is brought next comes first."""
+        return self._admission.waiting()
+
+    def may_use_room(self, server: ServerLedger, name: str) -> bool:
+        """Whether a model may be loaded where another one has made way for it.
+
+        Its place has been taken already. One that is on its way elsewhere does not need it.
         """
-        if not self._given.store_load_allowed:
-            return False
-        has_place = self._store_loads < self._given.store_loads_left
-        if self._given.holders(name):
-            return has_place and not self._missing_models
-        return has_place or self._given.rate(ModelKey(name)) >= OFTEN_ASKED_RATE
+        if not server.loads_from_store(name):
+            return True
+        elsewhere = self._given.index.arriving[name] or ModelKey(name) in self._ordered
+        return self._given.store_load_allowed and not elsewhere
 
     def _add(self, order: PlannedOrder) -> None:
         self._taken.add(order.instance)
         if order.kind is OrderKind.LOAD:
             self._ordered.add(order.target)
-            self._missing_models.discard(order.target.model)
+            self._admission.leave_out(order.target.model)
         if order.makes_way_for:
             self._making_way.add(order.makes_way_for)
-            self._missing_models.discard(order.makes_way_for)
+            self._admission.leave_out(order.makes_way_for)
         self.orders.append(order)
 
     def reserve(self, server: ServerLedger, name: str) -> None:
         """Keep a turn of a busy server for a load of a model."""
         instance = server.entry.instance
         seconds = server.load_seconds(name)
-        self._missing_models.discard(name)
+        self._admission.leave_out(name)
         self._turns[name] = self.busy_seconds(server) + seconds
         self._reserved[instance] = self._reserved.get(instance, 0.0) + seconds
 
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -26,7 +26,8 @@
         wants = [w for w in given.demand.wants(given.now) if w.key.service == given.service]
         self._given = given
         self._wants = wants
-        self._draft = DraftPlan(given, (want.key.target.model for want in wants))
+        callers = given.demand.callers(wants, given.now)
+        self._draft = DraftPlan(given, callers)
         valuation = Valuation(given, wants, self._draft)
         self._adapters = AdapterPlanner(given, wants, self._draft, valuation)
         self._models = ModelPlanner(given, self._draft, valuation, self._adapters)
@@ -42,19 +43,20 @@
         relaxed = [want for want in self._wants if not self._is_urgent(want)]
         for want in sorted(relaxed, key=self._relaxed_order):
             self._plan_want(want)
+        self._models.bring_queued()
         self._models.plan_second_copies()
         self._adapters.fill_all()
         if self._given.may_stage:
             self._models.stage()
         return self._draft.orders
 
-    def queued(self) -> int:
-        """Return how many models wait for the weight store."""
-        return len(self._models.queued)
+    def lacking(self) -> tuple[str, ...]:
+        """Return the models that lack a copy; the one that is brought next comes first."""
+        return self._draft.lacking()
 
     def expectations(self) -> tuple[ExpectedTarget, ...]:
         """Return when what requests wait for should be ready, by the plan that was made."""
-        outlook = Outlook(self._given, self._draft, self._models.queued)
+        outlook = Outlook(self._given, self._draft, self._models.queue())
         expected = []
         for want in self._wants:
             ready_in = outlook.ready_in(want.key.target) if want.waiting else None
--- a/loomwind/placement/shortage_log.py
+++ b/loomwind/placement/shortage_log.py
@@ -30,13 +30,18 @@
             log_state("demand", "unserved", models=len(unserved), most=most[:MOST_MODELS_NAMED])
 
     def note_store_use(
-        self, service: str, loading: Iterable[ServerLedger], limit: int, queued: int, now_ms: float
+        self,
+        service: str,
+        loading: Iterable[ServerLedger],
+        limit: int,
+        queued: Sequence[str],
+        now_ms: float,
     ) -> None:
         """Take in how far the weight store is used while models wait for it.
 
         :param loading: the servers that load from it.
         :param limit: how many loads it serves at once.
-        :param queued: how many models wait.
+        :param queued: the models that lack a copy, in the order in which they get a place.
         """
         if not queued or now_ms - self._store_line_at_ms < STORE_LINE_INTERVAL_MS:
             return
@@ -47,6 +52,7 @@
             "used",
             service=service,
             loads_at_once=limit,
-            queued=queued,
+            queued=len(queued),
+            next=list(queued[:MOST_MODELS_NAMED]),
             loading=loads,
         )
