--- a/features/steps/server_list_steps.py
+++ b/features/steps/server_list_steps.py
@@ -67,13 +67,19 @@
 class MadePeers:
     """The daemons, of which some are mirrors."""
 
-    def __init__(self, mirrors: list[PeerEntry]) -> None:
+    def __init__(self, mirrors: list[PeerEntry], own_life: str) -> None:
         self._mirrors = mirrors
+        self._own_life = own_life
 
     def mirrors(self) -> list[PeerEntry]:
         """Return the mirrors."""
         return self._mirrors
 
+    def is_mirror(self) -> bool:
+        """Whether the daemon that asks is one, or knows none."""
+        lives = [mirror.life for mirror in self._mirrors]
+        return not lives or self._own_life in lives
+
 
 class MadeMirrors:
     """Mirrors that all say the same, or cannot be reached."""
@@ -131,7 +137,7 @@
         OWN,
         table,
         cast(PeerTransport, mirrors),
-        cast(PeerTable, MadePeers(context.list_mirrors)),
+        cast(PeerTable, MadePeers(context.list_mirrors, OWN.life)),
         context.beliefs,
         BoundSettings(drain_ms=DRAIN_MS),
     )
