A model whose servers are full gets a further copy from the weight store in its turn

Now a held model whose servers all have more requests than places counts as lacking a copy, with the callers beyond the places, and stands in the same order as the others. One that no server can take keeps no place.

weight_store_admission.feature: with 40 requests at 8 places the further copy goes first, with 9 it does not; the room that another model makes for it is used.

--- a/features/weight_store_admission.feature
+++ b/features/weight_store_admission.feature
@@ -16,6 +16,34 @@
     Then the plan loads d at 1 server, as wanted
     And the plan loads nothing else from the weight store
 
+  Scenario Outline: a model whose servers are full gets a further copy in its turn
+    Given model servers one, two and three of 100 GB
+    And one holds a, two holds nothing
+    And three holds nothing
+    When a is asked for 2 times a second at 10.0 s
+    And <running> requests for a run at one, which has 8 places
+    And 6 requests with an objective of 4.0 s wait for c at 10.0 s
+    And 1 load from the weight store may begin
+    Then the plan loads <model> at 1 server, as <purpose>
+    And the plan loads nothing else from the weight store
+
+    Examples:
+      | running | model | purpose      |
+      | 40      | a     | further-copy |
+      | 9       | c     | wanted       |
+
+  Scenario: a further copy is loaded where another model has made way for it
+    Given model servers one and two of 100 GB
+    And one holds a and b, two holds c and d
+    When a is asked for 2 times a second at 10.0 s
+    And 40 requests for a run at one, which has 8 places
+    And 1 load from the weight store may begin
+    Then the plan is one order: unload c or d
+    When the first order of the plan is accepted at 10.0 s
+    And two has unloaded for it at 10.4 s
+    And no load from the weight store may begin
+    Then the plan is one order: load a at two
+
   Scenario: a model that no server can take does not keep the place from the next one
     Given model servers one and two of 100 GB
     And one holds a, two is loading b
--- a/loomwind/placement/index.py
+++ b/loomwind/placement/index.py
@@ -1,6 +1,6 @@
 """What a plan looks up again and again, found once: who holds what, copies, runs. Pure."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from loomwind.placement.ledger import ServerLedger
@@ -43,8 +43,10 @@
         for server in servers:
             self._add(server, now)
         self._runs: dict[tuple[str, str], int] = defaultdict(int)
+        self._runs_of: Counter[str] = Counter()
         for (instance, target), count in running.items():
             self._runs[(instance, target.model)] += count
+            self._runs_of[instance] += count
 
     def _add(self, server: ServerLedger, now: float) -> None:
         room = server.room_reserved_for(now)
@@ -73,6 +75,14 @@
         """Return how many requests run at a server for a model and its adapters."""
         return self._runs.get((instance, name), 0)
 
+    def runs_of(self, instance: str) -> int:
+        """Return how many requests run at a server, or wait there."""
+        return self._runs_of[instance]
+
+    def running_models(self) -> set[str]:
+        """Return the models for which requests run."""
+        return {name for _, name in self._runs}
+
     def adapters_of(self, name: str) -> set[str]:
         """Return the adapters of a model that some server has."""
         held = (model for server in self.holders[name] for model in _held(server))
--- a/loomwind/placement/models.py
+++ b/loomwind/placement/models.py
@@ -1,6 +1,6 @@
 """Decides which models are loaded where, and what makes way for them. Pure."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from loomwind.placement.adapters import AdapterPlanner
 from loomwind.placement.ledger import ServerLedger
@@ -114,6 +114,17 @@
             if 0 < copies < COPIES_WANTED:
                 self._plan_copy(model.name, rate)
 
+    def plan_copies_of(self, overloaded: Mapping[str, float]) -> None:
+        """Bring one more copy of each model whose servers are full, most callers first.
+
+        :param overloaded: how many callers of each are beyond the places of its servers.
+        """
+        for name in sorted(overloaded, key=lambda name: -overloaded[name]):
+            if not self._given.index.arriving[name] and not self._draft.plans_load_of(name):
+                self._plan_copy(name, self._given.rate(ModelKey(name)))
+            if not self._draft.plans_load_of(name):
+                self._draft.pass_over(name)
+
     def bring_queued(self) -> None:
         """Try once more what was behind models that no server could take."""
         queued, self.queued = self.queued, []
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -100,10 +100,16 @@
 class DraftPlan:
     """The orders of one step, at most one for each server, and the turns that are reserved."""
 
-    def __init__(self, given: PlanInput, callers: Mapping[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        given: PlanInput,
+        callers: Mapping[str, float] | None = None,
+        overloaded: Mapping[str, float] | None = None,
+    ) -> None:
         """Begin a plan.
 
         :param callers: how many callers ask for each wanted model.
+        :param overloaded: how many callers of a held model are beyond the places of its servers.
         """
         self.orders: list[PlannedOrder] = []
         self._given = given
@@ -117,6 +123,11 @@
             for name, count in (callers or {}).items()
             if not self.is_available(ModelKey(name))
         }
+        missing |= {
+            name: count
+            for name, count in (overloaded or {}).items()
+            if not given.index.arriving[name] and not self.has_reserved_room(name)
+        }
         places = given.store_loads_left if given.store_load_allowed else 0
         self._admission = StoreAdmission(places, missing)
 
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -10,6 +10,7 @@
 from loomwind.placement.demand_view import Want
 from loomwind.placement.models import ModelPlanner
 from loomwind.placement.outlook import Outlook
+from loomwind.placement.overload import callers_without_place
 from loomwind.placement.plan import DraftPlan, PlanInput, PlannedOrder
 from loomwind.placement.valuation import Valuation
 from loomwind.serving.expectations import ExpectedTarget
@@ -26,8 +27,9 @@
         wants = [w for w in given.demand.wants(given.now) if w.key.service == given.service]
         self._given = given
         self._wants = wants
+        self._overloaded = callers_without_place(given, given.index.running_models())
         callers = given.demand.callers(wants, given.now)
-        self._draft = DraftPlan(given, callers)
+        self._draft = DraftPlan(given, callers, self._overloaded)
         valuation = Valuation(given, wants, self._draft)
         self._adapters = AdapterPlanner(given, wants, self._draft, valuation)
         self._models = ModelPlanner(given, self._draft, valuation, self._adapters)
@@ -35,6 +37,7 @@
     def plan(self) -> list[PlannedOrder]:
         """Return the orders, at most one for each server."""
         self._models.use_reserved_room()
+        self._models.plan_copies_of(self._overloaded)
         for want in self._wants:
             if self._is_urgent(want):
                 self._plan_want(want)
--- a/loomwind/placement/store_admission.py
+++ b/loomwind/placement/store_admission.py
@@ -2,7 +2,7 @@
 
 The weight store serves few loads at once, and more models are asked for than it can bring. So each
 place goes to the model that lacks a copy for most callers: one that is asked for and has none on
-its way. Any other copy has to wait until all of these have come.
+its way, or one whose servers are all full. Any other copy has to wait until all of these have come.
 """
 
 from collections.abc import Mapping
