A copy of the configuration that cannot be taken in does not end a daemon's fetching

An error that is not the peer's silence would have ended both loops of the gossip for the life of the daemon. configuration_effects.feature: red without the change, green with it.

--- a/features/configuration_effects.feature
+++ b/features/configuration_effects.feature
@@ -10,3 +10,8 @@
     Given a daemon that has version 3 in force
     When a peer has served a request of it by version 4
     Then it knows that the peer has version 4
+
+  Scenario: a copy that cannot be taken in does not end a daemon's fetching
+    Given a daemon that has version 3 in force
+    When a peer tells version 4, whose copy cannot be taken in, and then another one version 5
+    Then it has asked both peers
--- /dev/null
+++ b/features/steps/configuration_fetch_steps.py
@@ -0,0 +1,71 @@
+"""Steps about fetching versions of the configuration from peers, in virtual time."""
+
+import asyncio
+from typing import Any, cast
+
+from behave import then, when
+
+from features.support.made_store import configuration_document
+from features.support.virtual_time import run_in_virtual_time
+from loomwind.messages import AnyMessage
+from loomwind.messages.serving import ConfigurationCopy
+from loomwind.metrics import Metrics
+from loomwind.peering.transport import PeerTransport
+from loomwind.platform.documents import PlatformDocuments
+from loomwind.serving.beliefs import Beliefs
+from loomwind.serving.configuration_gossip import ConfigurationGossip
+from loomwind.serving.follower import StoreHealth
+from loomwind.serving.peers import PeerTable
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.ports import Snapshot, StoredRow
+from loomwind.settings import BoundSettings
+
+SETTLE_SECONDS = 0.2
+
+
+class NoPeers:
+    """Nobody to tell."""
+
+    def fingers(self) -> list[Any]:
+        """Return nobody."""
+        return []
+
+
+class BadCopies:
+    """Peers whose copies are of the wrong type inside."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+
+    async def call(self, address: str, message: AnyMessage, timeout: float) -> AnyMessage:
+        """Answer with a copy that cannot be taken in."""
+        self.asked.append(address)
+        return ConfigurationCopy(9, cast(bytes, None))
+
+
+@when("a peer tells version 4, whose copy cannot be taken in, and then another one version 5")
+def step_bad_copy(context: Any) -> None:
+    context.copies = BadCopies()
+    run_in_virtual_time(_fetch(context))
+
+
+async def _fetch(context: Any) -> None:
+    beliefs = Beliefs(
+        PlatformDocuments(), "config", ServerPool(BoundSettings()), StoreHealth(), Metrics()
+    )
+    row = StoredRow("config", context.version, configuration_document(context.version))
+    beliefs.on_configuration_rows(Snapshot((row,), context.version), True)
+    gossip = ConfigurationGossip(
+        "own:1", cast(PeerTransport, context.copies), cast(PeerTable, NoPeers()), beliefs
+    )
+    task = asyncio.ensure_future(gossip.run())
+    for address, version in (("peer:1", 4), ("peer:2", 5)):
+        gossip.note_version(address, version)
+        await asyncio.sleep(SETTLE_SECONDS)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+@then("it has asked both peers")
+def step_both(context: Any) -> None:
+    assert context.copies.asked == ["peer:1", "peer:2"], context.copies.asked
--- a/loomwind/serving/configuration_gossip.py
+++ b/loomwind/serving/configuration_gossip.py
@@ -86,7 +86,11 @@
             await self._heard.wait()
             self._heard.clear()
             while self._tellers and self._heard_version > self._beliefs.configuration_version:
-                await self._fetch(self._tellers.pop(0))
+                teller = self._tellers.pop(0)
+                try:
+                    await self._fetch(teller)
+                except Exception as error:
+                    log_state("configuration", "failed", teller=teller, error=repr(error))
 
     async def _fetch(self, teller: str) -> None:
         question = ConfigurationQuestion(self._beliefs.configuration_version)
