--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -64,6 +64,11 @@
         self.started = False
         self.extra_headers: Headers = ()
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the client is still connected."""
+        return self._connection.is_connected
+
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response with a content-length header.
 
@@ -134,6 +139,11 @@
         """Return whether no request is being read or handled."""
         return self._state is ConnectionState.IDLE
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether neither side has closed the connection."""
+        return self._state is not ConnectionState.CLOSED
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timer."""
         assert isinstance(transport, asyncio.Transport)
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -55,6 +55,11 @@
         self.cancelled = self._counter(
             "loomwind_requests_cancelled", "Requests whose caller went away"
         )
+        self.unanswered = self._counter(
+            "loomwind_requests_unanswered",
+            "Requests whose connection ended without a response, by whether the caller had left",
+            ["caller"],
+        )
         self.waiting = self._gauge(
             "loomwind_requests_waiting", "Requests in the daemon and not finished"
         )
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import sys
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
@@ -110,6 +111,19 @@
         finally:
             self.open_requests -= 1
             self.metrics.waiting.dec()
+            if not exchange.started:
+                self._record_unanswered(exchange)
+
+    def _record_unanswered(self, exchange: Exchange) -> None:
+        """Count a request that gets no response, and log it if its caller is still connected."""
+        self.metrics.unanswered.labels("connected" if exchange.is_connected else "gone").inc()
+        if exchange.is_connected and exchange.request is not None:
+            log_decision(
+                "unanswered",
+                self.dialect.read_request(exchange.request).request_id,
+                error=repr(sys.exception()),
+                configuration=self.configuration_version(),
+            )
 
     async def _respond(self, exchange: Exchange) -> None:
         request = exchange.request
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -240,15 +240,24 @@
         if not failure.may_have_run and self._caller.target is not None:
             self._retry_unpaid = True
             return not self._handler.rejects_waiting
+        obstacle = self._retry_obstacle(failure)
+        if obstacle is None and not self._spend_retry():
+            obstacle = "the retry budget is exhausted"
+        if obstacle is not None:
+            self._log.retry_denied(obstacle)
+        return obstacle is None
+
+    def _retry_obstacle(self, failure: SendFailed) -> str | None:
+        """Return why the request may not be sent again, apart from the retry budget."""
         if failure.may_have_run and not self._route.repeatable:
-            return False
+            return "it may have run and cannot be repeated"
         if failure.may_have_run and not self._handler.prompts.may_retry(self._caller):
-            return False
+            return "its prompt is suspected of crashes"
         if self._progress.runs >= self._route.max_attempts:
-            return False
+            return "it may have run on as many servers as its route allows"
         if self._progress.sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
-            return False
-        return self._spend_retry()
+            return "it was sent too often"
+        return None
 
     def _spend_retry(self) -> bool:
         """Spend one retry; returns False when the budget is exhausted."""
--- a/loomwind/serving/request_log.py
+++ b/loomwind/serving/request_log.py
@@ -120,6 +120,18 @@
             servers=self._handler.pool.directory.version,
         )
 
+    def retry_denied(self, reason: str) -> None:
+        """Log why a request whose attempt failed is not sent again."""
+        log_decision(
+            "retry-denied",
+            self._caller.request_id,
+            reason=reason,
+            sends=self._progress.sends,
+            runs=self._progress.runs,
+            max_attempts=self._route.max_attempts,
+            configuration=self._handler.configuration_version(),
+        )
+
     def origin_unknown(self, reason: str) -> None:
         """Log why it is not known at which software version a resumed stream began."""
         versions = self._handler.pool.versions
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -5,6 +5,7 @@
 """
 
 from loomwind.clock import Clock
+from loomwind.logs import log_decision
 from loomwind.serving.errors import RETRY_SOON_SECONDS, OriginUnknown
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.ports import StoreUnavailable
@@ -33,14 +34,31 @@
         if caller.last_event_id is None:
             return None
         origin = self._origins.find(caller.origin_id) if caller.origin_id else None
+        source = "origin-known"
         if origin is None:
             await self._wait_for_registry()
             sole_version = self._registry.sole_version(service)
             if sole_version is not None:
+                self._log(caller, service, sole_version, "sole-version")
                 return sole_version
             origin = await self._look_up(caller.origin_id)
+            source = "origin-looked-up"
         # Versions of different services are not related.
-        return origin.software_version if origin.service == service else None
+        version = origin.software_version if origin.service == service else None
+        self._log(caller, service, version, source)
+        return version
+
+    def _log(self, caller: CallerRequest, service: str, version: str | None, source: str) -> None:
+        """Log the version that is required, and what this daemon took it from."""
+        log_decision(
+            "version-required",
+            caller.request_id,
+            origin=caller.origin_id,
+            version=version,
+            source=source,
+            possible=sorted(self._registry.possible(service)),
+            registry=self._registry.row_version if self._registry.is_known else None,
+        )
 
     async def _wait_for_registry(self) -> None:
         deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
