Placement: the pace of weight store loads and the order in progress in modules of their own

The rate and the concurrency of loads stood side by side in the control loop, each with its own table by service; StorePace holds both and is all that the loop asks. No change of behaviour: the scenarios of the planner, the weight store, the leader's change and pool control pass as before.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -13,13 +13,10 @@
 from loomwind.placement.load_rate_limiter import LoadRateLimiter
 from loomwind.placement.plan import PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
-from loomwind.placement.server_tracker import (
-    ADAPTER_LOAD_SECONDS,
-    ServerTracker,
-    store_load_in_progress,
-)
+from loomwind.placement.server_tracker import ADAPTER_LOAD_SECONDS, ServerTracker
 from loomwind.placement.shortage_log import ShortageLog
 from loomwind.placement.store_concurrency import StoreConcurrencyLimit
+from loomwind.placement.store_pace import StorePace
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.peer_exchange import PeerExchange
 from loomwind.serving.pool import ServerPool
@@ -71,10 +68,9 @@
         self._metrics = metrics
         self._demand = DemandView()
         self._trackers: dict[str, ServerTracker] = {}
-        self._rate_limiters: dict[str, LoadRateLimiter] = {}
+        self._paces: dict[str, StorePace] = {}
         self._reported: set[str] = set()
         self._notices: dict[str, ExpectationNotices] = {}
-        self._store_limits: dict[str, StoreConcurrencyLimit] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
         self._holdings_sent_at = -1e9
@@ -83,7 +79,7 @@
         self._leading_since = 0.0
 
     def set_bounds(self, bounds: BoundSettings) -> None:
-        """Use new bounds from the next change of leader on; existing rate limiters keep theirs."""
+        """Use new bounds from the next change of leader on; paced services keep theirs."""
         self._bounds = bounds
 
     def _receive_demand(self) -> None:
@@ -114,8 +110,7 @@
         self._leading_since = self._now()
         self._demand = DemandView()
         self._trackers.clear()
-        self._rate_limiters.clear()
-        self._store_limits.clear()
+        self._paces.clear()
         self._notices.clear()
         self._shortages.record_unserved(())
         self._metrics.leading.set(is_leading)
@@ -234,25 +229,13 @@
         busy_before = tracker.report is None or not tracker.idle
         if tracker.record_report(report, self._now()):
             self._send_holdings([tracker])
-        self._update_store_limit(tracker)
+        finished = tracker.pop_finished_load()
+        pace = self._paces.get(tracker.entry.service)
+        if finished is not None and pace is not None:
+            pace.record_finished(finished, self._now())
         if busy_before and tracker.idle:
             self._wake.set()
 
-    def _update_store_limit(self, tracker: ServerTracker) -> None:
-        finished = tracker.pop_finished_load()
-        store_limit = self._store_limits.get(tracker.entry.service)
-        if finished is None or store_limit is None:
-            return
-        before = store_limit.limit
-        store_limit.record_finished(finished, self._now() * MS_PER_SECOND)
-        if store_limit.limit != before:
-            log_state(
-                "weight-store",
-                "paced",
-                loads_at_once=store_limit.limit,
-                slowness=round(finished.slowdown, 2),
-            )
-
     def _send_holdings(self, trackers: list[ServerTracker]) -> None:
         fence = self._election.lease.fence
         if fence is None:
@@ -268,56 +251,43 @@
             if tracker.report is not None
         )
         if holdings:
-            store_limits = tuple(
-                store_limit.snapshot(service) for service, store_limit in self._store_limits.items()
-            )
-            self._exchange.broadcast_holdings(PoolHoldings(fence, holdings, store_limits))
+            learned = tuple(each.learned(service) for service, each in self._paces.items())
+            self._exchange.broadcast_holdings(PoolHoldings(fence, holdings, learned))
 
     # Orders.
 
     def _plan(self, service: str, loads_per_second: float) -> None:
         now = self._now()
-        rate_limiter = self._rate_limiters.get(service)
-        if rate_limiter is None:
-            seconds = self._bounds.load_window_seconds
-            recent_loads = self._residency.loads_since(now - seconds)
-            rate_limiter = LoadRateLimiter(loads_per_second, seconds, now, recent_loads)
-            self._rate_limiters[service] = rate_limiter
-        store_limit = self._store_limit(service, now)
+        pace = self._pace(service, loads_per_second, now)
         servers = [
             tracker
             for tracker in self._trackers.values()
             if tracker.entry.service == service and not tracker.failed_reads
         ]
-        store_loads = sum(server.uses_store(now) for server in servers)
-        store_limit.observe(store_loads, now * MS_PER_SECOND)
-        store_limit.check_overdue(
-            [load for load in map(store_load_in_progress, servers) if load is not None],
-            now * MS_PER_SECOND,
-        )
+        pace.observe(servers, now)
         plan_input = PlanInput(
             service,
             servers,
             self._demand,
             self._demand.running(now),
             now,
-            rate_limiter.allows(now),
+            pace.allows(now),
             self._staging_allowed(now),
-            max(0, store_limit.limit - store_loads),
+            pace.free_loads,
         )
         planner = Planner(plan_input)
         orders = planner.plan()
         loading = (server for server in servers if server.loads_from_store_now)
         self._shortages.record_store_use(
-            service, loading, store_limit.limit, planner.models_needing_copy(), now * MS_PER_SECOND
+            service, loading, pace.limit, planner.models_needing_copy(), now * MS_PER_SECOND
         )
         self._demand.reset_unserved(service, plan_input.index.holders)
         self._send_expectations(service, planner.expectations())
         for planned in orders:
             if planned.from_store:
-                if not rate_limiter.allows(now):
+                if not pace.allows(now):
                     continue
-                rate_limiter.record(now)
+                pace.record_start(now)
                 self._metrics.store_loads.labels(planned.purpose.value).inc()
             if (
                 plan_input.staging_allowed
@@ -327,12 +297,18 @@
                 self._trackers[planned.instance].staged += 1
             self._start_order(planned)
 
-    def _store_limit(self, service: str, now: float) -> StoreConcurrencyLimit:
-        """Return the weight store's limit, initially the one that the previous leader learned."""
-        if service not in self._store_limits:
-            learned = self._residency.store_limits.get(service)
-            self._store_limits[service] = StoreConcurrencyLimit(learned, now * MS_PER_SECOND)
-        return self._store_limits[service]
+    def _pace(self, service: str, loads_per_second: float, now: float) -> StorePace:
+        """Return the pace of a service, initially as the previous leader left it."""
+        if service not in self._paces:
+            window_seconds = self._bounds.load_window_seconds
+            recent_loads = self._residency.loads_since(now - window_seconds)
+            self._paces[service] = StorePace(
+                LoadRateLimiter(loads_per_second, window_seconds, now, recent_loads),
+                StoreConcurrencyLimit(
+                    self._residency.store_limits.get(service), now * MS_PER_SECOND
+                ),
+            )
+        return self._paces[service]
 
     def _send_expectations(self, service: str, expected: tuple[ExpectedTarget, ...]) -> None:
         """Send daemons the expected ready times of the targets their requests wait for."""
@@ -363,12 +339,7 @@
         if report is None or fence is None or not self._election.is_leader():
             return
         order = Order(
-            planned.kind,
-            planned.target,
-            planned.instance,
-            self._name,
-            fence,
-            report.revision,
+            planned.kind, planned.target, planned.instance, self._name, fence, report.revision
         )
         tracker.in_flight = order
         if planned.evicts_for:
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -5,11 +5,10 @@
 revision that the order expects; accepting any other order invalidates it.
 """
 
-from msgspec import Struct
 from msgspec.structs import replace
 
-from loomwind.clock import MS_PER_SECOND
 from loomwind.placement.report_changes import with_adapter_order, with_loaded, with_loaded_adapter
+from loomwind.placement.server_operation import Operation
 from loomwind.placement.server_state import has_copy, load_seconds, used_mb
 from loomwind.placement.store_concurrency import FinishedLoad, LoadInProgress
 from loomwind.placement.unanswered_orders import UnansweredOrders
@@ -31,8 +30,6 @@
 ADAPTER_LOAD_SECONDS = 0.1
 LOAD_GRACE_SECONDS_PER_REQUEST = 0.015
 STALE_REPORT_SECONDS = 0.4
-# Average age of a report: a load finished this long before a report shows it.
-REPORT_AGE_SECONDS = 0.2
 OVERDUE_RECHECK_SECONDS = 0.3
 # If a daemon still cannot use a model this soon after its load was assumed to be complete, later
 # loads on the server get a longer grace period.
@@ -45,24 +42,6 @@
 MAX_ANNOUNCED_LOAD_FACTOR = 2.0
 
 
-class Operation(Struct, frozen=True):
-    """An order that a server is executing.
-
-    :param done_at: expected completion time according to the model's profile.
-    :param expected_seconds: expected duration according to the model's profile.
-    :param from_store: whether the weights are loaded from the weight store.
-    :param overdue: whether a report has shown that it takes longer than expected.
-    """
-
-    kind: OrderKind
-    target: ModelKey
-    began: float
-    done_at: float
-    expected_seconds: float = 0.0
-    from_store: bool = False
-    overdue: bool = False
-
-
 class ServerTracker:
     """Tracks the state of one model server.
 
@@ -152,7 +131,7 @@
             return
         done = self.operation or assumed
         if done is not None and done.from_store:
-            self._finished = _finished_load(done, now, on_time=assumed is not None)
+            self._finished = done.finished(now, on_time=assumed is not None)
         self.operation = None
 
     def record_unreachable(self, target: ModelKey, now: float) -> None:
@@ -175,6 +154,12 @@
         finished, self._finished = self._finished, None
         return finished
 
+    @property
+    def store_load(self) -> LoadInProgress | None:
+        """Return the weight store load in progress, or None."""
+        operation = self.operation
+        return operation.in_progress() if operation is not None and operation.from_store else None
+
     @property
     def loads_from_store_now(self) -> bool:
         """Whether a load from the weight store is in progress, as far as is known."""
@@ -411,22 +396,3 @@
     def loads_from_store(self, name: str) -> bool:
         """Whether loading a model would read it from the weight store."""
         return not self.has_copy(name)
-
-
-def store_load_in_progress(tracker: ServerTracker) -> LoadInProgress | None:
-    """Return the server's weight store load in progress, or None."""
-    operation = tracker.operation
-    if operation is None or not operation.from_store:
-        return None
-    return LoadInProgress(
-        operation.began * MS_PER_SECOND, operation.expected_seconds * MS_PER_SECOND
-    )
-
-
-def _finished_load(load: Operation, now: float, on_time: bool) -> FinishedLoad:
-    """Return the measurement for a weight store load that a report shows to be finished."""
-    expected_done = load.began + load.expected_seconds
-    done = expected_done if on_time else max(expected_done, now - REPORT_AGE_SECONDS)
-    return FinishedLoad(
-        load.began * MS_PER_SECOND, done * MS_PER_SECOND, load.expected_seconds * MS_PER_SECOND
-    )
