Bound the bytes that are buffered of one unfinished event

Cause: EventStreamBuffer had no limit. The other places that hold bytes of such a stream are bounded already: h11's buffer by pausing the transport at 256 KiB, the write buffer by its high-water mark, and no bytes of an unfinished event reach it.

Change: an event that is longer than 384 KiB before its end fails the stream with EventTooLarge. The connection to the server is closed, the attempt is logged once as send-failed, counts against the server and is repeated where the route allows it; the caller's response is truncated after its last complete event. Events that end in the same read are passed on first. Limit: 64 MiB less 40 MiB of the daemon itself, for 50 streams, leaves 490 KiB each, of which the spare capacity of the bytearray takes an eighth.

The stand-in server has the fault endless_line.

--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -32,6 +32,10 @@
     """The body ended as its framing says, but in the middle of a server-sent event."""
 
 
+class EventTooLarge(HttpError):
+    """A server-sent event exceeds the size limit before its end."""
+
+
 class ExchangeTimeout(HttpError):
     """The peer did not respond in time after data was sent."""
 
--- a/loomwind/http/event_stream.py
+++ b/loomwind/http/event_stream.py
@@ -5,7 +5,8 @@
 
 import re
 
-from loomwind.http.errors import EventTruncated
+from loomwind import constants
+from loomwind.http.errors import EventTooLarge, EventTruncated
 
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 MAX_EVENT_END_BYTES = len(b"\r\n\r\n")
@@ -26,11 +27,16 @@
         self.event_count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add data; return the bytes of the events that it completes, empty if none."""
+        """Add data; return the bytes of the events that it completes, empty if none.
+
+        :raises EventTooLarge: the data completes no event and the unfinished one exceeds the limit.
+        """
         search_from = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
         self._buffer += data
         ends = [match.end() for match in EVENT_END.finditer(self._buffer, search_from)]
         if not ends:
+            if len(self._buffer) > constants.MAX_EVENT_BYTES:
+                raise EventTooLarge(f"an event exceeds {constants.MAX_EVENT_BYTES} bytes")
             return b""
         complete = bytes(self._buffer[: ends[-1]])
         del self._buffer[: ends[-1]]
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from loomwind.clock import MS_PER_SECOND
-from loomwind.http.errors import EventTruncated, HttpError
+from loomwind.http.errors import EventTooLarge, EventTruncated, HttpError
 from loomwind.http.event_stream import EventStreamBuffer
 from loomwind.http.messages import Framing
 from loomwind.http.server import Exchange
@@ -74,7 +74,7 @@
                 health.record_received(now)
                 stream_gaps.record_event(now * MS_PER_SECOND)
                 is_first = self.events == 0
-                complete = self._event_buffer.feed(chunk)
+                complete = self._complete_events(entry, chunk)
                 if is_first and self.events:
                     self._on_first_event(entry)
                 await self._exchange.send(complete)
@@ -101,6 +101,16 @@
                 f"{entry.instance}: {error}", may_have_run=True, broken=True
             ) from error
 
+    def _complete_events(self, entry: ServerEntry, chunk: bytes) -> bytes:
+        """Buffer a chunk; returns the bytes of the events that it completes.
+
+        :raises SendFailed: an event is too large to be buffered.
+        """
+        try:
+            return self._event_buffer.feed(chunk)
+        except EventTooLarge as error:
+            raise SendFailed(f"{entry.instance}: {error}", may_have_run=True) from error
+
     def _finish_body(self, entry: ServerEntry, response: OpenResponse, has_events: bool) -> bytes:
         """Finish a body that has ended by its framing; returns the data still to be relayed.
 
--- a/standins/pool/faults.py
+++ b/standins/pool/faults.py
@@ -16,10 +16,12 @@
     :param cut_after_events: truncate a stream inside the event after this many; 0 disables it.
     :param head_share: send only this share of a response's head and close; 1 disables it.
     :param has_no_events: a stream ends, by its connection, after its head.
+    :param endless_line: the body of a plain response, or the event after the first one of a stream,
+        is a line that never ends.
     :param unframed: responses are close-delimited: neither Content-Length nor chunked encoding.
     :param http_version: HTTP version in the head of close-delimited responses.
     :param late_order_seconds: orders get no response and are executed after this delay.
-    :param event_seconds: time before each event of a stream.
+    :param event_seconds: time before each event of a stream, and each piece of an endless line.
     :param work_seconds: duration of a plain request.
     :param crash_part: prompt part on which the server crashes before the first event.
     :param back_after_seconds: time until a crashed server restarts as a new instance.
@@ -32,6 +34,7 @@
     cut_after_events: int = 0
     head_share: float = 1.0
     has_no_events: bool = False
+    endless_line: bool = False
     unframed: bool = False
     http_version: str = "1.1"
     late_order_seconds: float = 0.0
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -20,6 +20,7 @@
 from loomwind.http.messages import Headers, HttpRequest
 from loomwind.http.server import Exchange, HttpServer
 from standins.close_delimited import start_close_delimited
+from standins.endless import send_endless_line
 from standins.faults import json_response
 from standins.pool.faults import ServerFaults
 from standins.pool.holdings import Holdings, ModelSpec, OrderBody
@@ -258,6 +259,9 @@
             await self._stream_close_delimited(exchange, headers, range(first, last + 1))
             return
         await exchange.start(200, headers)
+        if self.faults.endless_line:
+            await exchange.send(self._event(first))
+            await send_endless_line(exchange, self.faults.event_seconds)
         crashes = self._triggers_crash(request)
         for sent, number in enumerate(range(first, last + 1)):
             await asyncio.sleep(self.faults.event_seconds)
