--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -1,11 +1,9 @@
 """Serves one request: waits for a server, sends, retries, and relays the response.
 
-:meth:`RequestLifecycle._may_retry` alone decides whether a failed attempt may be retried.
+:mod:`loomwind.serving.retry_policy` alone decides whether a failed attempt may be retried.
 """
 
 import asyncio
-import contextlib
-from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from loomwind.clock import MS_PER_SECOND
@@ -13,7 +11,6 @@
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
-from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import (
     RETRY_SOON_SECONDS,
@@ -30,6 +27,8 @@
 from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.relay_protocol import RelayMetadata, with_software_version
 from loomwind.serving.request_log import RequestLog, RequestProgress
+from loomwind.serving.retry_policy import RetryPolicy
+from loomwind.serving.server_attempt import ServerAttempt
 from loomwind.serving.server_selector import ServerSelector
 from loomwind.serving.stream_origins import StreamOrigin
 from loomwind.serving.stream_relay import StreamRelay
@@ -39,7 +38,6 @@
     from loomwind.serving.handler import RequestHandler
 
 DEADLINE_MARGIN_SECONDS = 0.02
-MAX_EXTRA_SENDS = 3
 REFUSAL_RETRY_DELAY_SECONDS = 0.03
 SERVED = "served"
 # The prompt is suspected of a crash only when the server sent fewer events than this.
@@ -82,8 +80,7 @@
         self._log = RequestLog(
             handler, caller, route, service, self._progress, is_relayed=relayed is not None
         )
-        self._events_before_send = 0
-        self._retry_unpaid = False
+        self._retries = RetryPolicy(handler, caller, route, service, self._progress, self._log)
         self._selector = ServerSelector(
             handler.pool, handler.forwarder, handler.zone, service, caller, route.resumable
         )
@@ -190,12 +187,13 @@
             entry = await self._wait_for_server()
             if entry is None:
                 continue
+            attempt = ServerAttempt(self._handler, self._request, entry, self._stream.events)
             try:
-                await self._try_server(entry)
+                await self._try_server(attempt)
                 return
             except SendFailed as failure:
-                self._record_failure(entry, failure)
-                if not self._may_retry(failure):
+                self._record_failure(attempt, failure)
+                if not self._retries.may_retry(failure):
                     raise self._final_error(str(failure)) from failure
                 if not failure.may_have_run:
                     await asyncio.sleep(REFUSAL_RETRY_DELAY_SECONDS)
@@ -211,9 +209,10 @@
             reason = "a part of the prompt has ended several servers"
             raise self._final_error(reason, banned_ms / MS_PER_SECOND)
 
-    def _record_failure(self, entry: ServerEntry, failure: SendFailed) -> None:
+    def _record_failure(self, attempt: ServerAttempt, failure: SendFailed) -> None:
+        entry = attempt.entry
         self._progress.record_failure(failure.may_have_run)
-        if failure.broken and self._stream.events - self._events_before_send < EARLY_CRASH_EVENTS:
+        if failure.broken and self._stream.events - attempt.events_before < EARLY_CRASH_EVENTS:
             self._handler.prompts.record_crash(self._caller, entry.instance)
         self._selector.tried.add(entry.instance)
         self._pool.record_failure(entry, self._caller.target, failure, self._handler.now())
@@ -228,43 +227,6 @@
             events=self._stream.events,
         )
 
-    def _may_retry(self, failure: SendFailed) -> bool:
-        """Whether the request may be sent again; spends a retry from the budget where one is due.
-
-        A request that has not run and needs a model goes back to waiting. Its retry is charged only
-        when a server can take it, so that it stays visible in the demand meanwhile.
-        """
-        if failure.unreachable or failure.not_sent:
-            self._progress.sends -= 1
-            return True
-        if not failure.may_have_run and self._caller.target is not None:
-            self._retry_unpaid = True
-            return not self._handler.rejects_waiting
-        obstacle = self._retry_obstacle(failure)
-        if obstacle is None and not self._spend_retry():
-            obstacle = "the retry budget is exhausted"
-        if obstacle is not None:
-            self._log.retry_denied(obstacle)
-        return obstacle is None
-
-    def _retry_obstacle(self, failure: SendFailed) -> str | None:
-        """Return why the request may not be sent again, apart from the retry budget."""
-        if failure.may_have_run and not self._route.repeatable:
-            return "it may have run and cannot be repeated"
-        if failure.may_have_run and not self._handler.prompts.may_retry(self._caller):
-            return "its prompt is suspected of crashes"
-        if self._progress.runs >= self._route.max_attempts:
-            return "it may have run on as many servers as its route allows"
-        if self._progress.sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
-            return "it was sent too often"
-        return None
-
-    def _spend_retry(self) -> bool:
-        """Spend one retry; returns False when the budget is exhausted."""
-        allowed = self._pool.retry_budget(self._service).try_spend(self._handler.now())
-        self._handler.metrics.repeats.labels("allowed" if allowed else "over-budget").inc()
-        return allowed
-
     def _final_error(
         self, reason: str, retry_after_seconds: float | None = RETRY_SOON_SECONDS
     ) -> Exception:
@@ -333,76 +295,45 @@
     def _choose_within_budget(self) -> ServerEntry | None:
         """Return a server; None when there is none or the retry budget is exhausted."""
         entry = self._selector.choose(self._handler.now())
-        if entry is None or not self._retry_unpaid:
-            return entry
-        if not self._spend_retry():
-            return None
-        self._retry_unpaid = False
-        return entry
+        return entry if entry is not None and self._retries.try_pay() else None
 
     # One attempt at a server.
 
-    async def _try_server(self, entry: ServerEntry) -> None:
+    async def _try_server(self, attempt: ServerAttempt) -> None:
+        entry = attempt.entry
         self._progress.sends += 1
-        self._events_before_send = self._stream.events
         self._progress.server = entry.instance
         if self._stream.last_event_id is not None:
             self._log.resumed(entry, self._stream.last_event_id, self._stream.events)
         self._handler.observe_list_age()
-        target = self._caller.target
-        health = self._pool.health(entry)
-        health.record_sent(self._handler.now())
-        if target is not None:
-            self._pool.demand.begin_run(entry.instance, target)
-        try:
-            await self._exchange_with_server(entry)
-        finally:
-            health.record_ended()
-            if target is not None:
-                self._pool.demand.end_run(entry.instance, target)
-        health.record_success()
+        with attempt.in_progress():
+            await self._exchange_with_server(attempt)
+        attempt.health.record_success()
         self._handler.count_send(entry, SERVED)
 
-    async def _exchange_with_server(self, entry: ServerEntry) -> None:
-        forwarder = self._handler.forwarder
-        resume_from = self._stream.last_event_id
-        connection = await forwarder.connect(entry)
+    async def _exchange_with_server(self, attempt: ServerAttempt) -> None:
+        entry = attempt.entry
+        connection = await attempt.connect()
         timeout = self._inactivity_timeout(entry)
         self._progress.outcome_pending = True
         try:
             async with asyncio.timeout(timeout):
-                with self._probe_when_silent():
-                    response = await forwarder.send(
-                        connection, self._request, entry, self._handler.now(), resume_from
-                    )
-                body = None if response.streamed else await forwarder.read_full_body(response)
+                answer = await attempt.send(connection, self._stream.last_event_id)
         except TimeoutError as error:
             raise SendFailed(
                 f"{entry.instance}: silent for {timeout} s", may_have_run=True
             ) from error
-        self._pool.health(entry).record_received(self._handler.now())
-        if body is None:
-            if self._relayed is not None:
-                self._exchange.extra_headers = with_software_version(
-                    self._exchange.extra_headers, entry.software_version
-                )
-            await self._stream.relay(entry, response, self._pool.health(entry))
-            self._handler.prompts.record_answered(self._caller)
-            forwarder.release(response.connection)
-        else:
-            await self._send_full_response(entry, response, body)
-
-    @contextlib.contextmanager
-    def _probe_when_silent(self) -> Iterator[None]:
-        """Have the connectivity to the servers probed when no response begins for a while."""
-        connectivity = self._pool.connectivity_of(self._service)
-        timer = asyncio.get_running_loop().call_later(
-            SUSPECT_AFTER_SECONDS, connectivity.record_no_answer, self._handler.now()
-        )
-        try:
-            yield
-        finally:
-            timer.cancel()
+        attempt.health.record_received(self._handler.now())
+        if answer.body is not None:
+            await self._send_full_response(entry, answer.response, answer.body)
+            return
+        if self._relayed is not None:
+            self._exchange.extra_headers = with_software_version(
+                self._exchange.extra_headers, entry.software_version
+            )
+        await self._stream.relay(entry, answer.response, attempt.health)
+        self._handler.prompts.record_answered(self._caller)
+        self._handler.forwarder.release(answer.response.connection)
 
     def _inactivity_timeout(self, entry: ServerEntry) -> float | None:
         """Return the inactivity timeout for a server; None when the request has to wait for it."""
@@ -445,7 +376,7 @@
         except SendFailed as failure:
             self._progress.record_failure(may_have_run=True)
             self._peers.log_result("relay-failed", peer, str(failure))
-            if not self._may_retry(failure):
+            if not self._retries.may_retry(failure):
                 raise self._final_error(str(failure)) from failure
             return False
         except Refused as refusal:
