Leave a silent server only once another server has taken its request

What callers saw: beside a change of the configuration, streams whose server fell silent for about a second were cut, though the server went on a moment later. Requests that had no answer yet got 502 "silent for 1.2 s".

Cause: a stream without data for 0.8 s was given up: its connection was closed, and only then the retry budget, the prompt guard, the number of attempts and the required software version were asked. Where one said no, a run that was about to go on was lost. The start of an answer was given up in the same way after 1.2 s or twice the objective.

Change: a silent server is read on for as long as the caller waits. Ten times a second it is asked whether the request may be moved: no obstacle, room in the budget, and another server of the required version that sent data since or has nothing to do. Then the request is sent there, on a new connection, while the silent server is still read, for at most 250 ms (two servers may have one request for 400 ms). Data of the silent server keep the request there. Else its connection is closed once the other server has begun, or at the end of that time if that server may be relied on: it or others were heard since, and the silent one was not. Events of one server only are relayed in between, so the event with which the other one was asked to go on is the last. A retry that was not sent is returned to the budget. A server that was left for its silence is suspect until it sends data, instead of counting a failure for the breaker. A connection that ended is left at once, as before.

--- /dev/null
+++ b/features/hand_over.feature
@@ -0,0 +1,76 @@
+Feature: The hand-over of a request from a silent server, in virtual time
+
+  Scenario Outline: the server that goes on when the silent one <silent> and the other one <other>
+    Given a stream whose server <silent>
+    And another server that <other>
+    When the stream is read
+    Then <outcome>
+    And both servers had the request for at most 400 ms
+
+    Examples: events
+      | silent                | other                                     | outcome                                  |
+      | goes on after 900 ms  | has sent data and responds after 400 ms   | the silent server goes on                |
+      | goes on after 900 ms  | has sent data and responds after 30 ms    | the other server goes on                 |
+      | goes on after 3000 ms | has sent data and responds after 2000 ms  | the other server goes on                 |
+      | never goes on         | has sent data and responds after 100 ms   | the other server goes on                 |
+      | goes on after 3000 ms | is idle and responds after 100 ms         | the other server goes on                 |
+      | goes on after 3000 ms | is idle and responds after 2000 ms        | the silent server goes on                |
+      | goes on after 3000 ms | has sent data and refuses after 20 ms     | the silent server goes on                |
+      | goes on after 3000 ms | has sent data and accepts no connection   | the silent server goes on                |
+      | breaks after 900 ms   | has sent data and responds after 400 ms   | the other server goes on                 |
+      | breaks after 900 ms   | has sent data and refuses after 20 ms     | the stream fails                         |
+      | goes on after 3000 ms | may not be asked                          | the silent server goes on                |
+
+  Scenario: a retry whose request was not sent costs nothing
+    Given a stream whose server goes on after 3000 ms
+    And another server that has sent data and accepts no connection
+    When the stream is read
+    Then the silent server goes on
+    And every retry was returned
+
+  Scenario: a caller who leaves during a hand-over ends both attempts
+    Given a stream whose server never goes on
+    And another server that is idle and responds after 2000 ms
+    When the stream is read, and its caller leaves after 950 ms
+    Then neither server has the request
+
+  Scenario: a stream moves long before its caller gives up, after 2 s without an event
+    Given a stream whose server never goes on
+    And another server that has sent data and responds after 2000 ms
+    When the stream is read
+    Then the silent server was left 800 to 1200 ms after its last event
+
+  Scenario: the decision about a silence is logged once, however often it is taken
+    Given a stream whose server goes on after 3000 ms
+    And another server that may not be asked
+    When the stream is read
+    Then one line tells that the silent server is kept, and why
+
+  Scenario Outline: a server <is>, and was last heard at <heard> ms, when another is silent since 1000 ms: <may>
+    When a server <is>, and was last heard at <heard> ms
+    Then it <may> from one that is silent since 1000 ms
+
+    Examples: servers
+      | is                     | heard | may               |
+      | has requests           | 1200  | may take over     |
+      | has requests           | 900   | may not take over |
+      | is idle                | 900   | may take over     |
+      | is doubted             | 1200  | may not take over |
+
+  Scenario: an idle server is relied on unanswered only if the silence is not general
+    When a server is idle, and was last heard at 0 ms
+    Then it is not relied on while no server was heard since 1000 ms
+    And it is relied on when another server was heard at 1100 ms
+    But it is not relied on when the silent server was heard as well
+    And it is relied on when the silent server is not listed any more
+
+  Scenario: a server of the only other software version takes no stream over
+    Given a silent server of version v1, and servers of versions v2 and v2 that were heard since
+    Then no server takes its stream over
+    But one does when a server of version v1 is heard as well
+
+  Scenario: a silent server that a request was moved from is suspect until it sends data
+    Given a server from which a request was moved at 10.0 s
+    Then the server is suspect at 10.5 s, and not at 11.0 s
+    When the server sends data at 10.2 s
+    Then the server is not suspect at 10.3 s
--- /dev/null
+++ b/features/silent_requests.feature
@@ -0,0 +1,40 @@
+Feature: Requests whose server falls silent while it has them
+
+  Background:
+    Given a model server one that holds m1
+    And a model server two that holds m1
+    And a plain server shop
+    And a plain server depot
+
+  Scenario: streams of a server that pauses are not cut when the retry budget is empty
+    Given the daemons may not retry
+    And 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When streams run at server one, and it is suspended for 1.0 s
+    Then every stream that ran there is complete, and ran once
+
+  Scenario: a stream that another server refuses goes on at its server after a pause
+    Given 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When streams run at server one, server two refuses more, and server one is suspended for 1.2 s
+    Then every stream that ran there is complete, and ran once
+
+  Scenario: streams of a server that hangs are completed by another one while it still hangs
+    Given 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When streams run at server one, and it hangs
+    Then every stream that ran there is complete, and another server ran it
+    And every stream was handed over less than 2 s after its last event
+
+  Scenario Outline: a <route> request whose server pauses before it responds is not given up without a retry
+    Given the daemons may not retry
+    And 3 pool daemons
+    And every event of a stream takes 0.5 s
+    And every plain answer takes 0.5 s
+    When <route> requests run at server <name>, and it is suspended for 2.0 s
+    Then every request is answered, and ran once
+
+    Examples: routes
+      | route | name |
+      | drill | one  |
+      | look  | shop |
--- /dev/null
+++ b/features/steps/hand_over_steps.py
@@ -0,0 +1,338 @@
+"""Steps for hand-overs of requests from silent servers. No processes; time is virtual."""
+
+import asyncio
+import re
+from typing import Any, cast
+
+import eliot
+from attrs import define
+from behave import given, then, when
+
+from features.support.virtual_time import run_in_virtual_time
+from loomwind.clock import MS_PER_SECOND
+from loomwind.http.client import ClientConnection
+from loomwind.http.messages import HttpResponse
+from loomwind.serving.breaker import ServerHealth
+from loomwind.serving.errors import SendFailed
+from loomwind.serving.forwarder import Forwarder, OpenResponse
+from loomwind.serving.hand_over import HandOver, Moved, MoveDecision, MovePolicy
+from loomwind.serving.inactivity import (
+    EVENT_TIMEOUT_MS,
+    Liveness,
+    Silence,
+)
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.server_attempt import Answer, Attempt
+from loomwind.serving.server_selector import ServerSelector
+from loomwind.serving.views import CallerRequest, ServerEntry, ServerState
+from loomwind.settings import BoundSettings
+
+SERVICE = "tutor"
+EVENT = b"id: 2\ndata: two\n\n"
+FOR_EVER_MS = 60_000.0
+FIRST_NUMBER = re.compile(r"\d+")
+
+
+def server(name: str, version: str = "v1") -> ServerEntry:
+    """Return the entry of a server."""
+    ready = ServerState.READY
+    return ServerEntry(name, SERVICE, f"{name}:1", "zone-a", 8, ready, software_version=version)
+
+
+def number_in(text: str) -> float:
+    """Return the first number in a text, or a long time if it has none."""
+    match = FIRST_NUMBER.search(text)
+    return float(match.group()) if match else FOR_EVER_MS
+
+
+def now_ms() -> float:
+    """Return the time of the event loop."""
+    return asyncio.get_running_loop().time() * MS_PER_SECOND
+
+
+class ScriptedAttempt(Attempt):
+    """An attempt at a server that behaves as a text says."""
+
+    def __init__(self, behaviour: str) -> None:
+        super().__init__(server("other"), ServerHealth(), 1)
+        self._behaviour = behaviour
+        self.sent_ms: float | None = None
+        self.ended_ms: float | None = None
+
+    async def connect(self) -> None:
+        """Connect, unless the server accepts no connection."""
+        await asyncio.sleep(0.001)
+        if "accepts no connection" in self._behaviour:
+            raise SendFailed("refused", may_have_run=False, unreachable=True)
+
+    def send(self, last_event_id: str | None) -> asyncio.Task[Answer]:
+        """Send the request."""
+        assert last_event_id == "1", "the stream goes on after its last relayed event"
+        self.sent_ms = now_ms()
+        self.answering = asyncio.create_task(self._answer())
+        return self.answering
+
+    async def _answer(self) -> Answer:
+        await asyncio.sleep(number_in(self._behaviour) / MS_PER_SECOND)
+        if "refuses" in self._behaviour:
+            raise SendFailed("refused unstarted", may_have_run=False)
+        connection = cast(ClientConnection, None)
+        return Answer(OpenResponse(connection, HttpResponse(200, ())), None)
+
+    def stop(self) -> None:
+        """End the attempt."""
+        if self.answering is not None:
+            self.answering.cancel()
+        self.ended_ms = now_ms()
+
+    def abandon(self) -> None:
+        """End the attempt."""
+        self.stop()
+
+
+class ScriptedPolicy(MovePolicy):
+    """Moves a request to the scripted server, once."""
+
+    def __init__(self, behaviour: str) -> None:
+        self._behaviour = behaviour
+        self.attempts: list[ScriptedAttempt] = []
+        self.returned = 0
+
+    def decide(self, silent: ServerEntry, silent_since_ms: float) -> MoveDecision:
+        """Decide for the scripted server, the first time."""
+        if self.attempts or "may not be asked" in self._behaviour:
+            return MoveDecision("no server is left")
+        self.attempts.append(ScriptedAttempt(self._behaviour))
+        return MoveDecision("it can run it", self.attempts[0], "has sent data" in self._behaviour)
+
+    def record_begun(self, replacement: Attempt) -> str | None:
+        """Return the id of the last relayed event."""
+        return "1"
+
+    def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
+        """Count the retry as returned."""
+        self.returned += 1
+
+    def record_dropped(
+        self, replacement: Attempt, silent: ServerEntry, failure: SendFailed | None
+    ) -> None:
+        """Record nothing."""
+
+    def record_moved(self, silent: ServerEntry) -> None:
+        """Record nothing."""
+
+    def check(self, answer: Answer, entry: ServerEntry) -> SendFailed | None:
+        """Accept every response."""
+        return None
+
+
+@define
+class Reading:
+    """What reading a stream has brought.
+
+    :ivar left_ms: when the silent server's connection was closed; None if it was not.
+    """
+
+    outcome: str = ""
+    left_ms: float | None = None
+    is_silent_read: bool = False
+
+
+@given("a stream whose server {behaviour}")
+def step_silent(context: Any, behaviour: str) -> None:
+    context.silent_behaviour = behaviour
+
+
+@given("another server that {behaviour}")
+def step_other(context: Any, behaviour: str) -> None:
+    context.policy = ScriptedPolicy(behaviour)
+
+
+@when("the stream is read")
+def step_read(context: Any) -> None:
+    context.reading = Reading()
+    context.lines = []
+    eliot.add_destinations(context.lines.append)
+    try:
+        run_in_virtual_time(_read(context.silent_behaviour, context.policy, context.reading))
+    finally:
+        eliot.remove_destination(context.lines.append)
+
+
+async def _read(behaviour: str, policy: ScriptedPolicy, reading: Reading) -> None:
+    async def read() -> bytes:
+        """Read from the silent server; its next data come at a time that cancelling keeps."""
+        reading.is_silent_read = True
+        try:
+            due_seconds = number_in(behaviour) / MS_PER_SECOND
+            await asyncio.sleep(due_seconds - asyncio.get_running_loop().time())
+        finally:
+            reading.is_silent_read = False
+        if "breaks" in behaviour:
+            raise SendFailed("reset", may_have_run=True, broken=True)
+        return EVENT
+
+    try:
+        data = await HandOver("id-1", policy).read(server("silent"), read, EVENT_TIMEOUT_MS)
+        assert data == EVENT
+        reading.outcome = "the silent server goes on"
+    except Moved as moved:
+        assert moved.replacement is policy.attempts[0]
+        reading.left_ms = now_ms()
+        reading.outcome = "the other server goes on"
+        moved.replacement.stop()
+    except SendFailed:
+        reading.outcome = "the stream fails"
+    await asyncio.sleep(0)
+
+
+@when("the stream is read, and its caller leaves after {after_ms:d} ms")
+def step_leaves(context: Any, after_ms: int) -> None:
+    context.reading = Reading()
+    run_in_virtual_time(_leave(context, after_ms / MS_PER_SECOND))
+
+
+async def _leave(context: Any, after_seconds: float) -> None:
+    task = asyncio.ensure_future(_read(context.silent_behaviour, context.policy, context.reading))
+    await asyncio.sleep(after_seconds)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.sleep(0)
+
+
+@then("{server_name} goes on")
+def step_goes_on(context: Any, server_name: str) -> None:
+    assert context.reading.outcome == f"{server_name} goes on", context.reading
+
+
+@then("the stream fails")
+def step_fails(context: Any) -> None:
+    assert context.reading.outcome == "the stream fails", context.reading
+
+
+@then("both servers had the request for at most {most_ms:d} ms")
+def step_overlap(context: Any, most_ms: int) -> None:
+    reading: Reading = context.reading
+    for attempt in context.policy.attempts:
+        if attempt.sent_ms is not None:
+            ended_ms = attempt.ended_ms if reading.left_ms is None else reading.left_ms
+            assert ended_ms is not None and ended_ms - attempt.sent_ms <= most_ms, ended_ms
+
+
+@then("every retry was returned")
+def step_returned(context: Any) -> None:
+    assert context.policy.returned == len(context.policy.attempts) == 1
+
+
+@then("neither server has the request")
+def step_neither(context: Any) -> None:
+    attempt = context.policy.attempts[0]
+    assert attempt.sent_ms is not None and attempt.answering.cancelled()
+    assert not context.reading.is_silent_read
+
+
+@then("the silent server was left {least_ms:d} to {most_ms:d} ms after its last event")
+def step_left(context: Any, least_ms: int, most_ms: int) -> None:
+    assert least_ms <= context.reading.left_ms <= most_ms, context.reading
+
+
+@then("one line tells that the silent server is kept, and why")
+def step_logged(context: Any) -> None:
+    lines = [line for line in context.lines if line.get("decision") == "silent"]
+    assert len(lines) == 1, lines
+    assert lines[0]["kept"] and lines[0]["reason"] == "no server is left", lines
+
+
+@when("a server {state}, and was last heard at {heard_ms:d} ms")
+def step_liveness(context: Any, state: str, heard_ms: int) -> None:
+    in_flight = 1 if state == "has requests" else 0
+    context.liveness = Liveness(float(heard_ms), in_flight, state == "is doubted")
+
+
+@then("it {may} from one that is silent since {since_ms:d} ms")
+def step_may(context: Any, may: str, since_ms: int) -> None:
+    expected = {"may take over": True, "may not take over": False}[may]
+    assert Silence(float(since_ms)).may_be_taken_over(context.liveness) is expected
+
+
+@then("it is not relied on while no server was heard since {since_ms:d} ms")
+def step_not_relied(context: Any, since_ms: int) -> None:
+    context.since_ms = float(since_ms)
+    assert not Silence(context.since_ms).is_certain(context.liveness, [context.liveness])
+
+
+@then("it is relied on when another server was heard at {heard_ms:d} ms")
+def step_relied(context: Any, heard_ms: int) -> None:
+    context.others = [context.liveness, Liveness(float(heard_ms), 3, False)]
+    assert Silence(context.since_ms).is_certain(context.liveness, context.others)
+
+
+@then("it is not relied on when the silent server was heard as well")
+def step_silent_heard(context: Any) -> None:
+    silence = Silence(context.since_ms, is_heard=True)
+    assert not silence.is_certain(context.liveness, context.others)
+
+
+@then("it is relied on when the silent server is not listed any more")
+def step_unlisted(context: Any) -> None:
+    assert Silence(context.since_ms, is_listed=False).is_certain(context.liveness, [])
+
+
+class IdleForwarder:
+    """A forwarder with an idle connection to every server."""
+
+    def has_idle_connection(self, entry: ServerEntry) -> bool:
+        """Return that one is open."""
+        return True
+
+
+@given("a silent server of version {own}, and servers of versions {others} that were heard since")
+def step_versions(context: Any, own: str, others: str) -> None:
+    context.silent = server("silent", own)
+    context.servers = [server(f"s{i}", each) for i, each in enumerate(others.split(" and "))]
+
+
+def choose_replacement(silent: ServerEntry, others: list[ServerEntry]) -> ServerEntry | None:
+    """Return the server that takes over a stream that is silent since 1 s, at 2 s."""
+    pool = ServerPool(BoundSettings())
+    for entry in (silent, *others):
+        pool.directory.put(entry)
+        pool.health(entry).record_received(0.9 if entry is silent else 1.9)
+    forwarder = cast(Forwarder, IdleForwarder())
+    caller = CallerRequest("id-1", "h", 30.0, None)
+    selector = ServerSelector(pool, forwarder, "zone-a", SERVICE, caller, is_resumable=True)
+    selector.software_version = silent.software_version
+    chosen = selector.choose_replacement(silent, Silence(1000.0), 2.0)
+    return chosen.entry if chosen else None
+
+
+@then("no server takes its stream over")
+def step_none(context: Any) -> None:
+    assert choose_replacement(context.silent, context.servers) is None
+
+
+@then("one does when a server of version {version} is heard as well")
+def step_one(context: Any, version: str) -> None:
+    same = server("same", version)
+    assert choose_replacement(context.silent, [*context.servers, same]) == same
+
+
+@given("a server from which a request was moved at {now:f} s")
+def step_left_server(context: Any, now: float) -> None:
+    context.left = ServerHealth()
+    context.left.record_left(now)
+
+
+@when("the server sends data at {now:f} s")
+def step_sends(context: Any, now: float) -> None:
+    context.left.record_received(now)
+
+
+@then("the server is suspect at {late:f} s, and not at {later:f} s")
+def step_left_suspect(context: Any, late: float, later: float) -> None:
+    assert context.left.is_suspect(late) and not context.left.is_suspect(later)
+
+
+@then("the server is not suspect at {now:f} s")
+def step_left_sound(context: Any, now: float) -> None:
+    assert not context.left.is_suspect(now)
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -154,6 +154,7 @@
         self.memory_mb = 100_000.0
         self.version = 0
         self.lease_ms = LEASE_MS
+        self.retry_settings = ""
         self.links: list[Process] = []
         self.server_link: LinkProcess | None = None
         self.routes = [
@@ -297,6 +298,7 @@
 [bounds]
 lease_ms = {self.lease_ms}
 grace_seconds = {GRACE_SECONDS}
+{self.retry_settings}
 [address_overrides]
 {self._overrides(daemon)}
 """
@@ -318,6 +320,10 @@
         running = [d for d in self.daemons.values() if d.process and d.process.alive]
         return next((d for d in running if d.leading), None)
 
+    def forbid_retries(self) -> None:
+        """Give the daemons that are started from now on an empty retry budget."""
+        self.retry_settings = "retry_ratio = 0.0\nretry_allowance = 0.0"
+
     # Requests.
 
     def request(
--- a/loomwind/serving/breaker.py
+++ b/loomwind/serving/breaker.py
@@ -33,6 +33,8 @@
         self._unreachable_seconds = INITIAL_UNREACHABLE_SECONDS
         self._open_seconds = INITIAL_OPEN_SECONDS
         self._silent_since: float | None = None
+        self._left_until = 0.0
+        self._left_seconds = INITIAL_OPEN_SECONDS
 
     def record_sent(self, now: float) -> None:
         """Record that a request is sent to the server."""
@@ -45,6 +47,8 @@
         self.last_received_at = now
         self._on_received(now)
         self._silent_since = now
+        self._left_until = 0.0
+        self._left_seconds = INITIAL_OPEN_SECONDS
 
     def record_ended(self) -> None:
         """Record that a request at the server has ended, with any outcome."""
@@ -52,10 +56,21 @@
         if self.in_flight == 0:
             self._silent_since = None
 
+    def record_left(self, now: float) -> None:
+        """Record that a request was moved away because the server was silent.
+
+        It stays suspect for a while, longer each time, unless it sends data: a server that paused
+        is soon used again, and one that hangs is not taken for an idle one.
+        """
+        if now >= self._left_until:
+            self._left_until = now + self._left_seconds
+            self._left_seconds = min(2 * self._left_seconds, MAX_OPEN_SECONDS)
+
     def is_suspect(self, now: float) -> bool:
         """Whether requests are in progress and no connection has received data for a while."""
         since = self._silent_since
-        return since is not None and now - since > SUSPECT_AFTER_SECONDS
+        is_silent = since is not None and now - since > SUSPECT_AFTER_SECONDS
+        return is_silent or now < self._left_until
 
     def record_success(self) -> None:
         """Record a successful response, which closes the breaker."""
--- a/loomwind/serving/budget.py
+++ b/loomwind/serving/budget.py
@@ -39,12 +39,23 @@
 
     def try_spend(self, now: float) -> bool:
         """Count a retry and return True if the budget has room for it."""
-        self._evict_expired(now)
-        if len(self._retry_times) + 1 > self._ratio * len(self._request_times) + self._allowance:
+        if not self.has_room(now):
             return False
         self._retry_times.append(now)
         return True
 
+    def has_room(self, now: float) -> bool:
+        """Return whether a retry could be spent."""
+        self._evict_expired(now)
+        return len(self._retry_times) + 1 <= (
+            self._ratio * len(self._request_times) + self._allowance
+        )
+
+    def refund(self) -> None:
+        """Uncount the last retry, which was not sent."""
+        if self._retry_times:
+            self._retry_times.pop()
+
     def _evict_expired(self, now: float) -> None:
         for times in (self._request_times, self._retry_times):
             while times and times[0] <= now - self._window_seconds:
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -77,6 +77,16 @@
         :raises SendFailed: no connection can be made, or the server may not get requests any more.
         """
         connection = self._client.take_idle(entry.address) or await self.open_connection(entry)
+        return self._check_accepts(entry, connection)
+
+    async def connect_anew(self, entry: ServerEntry) -> ClientConnection:
+        """Return a new connection to a server; an idle one may be dead without having ended.
+
+        :raises SendFailed: no connection can be made, or the server may not get requests any more.
+        """
+        return self._check_accepts(entry, await self.open_connection(entry))
+
+    def _check_accepts(self, entry: ServerEntry, connection: ClientConnection) -> ClientConnection:
         if not self._accepts_requests(entry):
             self._client.release(connection)
             detail = f"{entry.instance}: began to leave while a connection was made"
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -1,23 +1,87 @@
-"""Inactivity timeouts: when a request stops waiting for a server that sends nothing. No I/O."""
+"""When a server counts as silent, and which other server may take over from it. No I/O."""
 
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from loomwind.clock import MS_PER_SECOND
 from loomwind.serving.views import RequestKind, RouteRule
 
-MIN_STREAM_TIMEOUT_SECONDS = 1.2
+MIN_STREAM_TIMEOUT_MS = 1200.0
 TIMEOUT_PER_OBJECTIVE = 2.0
-MIN_TIMEOUT_SECONDS = 0.25
-
+MIN_TIMEOUT_MS = 250.0
+# Callers stay for at least 2 s without an event; another server needs the rest of that to go on.
+EVENT_TIMEOUT_MS = 800.0
 
-def inactivity_timeout_seconds(route: RouteRule, runs: int, has_other: bool) -> float | None:
-    """Return the time to wait for the start of a response; None for no timeout.
 
-    There is none when the request cannot be retried at another server.
+def start_timeout_ms(route: RouteRule) -> float | None:
+    """Return how long a server may take to begin a response until it counts as silent.
 
-    :param runs: how many attempts at the request may have run.
-    :param has_other: whether another server could run it.
+    :returns: None when the request cannot be repeated, and has to wait for this server.
     """
-    if not route.repeatable or runs + 1 >= route.max_attempts or not has_other:
+    if not route.repeatable:
         return None
-    timeout = TIMEOUT_PER_OBJECTIVE * route.objective_seconds
+    timeout_ms = TIMEOUT_PER_OBJECTIVE * route.objective_seconds * MS_PER_SECOND
     if route.kind is RequestKind.STREAMING:
-        return max(timeout, MIN_STREAM_TIMEOUT_SECONDS)
-    return max(timeout, MIN_TIMEOUT_SECONDS)
+        return max(timeout_ms, MIN_STREAM_TIMEOUT_MS)
+    return max(timeout_ms, MIN_TIMEOUT_MS)
+
+
+def event_timeout_ms(route: RouteRule, events: int) -> float | None:
+    """Return how long a stream may bring no data until its server counts as silent.
+
+    :param events: the number of events so far, of all attempts.
+    """
+    return EVENT_TIMEOUT_MS if route.repeatable and events else start_timeout_ms(route)
+
+
+@frozen
+class Liveness:
+    """What this daemon has seen of a server.
+
+    :ivar last_received_ms: when data last came from it.
+    :ivar in_flight: the number of this daemon's requests in progress there.
+    :ivar is_doubted: whether it failed recently, or is silent itself.
+    """
+
+    last_received_ms: float
+    in_flight: int
+    is_doubted: bool
+
+
+@frozen
+class Silence:
+    """The silence of a server that has a request.
+
+    :ivar since_ms: when it last sent data of the request.
+    :ivar is_heard: whether it has sent data of other requests since.
+    :ivar is_listed: whether the server is still listed as one that takes requests.
+    """
+
+    since_ms: float
+    is_heard: bool = False
+    is_listed: bool = True
+
+    def may_be_taken_over(self, other: Liveness) -> bool:
+        """Whether another server may take the request over.
+
+        It has sent data since, or had no reason to. When all servers are silent at once, the cause
+        is rarely theirs, and a move gains nothing.
+        """
+        return not other.is_doubted and (self._has_answered(other) or other.in_flight == 0)
+
+    def is_certain(self, other: Liveness, others: Iterable[Liveness]) -> bool:
+        """Whether the other server may be relied on before it has responded.
+
+        A server that is heard works on other requests first; the other one may do the same.
+
+        :param others: all servers but the silent one.
+        """
+        if not self.is_listed:
+            return True
+        if self.is_heard:
+            return False
+        return self._has_answered(other) or any(self._has_answered(each) for each in others)
+
+    def _has_answered(self, other: Liveness) -> bool:
+        return other.last_received_ms >= self.since_ms
--- /dev/null
+++ b/loomwind/serving/request_attempts.py
@@ -0,0 +1,155 @@
+"""Starts the attempts at one request, and records how each of them ended."""
+
+from typing import TYPE_CHECKING
+
+from loomwind.clock import MS_PER_SECOND
+from loomwind.http.server import Exchange
+from loomwind.logs import log_decision
+from loomwind.serving.errors import SendFailed
+from loomwind.serving.forwarder import OutgoingRequest
+from loomwind.serving.hand_over import MoveDecision, MovePolicy
+from loomwind.serving.inactivity import Silence
+from loomwind.serving.request_log import RequestLog, RequestProgress
+from loomwind.serving.retry_policy import BUDGET_EXHAUSTED, RetryPolicy
+from loomwind.serving.server_attempt import Answer, Attempt, ServerAttempt
+from loomwind.serving.server_selector import ServerSelector
+from loomwind.serving.stream_relay import StreamRelay
+from loomwind.serving.views import ServerEntry
+
+if TYPE_CHECKING:
+    from loomwind.serving.handler import RequestHandler
+
+# The prompt is suspected of a crash only when the server sent fewer events than this.
+EARLY_CRASH_EVENTS = 16
+SERVER_ERROR_STATUSES = range(500, 600)
+
+
+class RequestAttempts(MovePolicy):
+    """The attempts at one request, one after the other, and for moments two at once."""
+
+    def __init__(
+        self,
+        handler: "RequestHandler",
+        exchange: Exchange,
+        outgoing: OutgoingRequest,
+        selector: ServerSelector,
+        stream: StreamRelay,
+        retries: RetryPolicy,
+        progress: RequestProgress,
+        log: RequestLog,
+    ) -> None:
+        self._handler = handler
+        self._exchange = exchange
+        self._outgoing = outgoing
+        self._selector = selector
+        self._stream = stream
+        self._retries = retries
+        self._progress = progress
+        self._log = log
+        # A request may also be at a peer, which is no server.
+        self._servers: set[str] = set()
+
+    def new(self, entry: ServerEntry, is_replacement: bool = False) -> ServerAttempt:
+        """Return an attempt, which counts as one in progress at the server until it is stopped."""
+        self._servers.add(entry.instance)
+        events = self._stream.events
+        attempt = ServerAttempt(self._handler, self._outgoing, entry, events, is_replacement)
+        attempt.begin()
+        return attempt
+
+    def record_begun(self, replacement: Attempt) -> str | None:
+        """Record that the request is about to be sent; returns the id of its last event."""
+        entry = replacement.entry
+        last_event_id = self._stream.last_event_id
+        self._progress.sends += 1
+        self._progress.server = entry.instance
+        self._progress.outcome_pending = True
+        if last_event_id is not None:
+            self._log.resumed(entry, last_event_id, self._stream.events)
+        return last_event_id
+
+    def record_failure(self, attempt: Attempt, failure: SendFailed) -> None:
+        """Record that a server sent no usable response."""
+        entry = attempt.entry
+        caller = self._outgoing.caller
+        self._progress.record_failure(failure.may_have_run)
+        if failure.broken and self._stream.events - attempt.events_before < EARLY_CRASH_EVENTS:
+            self._handler.prompts.record_crash(caller, entry.instance)
+        self._selector.tried.add(entry.instance)
+        self._handler.pool.record_failure(entry, caller.target, failure, self._handler.now())
+        self._handler.count_send(entry, "failed" if failure.may_have_run else "refused")
+        log_decision(
+            "send-failed",
+            caller.request_id,
+            server=entry.instance,
+            passed_over=self._selector.passed_over(self._progress.server),
+            reason=str(failure),
+            ran=failure.may_have_run,
+            events=self._stream.events,
+        )
+
+    # Moves away from a silent server.
+
+    def decide(self, silent: ServerEntry, silent_since_ms: float) -> MoveDecision:
+        """Decide whether the request of a silent server is moved, and to which server."""
+        obstacle = self._retries.move_obstacle()
+        if obstacle is not None:
+            return MoveDecision(obstacle)
+        silence = self._silence(silent, silent_since_ms)
+        chosen = self._selector.choose_replacement(silent, silence, self._handler.now())
+        if chosen is None:
+            return MoveDecision("no other server that can run it has answered since")
+        if not self._retries.try_spend():
+            return MoveDecision(BUDGET_EXHAUSTED)
+        replacement = self.new(chosen.entry, is_replacement=True)
+        return MoveDecision("another server can run it", replacement, chosen.is_certain)
+
+    def _silence(self, silent: ServerEntry, since_ms: float) -> Silence:
+        if silent.instance not in self._servers:
+            return Silence(since_ms)
+        pool = self._handler.pool
+        last_received_ms = pool.health(silent).last_received_at * MS_PER_SECOND
+        return Silence(since_ms, last_received_ms > since_ms, pool.accepts_requests(silent))
+
+    def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
+        """Record that nothing was sent to a replacement, which costs no retry."""
+        self._retries.refund()
+        if failure is not None:
+            entry = replacement.entry
+            target = self._outgoing.caller.target
+            self._selector.tried.add(entry.instance)
+            self._handler.pool.record_failure(entry, target, failure, self._handler.now())
+
+    def record_dropped(
+        self, replacement: Attempt, silent: ServerEntry, failure: SendFailed | None
+    ) -> None:
+        """Record that a replacement that got the request was not needed, or has failed."""
+        if failure is not None:
+            self.record_failure(replacement, failure)
+        else:
+            self._record_left(replacement.entry)
+        self._progress.server = silent.instance
+        self._progress.outcome_pending = True
+
+    def record_moved(self, silent: ServerEntry) -> None:
+        """Record that the request was taken over from a silent server."""
+        if silent.instance in self._servers:
+            self._handler.pool.health(silent).record_left(self._handler.now())
+        self._record_left(silent)
+        self._progress.outcome_pending = True
+
+    def _record_left(self, entry: ServerEntry) -> None:
+        """Record that a server that may have run the request goes on without a reader."""
+        self._progress.record_failure(may_have_run=True)
+        self._selector.tried.add(entry.instance)
+        self._handler.count_send(entry, "left")
+
+    def check(self, answer: Answer, entry: ServerEntry) -> SendFailed | None:
+        """Return why the beginning of a response cannot take the place of the current one."""
+        status = answer.response.head.status
+        if status in SERVER_ERROR_STATUSES:
+            return SendFailed(f"{entry.instance}: status {status}", may_have_run=True)
+        if self._exchange.started and answer.body is not None:
+            detail = f"{entry.instance}: a resumed stream got {status}"
+            return SendFailed(detail, may_have_run=True)
+        return None
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -4,13 +4,13 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
-from loomwind.logs import log_decision
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import (
     RETRY_SOON_SECONDS,
@@ -21,14 +21,16 @@
     SendFailed,
     StreamTruncated,
 )
-from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
-from loomwind.serving.inactivity import inactivity_timeout_seconds
+from loomwind.serving.forwarder import OutgoingRequest
+from loomwind.serving.hand_over import HandOver, Moved
+from loomwind.serving.inactivity import event_timeout_ms, start_timeout_ms
 from loomwind.serving.model_wait import ModelWait
 from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.relay_protocol import RelayMetadata, with_software_version
+from loomwind.serving.request_attempts import RequestAttempts
 from loomwind.serving.request_log import RequestLog, RequestProgress
 from loomwind.serving.retry_policy import RetryPolicy
-from loomwind.serving.server_attempt import ServerAttempt
+from loomwind.serving.server_attempt import Answer, Attempt
 from loomwind.serving.server_selector import ServerSelector
 from loomwind.serving.stream_origins import StreamOrigin
 from loomwind.serving.stream_relay import StreamRelay
@@ -40,10 +42,7 @@
 DEADLINE_MARGIN_SECONDS = 0.02
 REFUSAL_RETRY_DELAY_SECONDS = 0.03
 SERVED = "served"
-# The prompt is suspected of a crash only when the server sent fewer events than this.
-EARLY_CRASH_EVENTS = 16
 NOT_RUN_STATUSES = frozenset({503})
-SERVER_ERROR_STATUSES = range(500, 600)
 
 
 class RequestLifecycle:
@@ -90,9 +89,20 @@
             route,
             handler.dialect,
             handler.metrics,
-            self._inactivity_timeout,
+            self._read_stream,
             self._record_first_event,
         )
+        self._attempts = RequestAttempts(
+            handler,
+            exchange,
+            self._request,
+            self._selector,
+            self._stream,
+            self._retries,
+            self._progress,
+            self._log,
+        )
+        self._hand_over = HandOver(caller.request_id, self._attempts)
         self._peers = PeerAttempts(
             handler,
             exchange,
@@ -187,16 +197,8 @@
             entry = await self._wait_for_server()
             if entry is None:
                 continue
-            attempt = ServerAttempt(self._handler, self._request, entry, self._stream.events)
-            try:
-                await self._try_server(attempt)
+            if await self._serve_by_server(self._attempts.new(entry)):
                 return
-            except SendFailed as failure:
-                self._record_failure(attempt, failure)
-                if not self._retries.may_retry(failure):
-                    raise self._final_error(str(failure)) from failure
-                if not failure.may_have_run:
-                    await asyncio.sleep(REFUSAL_RETRY_DELAY_SECONDS)
 
     def _raise_if_banned(self) -> None:
         """Reject a request whose prompt has a banned part.
@@ -209,24 +211,6 @@
             reason = "a part of the prompt has ended several servers"
             raise self._final_error(reason, banned_ms / MS_PER_SECOND)
 
-    def _record_failure(self, attempt: ServerAttempt, failure: SendFailed) -> None:
-        entry = attempt.entry
-        self._progress.record_failure(failure.may_have_run)
-        if failure.broken and self._stream.events - attempt.events_before < EARLY_CRASH_EVENTS:
-            self._handler.prompts.record_crash(self._caller, entry.instance)
-        self._selector.tried.add(entry.instance)
-        self._pool.record_failure(entry, self._caller.target, failure, self._handler.now())
-        self._handler.count_send(entry, "failed" if failure.may_have_run else "refused")
-        log_decision(
-            "send-failed",
-            self._caller.request_id,
-            server=entry.instance,
-            passed_over=self._selector.passed_over(self._progress.server),
-            reason=str(failure),
-            ran=failure.may_have_run,
-            events=self._stream.events,
-        )
-
     def _final_error(
         self, reason: str, retry_after_seconds: float | None = RETRY_SOON_SECONDS
     ) -> Exception:
@@ -297,35 +281,47 @@
         entry = self._selector.choose(self._handler.now())
         return entry if entry is not None and self._retries.try_pay() else None
 
-    # One attempt at a server.
+    # Attempts at servers.
 
-    async def _try_server(self, attempt: ServerAttempt) -> None:
-        entry = attempt.entry
-        self._progress.sends += 1
-        self._progress.server = entry.instance
-        if self._stream.last_event_id is not None:
-            self._log.resumed(entry, self._stream.last_event_id, self._stream.events)
+    async def _serve_by_server(self, attempt: Attempt) -> bool:
+        """Send the request to a server; another one may take over when it is silent.
+
+        :returns: whether the request was served; if not, it may be retried.
+        :raises Refused: an attempt failed and no retry is allowed.
+        :raises StreamTruncated: the same, and the response has begun.
+        """
+        while True:
+            try:
+                await self._try_server(attempt)
+                return True
+            except Moved as moved:
+                attempt = moved.replacement
+            except SendFailed as failure:
+                self._attempts.record_failure(attempt, failure)
+                if not self._retries.may_retry(failure):
+                    raise self._final_error(str(failure)) from failure
+                if not failure.may_have_run:
+                    await asyncio.sleep(REFUSAL_RETRY_DELAY_SECONDS)
+                return False
+
+    async def _try_server(self, attempt: Attempt) -> None:
         self._handler.observe_list_age()
-        with attempt.in_progress():
+        try:
             await self._exchange_with_server(attempt)
+        finally:
+            attempt.stop()
         attempt.health.record_success()
-        self._handler.count_send(entry, SERVED)
+        self._handler.count_send(attempt.entry, SERVED)
 
-    async def _exchange_with_server(self, attempt: ServerAttempt) -> None:
+    async def _exchange_with_server(self, attempt: Attempt) -> None:
         entry = attempt.entry
-        connection = await attempt.connect()
-        timeout = self._inactivity_timeout(entry)
-        self._progress.outcome_pending = True
-        try:
-            async with asyncio.timeout(timeout):
-                answer = await attempt.send(connection, self._stream.last_event_id)
-        except TimeoutError as error:
-            raise SendFailed(
-                f"{entry.instance}: silent for {timeout} s", may_have_run=True
-            ) from error
-        attempt.health.record_received(self._handler.now())
+        if attempt.answering is None:
+            self._progress.server = entry.instance
+            await attempt.connect()
+            attempt.send(self._attempts.record_begun(attempt))
+        answer = await self._hand_over.answer(attempt, start_timeout_ms(self._route))
         if answer.body is not None:
-            await self._send_full_response(entry, answer.response, answer.body)
+            await self._send_full_response(entry, answer, answer.body)
             return
         if self._relayed is not None:
             self._exchange.extra_headers = with_software_version(
@@ -335,25 +331,23 @@
         self._handler.prompts.record_answered(self._caller)
         self._handler.forwarder.release(answer.response.connection)
 
-    def _inactivity_timeout(self, entry: ServerEntry) -> float | None:
-        """Return the inactivity timeout for a server; None when the request has to wait for it."""
-        has_other = self._selector.has_other(entry, self._handler.now())
-        return inactivity_timeout_seconds(self._route, self._progress.runs, has_other)
+    async def _read_stream(self, entry: ServerEntry, read: Callable[[], Awaitable[bytes]]) -> bytes:
+        """Return the next data of the stream.
 
-    async def _send_full_response(
-        self, entry: ServerEntry, response: OpenResponse, body: bytes
-    ) -> None:
-        status = response.head.status
-        if status in SERVER_ERROR_STATUSES:
-            failure = SendFailed(f"{entry.instance}: status {status}", may_have_run=True)
-            if self._exchange.started:
-                raise failure
-            if self._route.repeatable and self._progress.runs + 1 < self._route.max_attempts:
-                raise failure
-        if self._exchange.started:
-            raise SendFailed(f"{entry.instance}: a resumed stream got {status}", may_have_run=True)
-        headers = self._handler.dialect.response_headers(response.head)
-        await self._exchange.respond(status, headers, body)
+        :raises Moved: the server was silent, and another one has taken the stream over.
+        """
+        timeout_ms = event_timeout_ms(self._route, self._stream.events)
+        return await self._hand_over.read(entry, read, timeout_ms)
+
+    async def _send_full_response(self, entry: ServerEntry, answer: Answer, body: bytes) -> None:
+        failure = self._attempts.check(answer, entry)
+        may_repeat = self._route.repeatable and self._progress.runs + 1 < self._route.max_attempts
+        if failure is not None and (self._exchange.started or may_repeat):
+            raise failure
+        head = answer.response.head
+        await self._exchange.respond(
+            head.status, self._handler.dialect.response_headers(head), body
+        )
 
     # Attempts at a peer, while no server can be reached.
 
@@ -379,6 +373,8 @@
             if not self._retries.may_retry(failure):
                 raise self._final_error(str(failure)) from failure
             return False
+        except Moved as moved:
+            return await self._serve_by_server(moved.replacement)
         except Refused as refusal:
             self._progress.outcome_pending = False
             self._peers.log_result("relay-refused", peer, str(refusal))
--- a/loomwind/serving/retry_policy.py
+++ b/loomwind/serving/retry_policy.py
@@ -10,6 +10,7 @@
     from loomwind.serving.handler import RequestHandler
 
 MAX_EXTRA_SENDS = 3
+BUDGET_EXHAUSTED = "the retry budget is exhausted"
 
 
 class RetryPolicy:
@@ -42,25 +43,36 @@
         when a server can take it, so that it stays visible in the demand meanwhile.
         """
         if failure.unreachable or failure.not_sent:
-            self._progress.sends -= 1
             return True
         if not failure.may_have_run and self._caller.target is not None:
             self.is_unpaid = True
             return not self._handler.rejects_waiting
-        obstacle = self._obstacle(failure)
+        obstacle = self._obstacle(failure.may_have_run, self._progress.runs)
         if obstacle is None and not self.try_spend():
-            obstacle = "the retry budget is exhausted"
+            obstacle = BUDGET_EXHAUSTED
         if obstacle is not None:
             self._log.retry_denied(obstacle)
         return obstacle is None
 
-    def _obstacle(self, failure: SendFailed) -> str | None:
-        """Return why the request may not be sent again, apart from the retry budget."""
-        if failure.may_have_run and not self._route.repeatable:
+    def move_obstacle(self) -> str | None:
+        """Return why a request that a server has may not be sent to another one too."""
+        if self._handler.prompts.banned_for_ms(self._caller) > 0:
+            return "a part of its prompt is banned"
+        obstacle = self._obstacle(may_have_run=True, runs=self._progress.runs + 1)
+        if obstacle is None and not self._budget.has_room(self._handler.now()):
+            obstacle = BUDGET_EXHAUSTED
+        return obstacle
+
+    def _obstacle(self, may_have_run: bool, runs: int) -> str | None:
+        """Return why the request may not be sent again, apart from the retry budget.
+
+        :param runs: the number of servers that may have run it.
+        """
+        if may_have_run and not self._route.repeatable:
             return "it may have run and cannot be repeated"
-        if failure.may_have_run and not self._handler.prompts.may_retry(self._caller):
+        if may_have_run and not self._handler.prompts.may_retry(self._caller):
             return "its prompt is suspected of crashes"
-        if self._progress.runs >= self._route.max_attempts:
+        if runs >= self._route.max_attempts:
             return "it may have run on as many servers as its route allows"
         if self._progress.sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
             return "it was sent too often"
@@ -72,6 +84,11 @@
         self._handler.metrics.repeats.labels("allowed" if allowed else "over-budget").inc()
         return allowed
 
+    def refund(self) -> None:
+        """Return a retry that was spent, because nothing was sent."""
+        self._budget.refund()
+        self._handler.metrics.repeats.labels("returned").inc()
+
     def try_pay(self) -> bool:
         """Spend the retry that is to be charged, if any; returns False when it cannot be spent."""
         if self.is_unpaid:
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from loomwind.http.client import ClientConnection
-from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS
+from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS, ServerHealth
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
 from loomwind.serving.views import ServerEntry
 
@@ -27,59 +28,120 @@
     body: bytes | None
 
 
-class ServerAttempt:
+class Attempt(ABC):
     """An attempt at one server.
 
     :ivar events_before: the number of events that the request's stream had before.
+    :ivar answering: brings the beginning of the response; None before the request is sent.
     """
 
+    def __init__(self, entry: ServerEntry, health: ServerHealth, events_before: int) -> None:
+        self.entry = entry
+        self.health = health
+        self.events_before = events_before
+        self.answering: asyncio.Task[Answer] | None = None
+
+    @abstractmethod
+    async def connect(self) -> None:
+        """Connect to the server.
+
+        :raises SendFailed: no connection can be made, or the server may not get requests any more.
+        """
+
+    @abstractmethod
+    def send(self, last_event_id: str | None) -> asyncio.Task[Answer]:
+        """Send the request to the connected server.
+
+        :param last_event_id: the event after which a stream goes on; None for one that begins.
+        :returns: a task that fails with SendFailed if the server refused the request, or sent no
+            valid response to it.
+        """
+
+    @abstractmethod
+    def stop(self) -> None:
+        """End the attempt; if the response has not begun, its connection is closed."""
+
+    @abstractmethod
+    def abandon(self) -> None:
+        """End the attempt in favour of another one, whether the response has begun or not."""
+
+
+class ServerAttempt(Attempt):
+    """An attempt over HTTP."""
+
     def __init__(
         self,
         handler: "RequestHandler",
         outgoing: OutgoingRequest,
         entry: ServerEntry,
         events_before: int,
+        is_replacement: bool,
     ) -> None:
-        self.entry = entry
-        self.health = handler.pool.health(entry)
-        self.events_before = events_before
+        """Create an attempt.
+
+        :param is_replacement: whether it may take over from an attempt whose server is silent; it
+            then gets a new connection, since idle ones may have fallen silent with that server's.
+        """
+        super().__init__(entry, handler.pool.health(entry), events_before)
         self._handler = handler
         self._outgoing = outgoing
+        self._connection: ClientConnection | None = None
+        self._is_replacement = is_replacement
+        self._is_counted = False
 
-    @contextlib.contextmanager
-    def in_progress(self) -> Iterator[None]:
+    def begin(self) -> None:
         """Count the request as one in progress at the server."""
         target = self._outgoing.caller.target
-        demand = self._handler.pool.demand
+        self._is_counted = True
         self.health.record_sent(self._handler.now())
         if target is not None:
-            demand.begin_run(self.entry.instance, target)
-        try:
-            yield
-        finally:
-            self.health.record_ended()
-            if target is not None:
-                demand.end_run(self.entry.instance, target)
-
-    async def connect(self) -> ClientConnection:
-        """Return a connection to the server.
-
-        :raises SendFailed: no connection can be made, or the server may not get requests any more.
-        """
-        return await self._handler.forwarder.connect(self.entry)
+            self._handler.pool.demand.begin_run(self.entry.instance, target)
 
-    async def send(self, connection: ClientConnection, last_event_id: str | None) -> Answer:
-        """Send the request and return the beginning of the response.
-
-        :param last_event_id: the event after which a stream goes on; None for one that begins.
-        :raises SendFailed: the server refused the request, or sent no valid response to it.
-        """
+    async def connect(self) -> None:
+        """Connect to the server."""
+        forwarder = self._handler.forwarder
+        connect = forwarder.connect_anew if self._is_replacement else forwarder.connect
+        self._connection = await connect(self.entry)
+
+    def send(self, last_event_id: str | None) -> asyncio.Task[Answer]:
+        """Send the request to the connected server."""
+        assert self._connection is not None
+        self.answering = asyncio.create_task(self._exchange(self._connection, last_event_id))
+        return self.answering
+
+    def stop(self) -> None:
+        """End the attempt; if the response has not begun, its connection is closed."""
+        if self.answering is not None:
+            self.answering.cancel()
+            self.answering.add_done_callback(self._close_if_cancelled)
+        self._count_end()
+
+    def abandon(self) -> None:
+        """End the attempt in favour of another one, whether the response has begun or not."""
+        self.stop()
+        if self._connection is None:
+            return
+        if self.answering is None:
+            self._handler.forwarder.release(self._connection)
+        elif _has_unread_body(self.answering):
+            self._connection.close()
+
+    def _close_if_cancelled(self, answering: asyncio.Task[Answer]) -> None:
+        """Close the connection, also if the task was cancelled before its first step."""
+        if answering.cancelled():
+            assert self._connection is not None
+            self._connection.close()
+        else:
+            answering.exception()
+
+    async def _exchange(self, connection: ClientConnection, last_event_id: str | None) -> Answer:
         forwarder = self._handler.forwarder
         with self._probe_when_silent():
             response = await forwarder.send(
                 connection, self._outgoing, self.entry, self._handler.now(), last_event_id
             )
         body = None if response.streamed else await forwarder.read_full_body(response)
+        self.health.record_received(self._handler.now())
         return Answer(response, body)
 
     @contextlib.contextmanager
@@ -93,3 +155,18 @@
             yield
         finally:
             timer.cancel()
+
+    def _count_end(self) -> None:
+        if not self._is_counted:
+            return
+        target = self._outgoing.caller.target
+        self._is_counted = False
+        self.health.record_ended()
+        if target is not None:
+            self._handler.pool.demand.end_run(self.entry.instance, target)
+
+
+def _has_unread_body(answering: asyncio.Task[Answer]) -> bool:
+    if not answering.done() or answering.cancelled() or answering.exception() is not None:
+        return False
+    return answering.result().body is None
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -5,13 +5,27 @@
 
 import random
 
+from attrs import frozen
+
 from loomwind.clock import MS_PER_SECOND
 from loomwind.serving.forwarder import Forwarder
+from loomwind.serving.inactivity import Liveness, Silence
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.server_cost import Candidate, lowest_cost
 from loomwind.serving.views import CallerRequest, ServerEntry
 
 
+@frozen
+class Replacement:
+    """A server that may take a request over from a silent one.
+
+    :ivar is_certain: whether it may be relied on before it has responded.
+    """
+
+    entry: ServerEntry
+    is_certain: bool
+
+
 class ServerSelector:
     """Selects servers for the attempts of one request.
 
@@ -46,7 +60,33 @@
 
     def choose(self, now: float) -> ServerEntry | None:
         """Return the server with the lowest cost; None when no server can run the request."""
-        candidates = [self._candidate(entry, now) for entry in self._eligible(now)]
+        return self._lowest_cost(self._eligible(now), now)
+
+    def choose_replacement(
+        self, silent: ServerEntry, silence: Silence, now: float
+    ) -> Replacement | None:
+        """Return the server that may take the request over from a silent one; None for none."""
+        entries = [each for each in self._eligible(now) if each.instance != silent.instance]
+        others = {entry.instance: self._liveness(entry, now) for entry in entries}
+        entries = [
+            entry
+            for entry in entries
+            if entry.instance not in self.tried
+            and silence.may_be_taken_over(others[entry.instance])
+        ]
+        chosen = self._lowest_cost(entries, now)
+        if chosen is None:
+            return None
+        is_certain = silence.is_certain(others[chosen.instance], others.values())
+        return Replacement(chosen, is_certain)
+
+    def _liveness(self, entry: ServerEntry, now: float) -> Liveness:
+        health = self._pool.health(entry)
+        is_doubted = health.is_open(now) or health.is_suspect(now) or health.is_unreachable(now)
+        return Liveness(health.last_received_at * MS_PER_SECOND, health.in_flight, is_doubted)
+
+    def _lowest_cost(self, entries: list[ServerEntry], now: float) -> ServerEntry | None:
+        candidates = [self._candidate(entry, now) for entry in entries]
         noise = [random.random() for _ in candidates]
         chosen = lowest_cost(candidates, self._zone, self._cache_key(), noise)
         self._candidates = candidates
@@ -97,11 +137,6 @@
             and self._forwarder.has_idle_connection(entry)
         ]
 
-    def has_other(self, entry: ServerEntry, now: float) -> bool:
-        """Whether a server other than ``entry`` could run the request."""
-        others = self._pool.reachable_candidates(self._service, self._caller.target, now)
-        return any(other.instance != entry.instance for other in self._of_version(others))
-
     def demand_version(self, now: float) -> str | None:
         """Return the version that the server must have; None if all usable servers have it."""
         usable = self._pool.directory.usable(self._service, now)
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -1,7 +1,7 @@
 """Relays complete events of a stream to the caller, across resumptions at other servers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import EventTruncated, HttpError
@@ -17,8 +17,6 @@
 from loomwind.serving.stream_gaps import StreamGaps
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
-EVENT_GAP_TIMEOUT_SECONDS = 0.8
-
 
 class StreamRelay:
     """Relays the event stream of one request to its caller."""
@@ -30,13 +28,13 @@
         route: RouteRule,
         dialect: Dialect,
         metrics: Metrics,
-        inactivity_timeout: Callable[[ServerEntry], float | None],
+        read: Callable[[ServerEntry, Callable[[], Awaitable[bytes]]], Awaitable[bytes]],
         on_first_event: Callable[[ServerEntry], None],
     ) -> None:
         """Create a relay.
 
-        :param inactivity_timeout: returns the seconds without data from a server after which the
-            request is retried elsewhere; None when it has to wait for this server.
+        :param read: reads from a server, however long it is silent; if it raises an error instead,
+            the server's connection is closed.
         :param on_first_event: called before the first event of the request is relayed.
         """
         self._exchange = exchange
@@ -44,7 +42,7 @@
         self._route = route
         self._dialect = dialect
         self._metrics = metrics
-        self._inactivity_timeout = inactivity_timeout
+        self._read = read
         self._on_first_event = on_first_event
         self._event_buffer = EventStreamBuffer(caller.last_event_id)
 
@@ -88,14 +86,8 @@
             raise
 
     async def _next_chunk(self, entry: ServerEntry, response: OpenResponse) -> bytes:
-        timeout = self._inactivity_timeout(entry)
-        if timeout is not None and self.events:
-            timeout = EVENT_GAP_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(timeout):
-                return await response.connection.read_body()
-        except TimeoutError as error:
-            raise SendFailed(f"{entry.instance}: stream silent for {timeout} s", True) from error
+            return await self._read(entry, response.connection.read_body)
         except HttpError as error:
             raise SendFailed(
                 f"{entry.instance}: {error}", may_have_run=True, broken=True
