--- /dev/null
+++ b/loomwind/serving/final_errors.py
@@ -0,0 +1,47 @@
+"""Chooses the error that ends a request, by whether the request may have run."""
+
+from loomwind.http.server import Exchange
+from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, StreamTruncated
+from loomwind.serving.request_log import RequestProgress
+
+NOT_RUN_STATUSES = frozenset({503})
+
+
+class FinalErrors:
+    """The errors with which one request may end."""
+
+    def __init__(self, exchange: Exchange, progress: RequestProgress) -> None:
+        self._exchange = exchange
+        self._progress = progress
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether no server can have run the request and no response has begun."""
+        return not (self._progress.may_have_run or self._exchange.started)
+
+    def failure(
+        self, reason: str, retry_after_seconds: float | None = RETRY_SOON_SECONDS
+    ) -> Refused | StreamTruncated:
+        """Return the error after a failure: 503 with Retry-After only if it has not run."""
+        if self._exchange.started:
+            return StreamTruncated(reason)
+        if self._progress.may_have_run:
+            return Refused(502, reason)
+        return Refused(503, reason, retry_after_seconds)
+
+    def timeout(self) -> Refused | StreamTruncated:
+        """Return the error when the time is over; a server may still run the request."""
+        if self._exchange.started:
+            return StreamTruncated("the time is over")
+        if self._progress.may_have_run or self._progress.outcome_pending:
+            return Refused(504, "no answer in time")
+        detail = "no server could take the request in time"
+        return Refused(503, detail, RETRY_SOON_SECONDS)
+
+    def peer_refusal(self, refusal: Refused) -> Refused | StreamTruncated:
+        """Return the error for a peer's refusal: earlier attempts, unknown to it, may have run."""
+        if refusal.status in NOT_RUN_STATUSES and not self.has_not_run:
+            return self.failure(str(refusal))
+        if self._exchange.started:
+            return StreamTruncated(str(refusal))
+        return refusal
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -21,6 +21,7 @@
     SendFailed,
     StreamTruncated,
 )
+from loomwind.serving.final_errors import FinalErrors
 from loomwind.serving.forwarder import OutgoingRequest
 from loomwind.serving.hand_over import HandOver, Moved
 from loomwind.serving.inactivity import event_timeout_ms, start_timeout_ms
@@ -42,7 +43,6 @@
 DEADLINE_MARGIN_SECONDS = 0.02
 REFUSAL_RETRY_DELAY_SECONDS = 0.03
 SERVED = "served"
-NOT_RUN_STATUSES = frozenset({503})
 
 
 class RequestLifecycle:
@@ -76,6 +76,7 @@
         self._relayed = relayed
         runs = relayed.runs if relayed else 0
         self._progress = RequestProgress(runs, may_have_run=runs > 0)
+        self._errors = FinalErrors(exchange, self._progress)
         self._log = RequestLog(
             handler, caller, route, service, self._progress, is_relayed=relayed is not None
         )
@@ -132,7 +133,7 @@
             self._log.count_end(SERVED)
         except TimeoutError as error:
             self._log_end("out-of-time")
-            raise self._timeout_error() from error
+            raise self._errors.timeout() from error
         except (Refused, StreamTruncated):
             self._log_end("given-up")
             raise
@@ -150,14 +151,6 @@
             self._stream.events,
         )
 
-    def _timeout_error(self) -> Exception:
-        if self._exchange.started:
-            return StreamTruncated("the time is over")
-        if self._progress.may_have_run or self._progress.outcome_pending:
-            return Refused(504, "no answer in time")
-        detail = "no server could take the request in time"
-        return Refused(503, detail, RETRY_SOON_SECONDS)
-
     async def _require_version(self) -> None:
         """Find out which software version has to continue a resumed stream.
 
@@ -174,7 +167,7 @@
             )
         except OriginUnknown as error:
             self._log.origin_unknown(str(error))
-            raise self._final_error(str(error), error.retry_after_seconds) from error
+            raise self._errors.failure(str(error), error.retry_after_seconds) from error
 
     def _raise_if_version_gone(self) -> None:
         """Stop when no server is left that could continue the stream.
@@ -184,7 +177,7 @@
         """
         if self._selector.is_version_gone(self._handler.now()):
             reason = f"no server of software version {self._selector.software_version} is left"
-            raise self._final_error(reason, None)
+            raise self._errors.failure(reason, None)
 
     async def _try_servers(self) -> None:
         while True:
@@ -209,17 +202,7 @@
         banned_ms = self._handler.prompts.banned_for_ms(self._caller)
         if banned_ms > 0:
             reason = "a part of the prompt has ended several servers"
-            raise self._final_error(reason, banned_ms / MS_PER_SECOND)
-
-    def _final_error(
-        self, reason: str, retry_after_seconds: float | None = RETRY_SOON_SECONDS
-    ) -> Exception:
-        """Return the error that ends the request: 503 with Retry-After only if it has not run."""
-        if self._exchange.started:
-            return StreamTruncated(reason)
-        if self._progress.may_have_run:
-            return Refused(502, reason)
-        return Refused(503, reason, retry_after_seconds)
+            raise self._errors.failure(reason, banned_ms / MS_PER_SECOND)
 
     # Waiting for a server.
 
@@ -253,20 +236,16 @@
                     self._raise_if_leaving()
                     self._raise_if_banned()
                     self._raise_if_version_gone()
-                    await wait.wait_for_change(self._has_not_run())
+                    await wait.wait_for_change(self._errors.has_not_run)
                     entry = self._choose_within_budget()
         except ModelUnavailable as error:
-            raise self._final_error(str(error), error.ready_in_seconds) from error
+            raise self._errors.failure(str(error), error.ready_in_seconds) from error
         finally:
             self._handler.metrics.waiting_for_model.dec()
             self._progress.waited_seconds += self._handler.now() - wait_started_at
         self._progress.is_waiting = False
         return entry
 
-    def _has_not_run(self) -> bool:
-        """Whether no server can have run the request and no response has begun."""
-        return not (self._progress.may_have_run or self._exchange.started)
-
     def _raise_if_leaving(self) -> None:
         """Stop waiting when this daemon shuts down, so that the caller can try another daemon.
 
@@ -274,7 +253,7 @@
         :raises StreamTruncated: the same, and the response has begun.
         """
         if self._handler.rejects_waiting:
-            raise self._final_error("this daemon is leaving")
+            raise self._errors.failure("this daemon is leaving")
 
     def _choose_within_budget(self) -> ServerEntry | None:
         """Return a server; None when there is none or the retry budget is exhausted."""
@@ -299,7 +278,7 @@
             except SendFailed as failure:
                 self._attempts.record_failure(attempt, failure)
                 if not self._retries.may_retry(failure):
-                    raise self._final_error(str(failure)) from failure
+                    raise self._errors.failure(str(failure)) from failure
                 if not failure.may_have_run:
                     await asyncio.sleep(REFUSAL_RETRY_DELAY_SECONDS)
                 return False
@@ -371,28 +350,20 @@
             self._progress.record_failure(may_have_run=True)
             self._peers.log_result("relay-failed", peer, str(failure))
             if not self._retries.may_retry(failure):
-                raise self._final_error(str(failure)) from failure
+                raise self._errors.failure(str(failure)) from failure
             return False
         except Moved as moved:
             return await self._serve_by_server(moved.replacement)
         except Refused as refusal:
             self._progress.outcome_pending = False
             self._peers.log_result("relay-refused", peer, str(refusal))
-            raise self._to_final_error(refusal) from refusal
+            raise self._errors.peer_refusal(refusal) from refusal
         return True
 
     def _record_sent_to_peer(self) -> None:
         self._progress.sends += 1
         self._progress.outcome_pending = True
 
-    def _to_final_error(self, refusal: Refused) -> Exception:
-        """Convert a peer's refusal: earlier attempts, unknown to the peer, may have run."""
-        if refusal.status in NOT_RUN_STATUSES and not self._has_not_run():
-            return self._final_error(str(refusal))
-        if self._exchange.started:
-            return StreamTruncated(str(refusal))
-        return refusal
-
     def _record_first_event(self, entry: ServerEntry) -> None:
         """Record where and when the stream began, and log when it missed its objective."""
         self._selector.software_version = entry.software_version
