Hand a stream whose head was passed on over at its software version only

What could happen: a server sends the head of its stream and falls silent before the first event; a server of another software version takes over. The text is one run's, but the head was passed on with the first server's version, and a daemon that relayed the request through a peer takes the version of the stream from that head. Its caller would resume the stream at the wrong one.

Cause: before the first event no version was required of the other server.

Evidence: the scenario "not taken over by another one before its first event" fails without the condition.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -18,6 +18,7 @@
       | goes on after 3000 ms | has sent data and refuses after 20 ms     | the silent server goes on                |
       | goes on after 3000 ms | has sent data and accepts no connection   | the silent server goes on                |
       | breaks after 900 ms   | has sent data and responds after 400 ms   | the other server goes on                 |
+      | breaks after 900 ms   | is idle and responds after 400 ms         | the other server goes on                 |
       | breaks after 900 ms   | has sent data and refuses after 20 ms     | the stream fails                         |
       | goes on after 3000 ms | may not be asked                          | the silent server goes on                |
 
@@ -69,6 +70,11 @@
     Then no server takes its stream over
     But one does when a server of version v1 is heard as well
 
+  Scenario: a stream whose head named a software version is not taken over by another one before its first event
+    Given a silent server of version v1, and servers of versions v2 and v2 that were heard since
+    When its stream has no event yet
+    Then a server takes its stream over before the head was passed on, and none after it
+
   Scenario: a silent server that a request was moved from is suspect until it sends data
     Given a server from which a request was moved at 10.0 s
     Then the server is suspect at 10.5 s, and not at 11.0 s
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -184,6 +184,7 @@
     except SendFailed:
         reading.outcome = "the stream fails"
     await asyncio.sleep(0)
+    assert not reading.is_silent_read, "nothing reads from a server that was left"
 
 
 @when("the stream is read, and its caller leaves after {after_ms:d} ms")
@@ -292,29 +293,47 @@
     context.servers = [server(f"s{i}", each) for i, each in enumerate(others.split(" and "))]
 
 
-def choose_replacement(silent: ServerEntry, others: list[ServerEntry]) -> ServerEntry | None:
-    """Return the server that takes over a stream that is silent since 1 s, at 2 s."""
+def choose_replacement(
+    silent: ServerEntry, others: list[ServerEntry], version: str | None, has_begun: bool = True
+) -> ServerEntry | None:
+    """Return the server that takes over a stream that is silent since 1 s, at 2 s.
+
+    :param version: the required software version; None before the first event.
+    :param has_begun: whether the caller has got the head of the response.
+    """
     pool = ServerPool(BoundSettings())
     for entry in (silent, *others):
         pool.directory.put(entry)
         pool.health(entry).record_received(0.9 if entry is silent else 1.9)
     forwarder = cast(Forwarder, IdleForwarder())
     caller = CallerRequest("id-1", "h", 30.0, None)
-    selector = ServerSelector(pool, forwarder, "zone-a", SERVICE, caller, is_resumable=True)
-    selector.software_version = silent.software_version
-    chosen = selector.choose_replacement(silent, Silence(1000.0), 2.0)
+    selector = ServerSelector(pool, forwarder, "zone-a", SERVICE, caller)
+    selector.software_version = version
+    chosen = selector.choose_replacement(silent, Silence(1000.0, has_begun=has_begun), 2.0)
     return chosen.entry if chosen else None
 
 
 @then("no server takes its stream over")
 def step_none(context: Any) -> None:
-    assert choose_replacement(context.silent, context.servers) is None
+    assert choose_replacement(context.silent, context.servers, "v1") is None
 
 
 @then("one does when a server of version {version} is heard as well")
 def step_one(context: Any, version: str) -> None:
     same = server("same", version)
-    assert choose_replacement(context.silent, [*context.servers, same]) == same
+    assert choose_replacement(context.silent, [*context.servers, same], "v1") == same
+
+
+@when("its stream has no event yet")
+def step_no_event(context: Any) -> None:
+    context.version = None
+
+
+@then("a server takes its stream over before the head was passed on, and none after it")
+def step_head(context: Any) -> None:
+    version = context.version
+    assert choose_replacement(context.silent, context.servers, version, has_begun=False)
+    assert not choose_replacement(context.silent, context.servers, version, has_begun=True)
 
 
 @given("a server from which a request was moved at {now:f} s")
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -56,11 +56,13 @@
     :ivar since_ms: when it last sent data of the request.
     :ivar is_heard: whether it has sent data of other requests since.
     :ivar is_listed: whether the server is still listed as one that takes requests.
+    :ivar has_begun: whether the caller has got the head of a response.
     """
 
     since_ms: float
     is_heard: bool = False
     is_listed: bool = True
+    has_begun: bool = False
 
     def may_be_taken_over(self, other: Liveness) -> bool:
         """Whether another server may take the request over.
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -105,11 +105,12 @@
         return MoveDecision("another server can run it", replacement, chosen.is_certain)
 
     def _silence(self, silent: ServerEntry, since_ms: float) -> Silence:
+        has_begun = self._exchange.started
         if silent.instance not in self._servers:
-            return Silence(since_ms)
+            return Silence(since_ms, has_begun=has_begun)
         pool = self._handler.pool
-        last_received_ms = pool.health(silent).last_received_at * MS_PER_SECOND
-        return Silence(since_ms, last_received_ms > since_ms, pool.accepts_requests(silent))
+        is_heard = pool.health(silent).last_received_at * MS_PER_SECOND > since_ms
+        return Silence(since_ms, is_heard, pool.accepts_requests(silent), has_begun)
 
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -65,8 +65,16 @@
     def choose_replacement(
         self, silent: ServerEntry, silence: Silence, now: float
     ) -> Replacement | None:
-        """Return the server that may take the request over from a silent one; None for none."""
-        entries = [each for each in self._eligible(now) if each.instance != silent.instance]
+        """Return the server that may take the request over from a silent one; None for none.
+
+        A response that has begun named its software version, also before its first event.
+        """
+        entries = [
+            entry
+            for entry in self._eligible(now)
+            if entry.instance != silent.instance
+            and (not silence.has_begun or entry.software_version == silent.software_version)
+        ]
         others = {entry.instance: self._liveness(entry, now) for entry in entries}
         entries = [
             entry
