Do not answer 503 for a request that ran at a server which is gone

What callers saw: a plain request that may be repeated ran at a server, the server crashed, and no server of the service was left: 503 "no server of the service is known", which promises that the request has not run.

Cause: the error was chosen without asking whether the request may have run.

Evidence: the new scenario in pool_decisions got 503 before, and gets 502 now.

--- a/features/pool_decisions.feature
+++ b/features/pool_decisions.feature
@@ -28,6 +28,11 @@
     When a request for m1 arrives
     Then the demand for m1 has a waiting request after one send
 
+  Scenario: a request that ran at a server which is gone is not told that it has not run
+    Given a service whose only server crashes with the request that it runs
+    When a request that may be repeated arrives
+    Then its refusal does not promise that it has not run
+
   Scenario: a server that sends nothing while requests are in progress is suspect
     Given a server with two requests in progress since 10.0 s
     Then it is suspect at 10.8 s, and not at 10.6 s
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -14,7 +14,7 @@
 from loomwind.metrics import Metrics
 from loomwind.platform.dialect import PlatformDialect
 from loomwind.serving.breaker import ServerHealth
-from loomwind.serving.errors import SendFailed
+from loomwind.serving.errors import Refused, SendFailed
 from loomwind.serving.forwarder import Forwarder, OpenResponse, OutgoingRequest
 from loomwind.serving.handler import RequestHandler
 from loomwind.serving.origin_log import OriginLog
@@ -76,6 +76,27 @@
         raise SendFailed("not here", may_have_run=False, missing_target=True, at_fault=False)
 
 
+class VanishingForwarder(RefusingForwarder):
+    """A forwarder whose only server runs a request, and vanishes with its answer."""
+
+    def __init__(self, pool: ServerPool) -> None:
+        super().__init__()
+        self._pool = pool
+
+    async def send(
+        self,
+        connection: ClientConnection,
+        outgoing: OutgoingRequest,
+        entry: ServerEntry,
+        now: float,
+        last_event_id: str | None,
+    ) -> OpenResponse:
+        """Fail like a server that crashes."""
+        self.sends += 1
+        self._pool.directory.remove(entry.name, now, False, now)
+        raise SendFailed("reset", may_have_run=True)
+
+
 class NoReplicatedState:
     """State of a daemon without a configuration or a server list."""
 
@@ -91,6 +112,10 @@
         """Return that the request is not banned."""
         return 0.0
 
+    def may_retry(self, caller: CallerRequest) -> bool:
+        """Return that the prompt is not suspected."""
+        return True
+
 
 class UnstartedExchange:
     """An exchange whose response has not begun."""
@@ -112,7 +137,10 @@
     )
 
 
-async def _is_waiting_after_refusal(pool: ServerPool, forwarder: RefusingForwarder) -> bool:
+def lifecycle(
+    pool: ServerPool, forwarder: object, kind: RequestKind, target: ModelKey | None, attempts: int
+) -> RequestLifecycle:
+    """Return the lifecycle of a request to servers that the forwarder stands for."""
     handler = RequestHandler(
         "zone-a",
         pool,
@@ -125,12 +153,14 @@
         cast(OriginLog, None),
     )
     parts = (WeightedService(SERVICE, 1.0),)
-    route = RouteRule("r", "h", "/", RequestKind.STREAMING, parts, 30.0, 0.6)
-    caller = CallerRequest("id-1", "h", 30.0, TARGET)
-    request = HttpRequest("POST", "/")
-    run = RequestLifecycle(
-        handler, cast(Exchange, UnstartedExchange()), request, caller, route, SERVICE
-    )
+    route = RouteRule("r", "h", "/", kind, parts, 30.0, 0.6, attempts)
+    caller = CallerRequest("id-1", "h", 30.0, target)
+    exchange = cast(Exchange, UnstartedExchange())
+    return RequestLifecycle(handler, exchange, HttpRequest("POST", "/"), caller, route, SERVICE)
+
+
+async def _is_waiting_after_refusal(pool: ServerPool, forwarder: RefusingForwarder) -> bool:
+    run = lifecycle(pool, forwarder, RequestKind.STREAMING, TARGET, 1)
     task = asyncio.ensure_future(run.serve())
     is_waiting = False
     for _ in range(MAX_POLLS):
@@ -151,6 +181,31 @@
     )
 
 
+@given("a service whose only server crashes with the request that it runs")
+def step_vanishing(context: Any) -> None:
+    context.pool_state = ServerPool(BoundSettings(retry_ratio=0.0, retry_allowance=1000.0))
+    context.pool_state.directory.put(listing_server())
+
+
+@when("a request that may be repeated arrives")
+def step_repeatable_arrives(context: Any) -> None:
+    asyncio.run(_serve_vanishing(context))
+
+
+async def _serve_vanishing(context: Any) -> None:
+    pool: ServerPool = context.pool_state
+    run = lifecycle(pool, VanishingForwarder(pool), RequestKind.IDEMPOTENT, None, 2)
+    try:
+        await run.serve()
+    except Refused as refusal:
+        context.refusal = refusal
+
+
+@then("its refusal does not promise that it has not run")
+def step_no_promise(context: Any) -> None:
+    assert context.refusal.status == 502, context.refusal.status
+
+
 @given("a server that lists m1")
 def step_lister(context: Any) -> None:
     context.residency = Residency()
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -13,7 +13,6 @@
 from loomwind.http.server import Exchange
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import (
-    RETRY_SOON_SECONDS,
     ModelUnavailable,
     OriginUnknown,
     Refused,
@@ -216,7 +215,7 @@
         entry = self._choose_within_budget()
         if target is None:
             if entry is None:
-                raise Refused(503, "no server of the service is known", RETRY_SOON_SECONDS)
+                raise self._errors.failure("no server of the service is known")
             return entry
         key = DemandKey(self._service, target)
         if self._progress.sends == 0 and self._progress.waited_seconds == 0.0:
