Return a retry to the budget when nothing was sent with it

The retry budget counts what arrives at servers. A retry was spent when an attempt failed, before a server for it was found; where none was found until the request ended, it stayed spent, and another request whose server broke off was cut for want of it.

A request now remembers the retry that it has spent and not sent, and returns it at its end. The budget takes it back by its time, so that one that left the window is not taken back twice.

--- a/features/pool_decisions.feature
+++ b/features/pool_decisions.feature
@@ -33,6 +33,11 @@
     When a request that may be repeated arrives
     Then its refusal does not promise that it has not run
 
+  Scenario: a retry for which no server is left costs nothing
+    Given a service whose only server crashes with the request that it runs
+    When a request that may be repeated arrives
+    Then the retry that was not sent is in the budget again
+
   Scenario: a server that sends nothing while requests are in progress is suspect
     Given a server with two requests in progress since 10.0 s
     Then it is suspect at 10.8 s, and not at 10.6 s
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -185,6 +185,18 @@
 def step_vanishing(context: Any) -> None:
     context.pool_state = ServerPool(BoundSettings(retry_ratio=0.0, retry_allowance=1000.0))
     context.pool_state.directory.put(listing_server())
+    context.budget_before = _room(context.pool_state)
+
+
+def _room(pool: ServerPool) -> int:
+    """Return how many retries the budget allows, and put them back."""
+    budget = pool.retry_budget(SERVICE)
+    count = 0
+    while budget.try_spend(0.0):
+        count += 1
+    for _ in range(count):
+        budget.refund(0.0)
+    return count
 
 
 @when("a request that may be repeated arrives")
@@ -206,6 +218,11 @@
     assert context.refusal.status == 502, context.refusal.status
 
 
+@then("the retry that was not sent is in the budget again")
+def step_budget_whole(context: Any) -> None:
+    assert _room(context.pool_state) == context.budget_before > 1
+
+
 @given("a server that lists m1")
 def step_lister(context: Any) -> None:
     context.residency = Residency()
--- a/loomwind/serving/budget.py
+++ b/loomwind/serving/budget.py
@@ -51,10 +51,10 @@
             self._ratio * len(self._request_times) + self._allowance
         )
 
-    def refund(self) -> None:
-        """Uncount the last retry, which was not sent."""
-        if self._retry_times:
-            self._retry_times.pop()
+    def refund(self, spent_at: float) -> None:
+        """Uncount the retry that was spent at a time, because it was not sent."""
+        if spent_at in self._retry_times:
+            self._retry_times.remove(spent_at)
 
     def _evict_expired(self, now: float) -> None:
         for times in (self._request_times, self._retry_times):
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -62,6 +62,7 @@
         entry = replacement.entry
         last_event_id = self._stream.last_event_id
         self._progress.sends += 1
+        self._retries.record_sent()
         self._progress.server = entry.instance
         self._progress.outcome_pending = True
         if last_event_id is not None:
@@ -114,7 +115,7 @@
 
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
-        self._retries.refund()
+        self._retries.refund_unsent()
         if failure is not None:
             entry = replacement.entry
             target = self._outgoing.caller.target
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -141,6 +141,7 @@
             raise
         finally:
             self._handler.timeouts.discard(timeout)
+            self._retries.refund_unsent()
 
     def _log_end(self, end: str) -> None:
         self._log.end(
@@ -361,6 +362,7 @@
 
     def _record_sent_to_peer(self) -> None:
         self._progress.sends += 1
+        self._retries.record_sent()
         self._progress.outcome_pending = True
 
     def _record_first_event(self, entry: ServerEntry) -> None:
--- a/loomwind/serving/retry_policy.py
+++ b/loomwind/serving/retry_policy.py
@@ -35,6 +35,8 @@
         self._progress = progress
         self._log = log
         self.is_unpaid = False
+        # When a retry was spent that has not been sent yet.
+        self._unsent_since: float | None = None
 
     def may_retry(self, failure: SendFailed) -> bool:
         """Whether the request may be sent again; spends a retry from the budget where one is due.
@@ -80,14 +82,23 @@
 
     def try_spend(self) -> bool:
         """Spend one retry; returns False when the budget is exhausted."""
-        allowed = self._budget.try_spend(self._handler.now())
+        now = self._handler.now()
+        allowed = self._budget.try_spend(now)
         self._handler.metrics.repeats.labels("allowed" if allowed else "over-budget").inc()
+        if allowed:
+            self._unsent_since = now
         return allowed
 
-    def refund(self) -> None:
-        """Return a retry that was spent, because nothing was sent."""
-        self._budget.refund()
-        self._handler.metrics.repeats.labels("returned").inc()
+    def record_sent(self) -> None:
+        """Record that the request is sent, with the retry that was spent for it, if any."""
+        self._unsent_since = None
+
+    def refund_unsent(self) -> None:
+        """Return a retry to the budget that was spent, if nothing was sent with it."""
+        if self._unsent_since is not None:
+            self._budget.refund(self._unsent_since)
+            self._unsent_since = None
+            self._handler.metrics.repeats.labels("returned").inc()
 
     def try_pay(self) -> bool:
         """Spend the retry that is to be charged, if any; returns False when it cannot be spent."""
