Split the HTTP server into server, connection and exchange

No change of behaviour: the listener stays in http/server.py, a connection from a client moves to http/server_connection.py, and an exchange to http/exchange.py, which names what it needs of a connection as a protocol.

configuration_effects and bad_input pass as before.

--- a/features/steps/configuration_effect_steps.py
+++ b/features/steps/configuration_effect_steps.py
@@ -7,7 +7,7 @@
 
 from features.support.fake_store import configuration_document
 from features.support.virtual_time import run_in_virtual_time
-from loomwind.http.server import ServerConnection
+from loomwind.http.server_connection import ServerConnection
 from loomwind.platform.deployment import create_pool_daemon
 from loomwind.serving.daemon import PoolDaemon
 from loomwind.serving.ports import Snapshot, StoredRow
--- /dev/null
+++ b/loomwind/http/exchange.py
@@ -0,0 +1,103 @@
+"""One request of a client, and the methods that send its response."""
+
+from typing import Protocol
+
+import h11
+from msgspec import Struct
+
+from loomwind.http.messages import Headers, HttpRequest
+
+
+class BadRequest(Struct, frozen=True):
+    """The reason why a request could not be read, and the HTTP status to respond with."""
+
+    status: int
+    title: str
+    detail: str
+
+
+class ExchangeConnection(Protocol):
+    """What an exchange needs of the connection to the client."""
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether neither side has closed the connection."""
+
+    @property
+    def closes_after_response(self) -> bool:
+        """Return whether responses tell the client that the connection closes after them."""
+
+    def send_event(self, event: h11.Event) -> None:
+        """Encode and write one h11 event."""
+
+    def write_raw(self, data: bytes) -> None:
+        """Write bytes that bypass h11."""
+
+    async def drain(self) -> None:
+        """Wait until the write buffer has room."""
+
+    def close(self) -> None:
+        """Close once written data has been sent."""
+
+
+class Exchange:
+    """One request and the methods that send its response.
+
+    ``request`` is None if it could not be read; ``bad_request`` then gives the reason.
+    ``extra_headers`` are added to every response.
+    """
+
+    def __init__(
+        self,
+        connection: ExchangeConnection,
+        request: HttpRequest | None,
+        bad_request: BadRequest | None,
+    ) -> None:
+        self._connection = connection
+        self.request = request
+        self.bad_request = bad_request
+        self.started = False
+        self.extra_headers: Headers = ()
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the client is still connected."""
+        return self._connection.is_connected
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response with a content-length header.
+
+        :raises ConnectionBroken: the client has disconnected.
+        """
+        await self.start(status, (*headers, ("content-length", str(len(body)))))
+        await self.send(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the response head; without a content-length header the body is sent chunked."""
+        self.started = True
+        headers = (*headers, *self.extra_headers)
+        if self._connection.closes_after_response:
+            headers = (*headers, ("connection", "close"))
+        raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        self._connection.send_event(h11.Response(status_code=status, headers=raw))
+        await self._connection.drain()
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body in a single write, and wait while the client reads slowly."""
+        if data:
+            self._connection.send_event(h11.Data(data=data))
+            await self._connection.drain()
+
+    async def finish(self) -> None:
+        """Send the end of the body."""
+        self._connection.send_event(h11.EndOfMessage())
+        await self._connection.drain()
+
+    def send_raw(self, data: bytes) -> None:
+        """Write bytes outside of any response; simulated servers use it to violate the protocol."""
+        self._connection.write_raw(data)
+
+    def abort(self) -> None:
+        """Close the connection early, so that the client detects an incomplete response."""
+        self._connection.close()
--- /dev/null
+++ b/loomwind/http/server_connection.py
@@ -0,0 +1,280 @@
+"""A connection from a client: reads requests one at a time and has each one handled."""
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+import h11
+from msgspec import Struct
+
+from loomwind import constants
+from loomwind.http.errors import ConnectionBroken
+from loomwind.http.exchange import BadRequest, Exchange
+from loomwind.http.messages import HttpRequest
+
+if TYPE_CHECKING:
+    from loomwind.http.server import HttpServer
+
+
+class ServerLimits(Struct, frozen=True):
+    """Limits that each connection enforces on its requests."""
+
+    max_head_bytes: int = constants.MAX_HEAD_BYTES
+    max_body_bytes: int = constants.MAX_BODY_BYTES
+    max_header_count: int = constants.MAX_HEADER_COUNT
+    head_timeout_seconds: float = constants.HEAD_TIMEOUT_SECONDS
+    body_timeout_seconds: float = constants.BODY_TIMEOUT_SECONDS
+    idle_timeout_seconds: float = constants.IDLE_TIMEOUT_SECONDS
+
+
+class ConnectionState(enum.Enum):
+    """State of a server connection."""
+
+    IDLE = enum.auto()
+    READING_HEAD = enum.auto()
+    READING_BODY = enum.auto()
+    HANDLING = enum.auto()
+    CLOSED = enum.auto()
+
+
+class ServerConnection(asyncio.Protocol):
+    """A connection from a client."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.max_head_bytes
+        )
+        self._transport: asyncio.Transport | None = None
+        self._state = ConnectionState.IDLE
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
+        self._writable = asyncio.Event()
+        self._writable.set()
+
+    @property
+    def closes_after_response(self) -> bool:
+        """Return whether responses tell the client that the connection closes after them."""
+        return self._server.closing or self._server.draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or handled."""
+        return self._state is ConnectionState.IDLE
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether neither side has closed the connection."""
+        return self._state is not ConnectionState.CLOSED
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection and start the idle timer."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._idle_since = self._now()
+        self._start_timer(self._server.limits.idle_timeout_seconds)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the handler, since nobody can receive its response."""
+        self._state = ConnectionState.CLOSED
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Treat a half-close by the client as a disconnect, as most servers do."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Block the handler's writes while the client reads slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Unblock the handler's writes."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed h11, and call the handler once a request is complete."""
+        if self._state is ConnectionState.IDLE:
+            self._state = ConnectionState.READING_HEAD
+            self._start_timer(self._server.limits.head_timeout_seconds)
+        self._h11.receive_data(data)
+        if self._state is not ConnectionState.HANDLING:
+            self._read_events()
+
+    def _read_events(self) -> None:
+        try:
+            while self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
+                event = self._h11.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._on_event(event)
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            self._reject(BadRequest(status, "malformed-request", str(error)))
+
+    def _on_event(self, event: object) -> None:
+        if isinstance(event, h11.Request):
+            self._on_head(event)
+        elif isinstance(event, h11.Data):
+            self._on_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_end()
+
+    def _on_head(self, head: h11.Request) -> None:
+        limits = self._server.limits
+        names = [name for name, _ in head.headers]
+        head_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+        if head_bytes > limits.max_head_bytes:
+            detail = f"the head is larger than {limits.max_head_bytes} bytes"
+            self._reject(BadRequest(431, "head-too-large", detail))
+            return
+        if len(names) > limits.max_header_count:
+            detail = f"more than {limits.max_header_count} header fields"
+            self._reject(BadRequest(431, "too-many-headers", detail))
+            return
+        if b"transfer-encoding" in names and b"content-length" in names:
+            detail = "both transfer-encoding and content-length are given"
+            self._reject(BadRequest(400, "ambiguous-length", detail))
+            return
+        content_length = next((v for n, v in head.headers if n == b"content-length"), b"0")
+        if int(content_length) > limits.max_body_bytes:
+            self._reject_large_body()
+            return
+        self._head = head
+        self._body = bytearray()
+        self._state = ConnectionState.READING_BODY
+        self._start_timer(limits.body_timeout_seconds)
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _on_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._server.limits.max_body_bytes:
+            self._reject_large_body()
+
+    def _reject_large_body(self) -> None:
+        detail = f"the body is larger than {self._server.limits.max_body_bytes} bytes"
+        self._reject(BadRequest(413, "body-too-large", detail))
+
+    def _on_end(self) -> None:
+        head = self._head
+        assert head is not None
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
+        )
+        target = head.target.decode("latin-1")
+        request = HttpRequest(head.method.decode("latin-1"), target, headers, bytes(self._body))
+        self._handle(Exchange(self, request, None))
+
+    def _reject(self, bad_request: BadRequest) -> None:
+        self._handle(Exchange(self, None, bad_request), close=True)
+
+    def _handle(self, exchange: Exchange, close: bool = False) -> None:
+        self._state = ConnectionState.HANDLING
+        self._cancel_timer()
+        self._task = asyncio.get_running_loop().create_task(self._run(exchange, close))
+
+    async def _run(self, exchange: Exchange, close: bool) -> None:
+        try:
+            await self._server.handler(exchange)
+        except ConnectionBroken:
+            close = True
+        finally:
+            self._task = None
+            self._finish_exchange(close)
+
+    def _finish_exchange(self, close: bool) -> None:
+        if self._state is ConnectionState.CLOSED:
+            return
+        reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if close or not reusable or self._server.closing:
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._idle_since = self._now()
+        has_pipelined_data = bool(self._h11.trailing_data[0])
+        self._state = ConnectionState.READING_HEAD if has_pipelined_data else ConnectionState.IDLE
+        limits = self._server.limits
+        self._start_timer(
+            limits.head_timeout_seconds if has_pipelined_data else limits.idle_timeout_seconds
+        )
+        if has_pipelined_data:
+            self._read_events()
+
+    def send_event(self, event: h11.Event) -> None:
+        """Encode and write one h11 event.
+
+        :raises ConnectionBroken: the client has disconnected, or h11 rejects the event in its
+            current state.
+        """
+        if self._transport is None or self._state is ConnectionState.CLOSED:
+            raise ConnectionBroken("the client has disconnected")
+        try:
+            data = self._h11.send(event)
+        except h11.LocalProtocolError as error:
+            raise ConnectionBroken(str(error)) from error
+        if data:
+            self._transport.write(data)
+
+    def write_raw(self, data: bytes) -> None:
+        """Write bytes that bypass h11."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the write buffer has room.
+
+        :raises ConnectionBroken: the client has disconnected meanwhile.
+        """
+        if not self._writable.is_set():
+            await self._writable.wait()
+        if self._state is ConnectionState.CLOSED:
+            raise ConnectionBroken("the client has disconnected")
+
+    def abort(self) -> None:
+        """Close immediately; written data may be lost."""
+        self._cancel_timer()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close once written data has been sent."""
+        self._cancel_timer()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _start_timer(self, seconds: float) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timeout)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timeout(self) -> None:
+        if self._state is ConnectionState.IDLE:
+            self._on_idle_timeout()
+        elif self._state is not ConnectionState.HANDLING:
+            self._reject(BadRequest(408, "request-too-slow", "the request did not arrive in time"))
+
+    def _on_idle_timeout(self) -> None:
+        """Close, unless the idle timeout has been raised since the timer was started."""
+        remaining_seconds = (
+            self._idle_since + self._server.limits.idle_timeout_seconds - self._now()
+        )
+        if remaining_seconds > 0:
+            self._start_timer(remaining_seconds)
+        else:
+            self.close()
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
