Give a client's lost connection an error of its own

Callers: none of them saw this directly, but the log named the wrong cause. A connection to a server or a peer that broke where nothing expected it was logged as caller-left, counted as cancelled, and its caller's connection was closed, although the caller was still there.

Cause: ConnectionBroken named both a client's connection and one to a server, so the serving of requests couldn't tell them apart.

Change: errors of responses to clients are ResponseError, with ClientDisconnected and UnsendableResponse; errors of exchanges with servers stay HttpError. Neither is the other, so that the mistake cannot be written. What h11 refuses to send is UnsendableResponse and no longer a lost connection.

--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -9,7 +9,7 @@
 
 
 class HttpError(LoomwindError):
-    """Base class of all errors of the HTTP layer."""
+    """Base class of the errors of exchanges with servers."""
 
 
 class ConnectFailed(HttpError):
@@ -36,8 +36,23 @@
     """The peer did not respond in time after data was sent."""
 
 
+class ResponseError(LoomwindError):
+    """Base class of the errors of responding to a client.
+
+    They are no :class:`HttpError`: a lost connection to a server says nothing about the client.
+    """
+
+
+class ClientDisconnected(ResponseError):
+    """The client has closed its connection before its response was complete."""
+
+
+class UnsendableResponse(ResponseError):
+    """HTTP does not allow the response, or this part of it, to be sent."""
+
+
 @contextmanager
-def map_exceptions(mapping: dict[type[Exception], type[HttpError]]) -> Iterator[None]:
+def map_exceptions(mapping: dict[type[Exception], type[LoomwindError]]) -> Iterator[None]:
     """Translate errors of a lower layer into errors of this one.
 
     :param mapping: from lower-layer errors to this layer's; the first match in order applies.
@@ -51,12 +66,16 @@
         raise
 
 
-CONNECT_EXCEPTIONS: dict[type[Exception], type[HttpError]] = {
+CONNECT_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
     ConnectionRefusedError: ConnectRefused,
     TimeoutError: ConnectFailed,
     OSError: ConnectFailed,
 }
-PROTOCOL_EXCEPTIONS: dict[type[Exception], type[HttpError]] = {
+PROTOCOL_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
     h11.RemoteProtocolError: ConnectionBroken,
     h11.LocalProtocolError: ConnectionBroken,
 }
+RESPONSE_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
+    h11.LocalProtocolError: UnsendableResponse,
+    UnicodeEncodeError: UnsendableResponse,
+}
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -67,7 +67,7 @@
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response with a content-length header.
 
-        :raises ConnectionBroken: the client has disconnected.
+        :raises ClientDisconnected: the client has disconnected.
         """
         await self.start(status, (*headers, ("content-length", str(len(body)))))
         await self.send(body)
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from loomwind import constants
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import RESPONSE_EXCEPTIONS, ClientDisconnected, map_exceptions
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import HttpRequest
 
@@ -184,7 +184,7 @@
     async def _run(self, exchange: Exchange, close: bool) -> None:
         try:
             await self._server.handler(exchange)
-        except ConnectionBroken:
+        except ClientDisconnected:
             close = True
         finally:
             self._task = None
@@ -211,15 +211,13 @@
     def send_event(self, event: h11.Event) -> None:
         """Encode and write one h11 event.
 
-        :raises ConnectionBroken: the client has disconnected, or h11 rejects the event in its
-            current state.
+        :raises ClientDisconnected: the client has disconnected.
+        :raises UnsendableResponse: h11 rejects the event in its current state.
         """
         if self._transport is None or self._state is ConnectionState.CLOSED:
-            raise ConnectionBroken("the client has disconnected")
-        try:
+            raise ClientDisconnected("the client has disconnected")
+        with map_exceptions(RESPONSE_EXCEPTIONS):
             data = self._h11.send(event)
-        except h11.LocalProtocolError as error:
-            raise ConnectionBroken(str(error)) from error
         if data:
             self._transport.write(data)
 
@@ -231,12 +229,12 @@
     async def drain(self) -> None:
         """Wait until the write buffer has room.
 
-        :raises ConnectionBroken: the client has disconnected meanwhile.
+        :raises ClientDisconnected: the client has disconnected meanwhile.
         """
         if not self._writable.is_set():
             await self._writable.wait()
         if self._state is ConnectionState.CLOSED:
-            raise ConnectionBroken("the client has disconnected")
+            raise ClientDisconnected("the client has disconnected")
 
     def abort(self) -> None:
         """Close immediately; written data may be lost."""
--- a/loomwind/pipeline/handler.py
+++ b/loomwind/pipeline/handler.py
@@ -9,7 +9,7 @@
 from loomwind.catalog.model import Catalog
 from loomwind.control.claim_service import ClaimHandle, ClaimService
 from loomwind.control.errors import ClaimBarrier, ClaimTaken, ClaimUnavailable
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected
 from loomwind.http.server import Exchange
 from loomwind.logs import log_state
 from loomwind.metrics import Metrics
@@ -106,7 +106,7 @@
         except RequestRefused as refusal:
             self._count_refusal(refusal)
             await self._refuse(exchange, refusal, request_id)
-        except (ConnectionBroken, asyncio.CancelledError):
+        except (ClientDisconnected, asyncio.CancelledError):
             self._metrics.cancelled.inc()
             raise
         except Exception as error:
--- a/loomwind/pipeline/relay.py
+++ b/loomwind/pipeline/relay.py
@@ -12,7 +12,7 @@
 
 from loomwind import constants
 from loomwind.http.client import HttpClient
-from loomwind.http.errors import ConnectionBroken, HttpError
+from loomwind.http.errors import ClientDisconnected, HttpError
 from loomwind.http.event_stream import StreamTail
 from loomwind.http.messages import Headers
 from loomwind.http.server import Exchange
@@ -113,7 +113,7 @@
         :param prefix: the part of the body that was read already.
         :raises RequestRefused: the stream broke and could not be resumed. If the response had
             started, an error event was sent and the exchange was aborted.
-        :raises ConnectionBroken: the caller disconnected.
+        :raises ClientDisconnected: the caller disconnected.
         """
         progress = RelayProgress()
         resumes = 0
@@ -200,7 +200,7 @@
         body = self._refusal(error).body(request_id)
         try:
             await exchange.send(b"\n\nevent: error\ndata: " + body + b"\n\n")
-        except ConnectionBroken:
+        except ClientDisconnected:
             return
         finally:
             exchange.abort()
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -9,7 +9,7 @@
 import sys
 
 from loomwind.clock import MS_PER_SECOND
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected
 from loomwind.http.messages import Headers, HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
@@ -146,7 +146,7 @@
             log_decision("cut", caller.request_id, reason=str(error))
             self.metrics.refused.labels("answer-cut-short", "partial").inc()
             exchange.abort()
-        except (ConnectionBroken, asyncio.CancelledError):
+        except (ClientDisconnected, asyncio.CancelledError):
             self.metrics.cancelled.inc()
             raise
         except Exception as error:
--- a/loomwind/serving/relay_service.py
+++ b/loomwind/serving/relay_service.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from loomwind import constants
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
@@ -81,7 +81,7 @@
             outcome = "cut"
             log_decision("cut", caller.request_id, reason=str(cut))
             exchange.abort()
-        except (ConnectionBroken, asyncio.CancelledError):
+        except (ClientDisconnected, asyncio.CancelledError):
             outcome = "cancelled"
             raise
         except Exception as error:
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from loomwind.clock import MS_PER_SECOND
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
@@ -129,7 +129,7 @@
         except (Refused, StreamTruncated):
             self._log_end("given-up")
             raise
-        except (ConnectionBroken, asyncio.CancelledError):
+        except (ClientDisconnected, asyncio.CancelledError):
             self._log_end("caller-left")
             raise
         finally:
