Leave out the bodies of responses that HTTP ends with their head

Callers: a 204 or 304 with a body came as a head with content-length: 4 and without body, then the connection was closed; a refused HEAD request lost its connection, and with it the next request on it.

Cause: the body was announced and then refused by h11, after the head had been sent.

Change: an exchange knows its method; nothing is sent after the head of a 204, a 304 or a response to HEAD, and the first two announce no length (RFC 9110, section 8.6).

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -317,3 +317,41 @@
         if is_relayed:
             return await ask_server(relay.handle, data)
         return await exchange_bytes(site.daemon.callers.port, data)
+
+
+# Responses without a body.
+
+
+@given("an HTTP server that responds to everything with {status:d} and 4 bytes")
+def step_fixed_response(context: Any, status: int) -> None:
+    async def handle(exchange: Exchange) -> None:
+        bad_request = exchange.bad_request
+        await exchange.respond(bad_request.status if bad_request else status, (), b"body")
+
+    context.handler = handle
+
+
+@when("a client sends it {method:w} twice on one connection")
+def step_send_twice(context: Any, method: str) -> None:
+    first = f"{method} / HTTP/1.1\r\nhost: {HOST}\r\n\r\n".encode()
+    received = asyncio.run(ask_server(context.handler, first + whole_request("/", method)))
+    context.replies = parse_replies(received, [method, method])
+
+
+@when("a client sends it a HEAD request that announces a body over the limit")
+def step_send_large_head_request(context: Any) -> None:
+    data = f"HEAD / HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {1 << 30}\r\n\r\n".encode()
+    context.replies = parse_replies(asyncio.run(ask_server(context.handler, data)), ["HEAD"])
+
+
+@then("the client gets {count:d} whole responses with status {status:d} and no body")
+def step_bodiless(context: Any, count: int, status: int) -> None:
+    got = [(reply.status, reply.is_complete, reply.body) for reply in context.replies]
+    assert got == [(status, True, b"")] * count, context.replies
+
+
+@then("they announce {length}")
+def step_length(context: Any, length: str) -> None:
+    expected = None if length == "no length" else length.removeprefix("length ")
+    lengths = {reply.headers.get("content-length") for reply in context.replies}
+    assert lengths == {expected}, context.replies
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -53,3 +53,22 @@
       | connection to servers      | 500    |
       | wait for a server          | 500    |
       | passing on of responses    | 502    |
+
+  Scenario Outline: a <status> response to <method> whose handler adds a body is whole, without it
+    Given an HTTP server that responds to everything with <status> and 4 bytes
+    When a client sends it <method> twice on one connection
+    Then the client gets 2 whole responses with status <status> and no body
+    And they announce <length>
+
+    Examples:
+      | status | method | length       |
+      | 204    | GET    | no length    |
+      | 304    | GET    | no length    |
+      | 204    | HEAD   | no length    |
+      | 200    | HEAD   | length 4     |
+      | 503    | HEAD   | length 4     |
+
+  Scenario: a HEAD request that is too large gets a whole refusal
+    Given an HTTP server that responds to everything with 200 and 4 bytes
+    When a client sends it a HEAD request that announces a body over the limit
+    Then the client gets 1 whole responses with status 413 and no body
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -8,6 +8,9 @@
 from loomwind.http.errors import RESPONSE_EXCEPTIONS, map_exceptions
 from loomwind.http.messages import Headers, HttpRequest
 
+# Responses that end with their head (RFC 9112, section 6.3), as do those to HEAD.
+BODILESS_STATUSES = frozenset({204, 304})
+
 
 class BadRequest(Struct, frozen=True):
     """The reason why a request could not be read, and the HTTP status to respond with."""
@@ -54,8 +57,15 @@
         connection: ExchangeConnection,
         request: HttpRequest | None,
         bad_request: BadRequest | None,
+        method: str,
     ) -> None:
+        """Create an exchange.
+
+        :param method: the method of the request, also if the rest could not be read.
+        """
         self._connection = connection
+        self._method = method
+        self._allows_body = True
         self.request = request
         self.bad_request = bad_request
         self.started = False
@@ -67,11 +77,14 @@
         return self._connection.is_connected
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with a content-length header.
+        """Send a complete response, whose body is left out where HTTP allows none.
 
         :raises ClientDisconnected: the client has disconnected.
+        :raises UnsendableResponse: the head is invalid; nothing was sent, so another may follow.
         """
-        await self.start(status, (*headers, ("content-length", str(len(body)))))
+        if status not in BODILESS_STATUSES:
+            headers = (*headers, ("content-length", str(len(body))))
+        await self.start(status, headers)
         await self.send(body)
         await self.finish()
 
@@ -89,11 +102,15 @@
             head = h11.Response(status_code=status, headers=raw)
         self._connection.send_event(head)
         self.started = True
+        self._allows_body = status not in BODILESS_STATUSES and self._method != "HEAD"
         await self._connection.drain()
 
     async def send(self, data: bytes) -> None:
-        """Send a part of the body in a single write, and wait while the client reads slowly."""
-        if data:
+        """Send a part of the body in a single write, and wait while the client reads slowly.
+
+        Nothing is sent where HTTP allows no body.
+        """
+        if data and self._allows_body:
             self._connection.send_event(h11.Data(data=data))
             await self._connection.drain()
 
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -135,6 +135,7 @@
             self._on_end()
 
     def _on_head(self, head: h11.Request) -> None:
+        self._head = head
         limits = self._server.limits
         names = [name for name, _ in head.headers]
         head_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
@@ -154,7 +155,6 @@
         if int(content_length) > limits.max_body_bytes:
             self._reject_large_body()
             return
-        self._head = head
         self._body = bytearray()
         self._state = ConnectionState.READING_BODY
         self._start_timer(limits.body_timeout_seconds)
@@ -178,10 +178,11 @@
         )
         target = head.target.decode("latin-1")
         request = HttpRequest(head.method.decode("latin-1"), target, headers, bytes(self._body))
-        self._handle(Exchange(self, request, None))
+        self._handle(Exchange(self, request, None, request.method))
 
     def _reject(self, bad_request: BadRequest) -> None:
-        self._handle(Exchange(self, None, bad_request), close=True)
+        method = self._head.method.decode("latin-1") if self._head is not None else ""
+        self._handle(Exchange(self, None, bad_request, method), close=True)
 
     def _handle(self, exchange: Exchange, close: bool = False) -> None:
         self._state = ConnectionState.HANDLING
@@ -229,6 +230,7 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        self._head = None
         self._idle_since = self._now()
         has_pipelined_data = bool(self._h11.trailing_data[0])
         self._state = ConnectionState.READING_HEAD if has_pipelined_data else ConnectionState.IDLE
