Respond to a client that closes its sending side

Callers: one that closes its sending side after its request, and reads on, got neither an answer nor a refusal.

Cause: the end of a client's data closed the connection at once.

Decision: until something is written, a half-closed connection can't be told from one whose client has left, and back ends must not go on working for those. The request is still cancelled at once; if its response has not begun, it gets 500, which promises nothing. docs/DESIGN.md says what else was weighed.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -55,12 +55,12 @@
     await exchange.respond(200, headers, b"served")
 
 
-async def ask_server(handler: Handler, data: bytes) -> bytes:
+async def ask_server(handler: Handler, data: bytes, half_close: bool = False) -> bytes:
     """Return what a client receives from an HTTP server with this handler."""
     server = HttpServer(handler)
     await server.start(LOCALHOST, 0)
     try:
-        return await exchange_bytes(server.port, data)
+        return await exchange_bytes(server.port, data, half_close)
     finally:
         server.close()
 
@@ -355,3 +355,64 @@
     expected = None if length == "no length" else length.removeprefix("length ")
     lengths = {reply.headers.get("content-length") for reply in context.replies}
     assert lengths == {expected}, context.replies
+
+
+# Clients that close their sending side.
+
+
+class EndlessWork:
+    """The handler of a server that works until it is cancelled."""
+
+    def __init__(self) -> None:
+        self.began = asyncio.Event()
+        self.cancelled = asyncio.Event()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Work without end."""
+        self.began.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled.set()
+
+
+@when("a client sends it a whole request and closes its sending side")
+def step_half_close(context: Any) -> None:
+    data = whole_request("/")
+    received = asyncio.run(ask_server(context.handler, data, half_close=True))
+    context.lines = []
+    context.reply = parse_replies(received, ["POST"])[0]
+
+
+@given("a daemon whose server works without end")
+def step_endless(context: Any) -> None:
+    context.cause = "caller-left"
+
+
+@when("a caller sends a plain request on {name:w} and closes its {side}")
+def step_send_and_close(context: Any, name: str, side: str) -> None:
+    data = whole_request(f"/{name}/item")
+    context.work = EndlessWork()
+    with captured_log() as context.lines:
+        received = asyncio.run(_ask_and_close(context.work, data, side == "sending side"))
+    context.reply = parse_replies(received, ["POST"])[0]
+
+
+async def _ask_and_close(work: EndlessWork, data: bytes, is_half_closed: bool) -> bytes:
+    """Close a connection, or its sending side, once a server works on its request."""
+    async with running_daemon(work.handle) as site:
+        reader, writer = await asyncio.open_connection(LOCALHOST, site.daemon.callers.port)
+        writer.write(data)
+        await work.began.wait()
+        received = b""
+        if is_half_closed:
+            writer.write_eof()
+            received = await reader.read()
+        writer.close()
+        await work.cancelled.wait()
+    return received
+
+
+@then("the work of the server was cancelled")
+def step_cancelled(context: Any) -> None:
+    assert context.work.cancelled.is_set()
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -72,3 +72,21 @@
     Given an HTTP server that responds to everything with 200 and 4 bytes
     When a client sends it a HEAD request that announces a body over the limit
     Then the client gets 1 whole responses with status 413 and no body
+
+  Scenario: a client that closes its sending side gets a response that is ready
+    Given an HTTP server that responds to everything with 200 and 4 bytes
+    When a client sends it a whole request and closes its sending side
+    Then the client gets a whole response with status 200
+
+  Scenario: a caller that closes its sending side gets a response, and no server goes on
+    Given a daemon whose server works without end
+    When a caller sends a plain request on look and closes its sending side
+    Then the client gets a whole response with status 500
+    And the work of the server was cancelled
+    And exactly one line of its log has the cause
+
+  Scenario: a caller that leaves while its request is being served is noticed at once
+    Given a daemon whose server works without end
+    When a caller sends a plain request on look and closes its connection
+    Then the work of the server was cancelled
+    And exactly one line of its log has the cause
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -25,7 +25,7 @@
 
     @property
     def is_connected(self) -> bool:
-        """Return whether neither side has closed the connection."""
+        """Return whether the client has closed neither the connection nor its sending side."""
 
     @property
     def closes_after_response(self) -> bool:
@@ -73,7 +73,7 @@
 
     @property
     def is_connected(self) -> bool:
-        """Return whether the client is still connected."""
+        """Return whether the client is still connected, and may send more."""
         return self._connection.is_connected
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -59,13 +59,14 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
+        self._has_client_closed = False
         self._writable = asyncio.Event()
         self._writable.set()
 
     @property
     def closes_after_response(self) -> bool:
         """Return whether responses tell the client that the connection closes after them."""
-        return self._server.closing or self._server.draining
+        return self._server.closing or self._server.draining or self._has_client_closed
 
     @property
     def is_idle(self) -> bool:
@@ -74,8 +75,8 @@
 
     @property
     def is_connected(self) -> bool:
-        """Return whether neither side has closed the connection."""
-        return self._state is not ConnectionState.CLOSED
+        """Return whether the client has closed neither the connection nor its sending side."""
+        return self._state is not ConnectionState.CLOSED and not self._has_client_closed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timer."""
@@ -95,8 +96,18 @@
             self._task.cancel()
 
     def eof_received(self) -> bool:
-        """Treat a half-close by the client as a disconnect, as most servers do."""
-        return False
+        """Cancel the handler; keep the connection open for the final response, if one is due.
+
+        A client that has left and one that has only closed its sending side look the same until
+        something is written. Back ends must not go on working for the former, so the request is
+        cancelled; the latter still gets a response.
+        """
+        if self._task is None:
+            return False
+        self._has_client_closed = True
+        # The handler's task takes its first step before it is cancelled.
+        asyncio.get_running_loop().call_soon(self._task.cancel)
+        return True
 
     def pause_writing(self) -> None:
         """Block the handler's writes while the client reads slowly."""
@@ -207,14 +218,15 @@
 
         The connection of one that has left its response incomplete is closed afterwards.
         """
-        is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
         if self._is_closing or isinstance(error, ClientDisconnected):
             return
-        if error is not None or not is_complete:
+        is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if not self._has_client_closed and (error is not None or not is_complete):
             log_state("http", "handler-failed", error=repr(error), started=exchange.started)
         if not exchange.started:
+            reason = b"cancelled: client closed" if self._has_client_closed else b"internal error"
             with contextlib.suppress(ResponseError):
-                await exchange.respond(500, (), b"internal error")
+                await exchange.respond(500, (), reason)
 
     @property
     def _is_closing(self) -> bool:
@@ -226,7 +238,7 @@
         if self._is_closing:
             return
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if close or not reusable or self._server.closing:
+        if close or not reusable or self._has_client_closed or self._server.closing:
             self.close()
             return
         self._h11.start_next_cycle()
