Accept odd numbers in headers

Callers: a request whose X-Prompt-Prefix had a superscript two, or a count of 5,000 digits, was read and got nothing; so did one whose server sent such a number in Keep-Alive, after it had run.

Cause: str.isdigit() holds for digits that int() and float() refuse, and int() refuses more than 4,300 digits; the ValueError was expected by no layer.

Change: counts are ASCII digits below 2 to the 53; other parts are skipped and other counts 0, as malformed ones were. A deadline that is no finite number counts as missing.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -284,11 +284,13 @@
 
 @given("a daemon whose connections to servers break with an error that nothing expects")
 def step_breaking(context: Any) -> None:
+    step_well(context)
     context.failing_step = "connection to servers"
 
 
 @given("a daemon whose {step} fails with an error that nothing expects")
 def step_failing(context: Any, step: str) -> None:
+    step_well(context)
     context.failing_step = step
 
 
@@ -305,15 +307,16 @@
 
 def _ask_daemon(context: Any, data: bytes, is_relayed: bool) -> None:
     with captured_log() as context.lines:
-        received = asyncio.run(_exchange_with_daemon(context.failing_step, data, is_relayed))
+        received = asyncio.run(_exchange_with_daemon(context, data, is_relayed))
     context.reply = parse_replies(received, ["POST"])[0]
 
 
-async def _exchange_with_daemon(failing_step: str, data: bytes, is_relayed: bool) -> bytes:
-    async with running_daemon(serve_well) as site:
+async def _exchange_with_daemon(context: Any, data: bytes, is_relayed: bool) -> bytes:
+    async with running_daemon(context.serve, *context.server) as site:
         handler = request_handler(site.daemon)
         relay = RelayService(handler)
-        _break_step(handler, failing_step)
+        if hasattr(context, "failing_step"):
+            _break_step(handler, context.failing_step)
         if is_relayed:
             return await ask_server(relay.handle, data)
         return await exchange_bytes(site.daemon.callers.port, data)
@@ -416,3 +419,60 @@
 @then("the work of the server was cancelled")
 def step_cancelled(context: Any) -> None:
     assert context.work.cancelled.is_set()
+
+
+# Odd values in headers, and servers that nothing can be sent to.
+
+ODD_SERVERS = {
+    "name has a line break": ("i-1\nx-other: 1", LOCALHOST),
+    "name is not in Latin letters": ("\u0441\u0435\u0440\u0432\u0435\u0440", LOCALHOST),
+    "address has an empty label": ("i-1", "a..b"),
+}
+
+
+HEADER_VALUES = {
+    "x-prompt-prefix": "a:{0}",
+    "x-token-usage": "{0},{0}",
+    "x-deadline-ms": "{0}",
+    "keep-alive": "timeout={0}",
+}
+
+
+def odd_value(header: str, value: str) -> str:
+    """Return a header value of a scenario."""
+    if value.endswith(" digits"):
+        value = "9" * int(value.removesuffix(" digits"))
+    return HEADER_VALUES[header].format(value)
+
+
+@given("a daemon and a server that responds well")
+def step_well(context: Any) -> None:
+    context.serve = serve_well
+    context.server = ("i-1", LOCALHOST)
+
+
+@given("a daemon and a server that responds with keep-alive of {value}")
+def step_keep_alive(context: Any, value: str) -> None:
+    async def serve(exchange: Exchange) -> None:
+        exchange.extra_headers = (("keep-alive", odd_value("keep-alive", value)),)
+        await serve_well(exchange)
+
+    step_well(context)
+    context.serve = serve
+
+
+@given("a daemon and a server whose {odd_property}")
+def step_odd_server(context: Any, odd_property: str) -> None:
+    step_well(context)
+    context.server = ODD_SERVERS[odd_property]
+
+
+@when("a caller sends a plain request on {name:w} with {header} of {value}")
+def step_send_odd(context: Any, name: str, header: str, value: str) -> None:
+    data = whole_request(f"/{name}/item", headers=f"{header}: {odd_value(header, value)}\r\n")
+    _ask_daemon(context, data, is_relayed=False)
+
+
+@then("it is told when to come back")
+def step_retry_after(context: Any) -> None:
+    assert float(context.reply.headers["retry-after"]) > 0
--- a/features/support/local_daemon.py
+++ b/features/support/local_daemon.py
@@ -61,9 +61,10 @@
     daemon.replicated_state.on_configuration_rows(Snapshot((row,), row_version), False)
 
 
-def apply_server(daemon: PoolDaemon, port: int, name: str = "i-1", version: int = 1) -> None:
+def apply_server(daemon: PoolDaemon, port: int, name: str = "i-1", host: str = LOCALHOST) -> None:
     """Have a daemon list a server."""
-    entry = {"service": SERVICE, "address": f"{LOCALHOST}:{port}", "zone": "z", "state": "ready"}
+    entry = {"service": SERVICE, "address": f"{host}:{port}", "zone": "z", "state": "ready"}
+    version = daemon.replicated_state.server_version + 1
     row = StoredRow(name, version, json.dumps(entry).encode())
     daemon.replicated_state.on_server_rows(Snapshot((row,), version), False)
 
@@ -82,13 +83,19 @@
 
 
 @asynccontextmanager
-async def running_daemon(serve: Handler, server_name: str = "i-1") -> AsyncIterator[LocalSite]:
-    """Run a daemon's listener for callers, and a server with this handler."""
+async def running_daemon(
+    serve: Handler, name: str = "i-1", host: str = LOCALHOST
+) -> AsyncIterator[LocalSite]:
+    """Run a daemon's listener for callers, and a server with this handler.
+
+    :param name: name of the server in its entry.
+    :param host: its host in its entry.
+    """
     server, daemon = HttpServer(serve), create_daemon()
     await server.start(LOCALHOST, 0)
     await daemon.callers.start(LOCALHOST, 0)
     apply_configuration(daemon, configuration(1, {"look": SERVICE, "book": SERVICE}))
-    apply_server(daemon, server.port, server_name)
+    apply_server(daemon, server.port, name, host)
     try:
         yield LocalSite(daemon, server)
     finally:
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -90,3 +90,31 @@
     When a caller sends a plain request on look and closes its connection
     Then the work of the server was cancelled
     And exactly one line of its log has the cause
+
+  Scenario Outline: a request with the odd value <value> in <header> is served
+    Given a daemon and a server that responds well
+    When a caller sends a plain request on look with <header> of <value>
+    Then the client gets a whole response with status 200
+
+    Examples:
+      | header            | value       |
+      | x-prompt-prefix   | ²           |
+      | x-prompt-prefix   | 5000 digits |
+      | x-prompt-prefix   | 400 digits  |
+      | x-token-usage     | ²           |
+      | x-token-usage     | 5000 digits |
+      | x-token-usage     | 400 digits  |
+      | x-deadline-ms     | ²           |
+      | x-deadline-ms     | nan         |
+      | x-deadline-ms     | inf         |
+      | x-deadline-ms     | 5000 digits |
+
+  Scenario Outline: the odd value <value> in keep-alive does not lose the response of a server
+    Given a daemon and a server that responds with keep-alive of <value>
+    When a caller sends a plain request on look
+    Then the client gets a whole response with status 200
+
+    Examples:
+      | value       |
+      | ²           |
+      | 5000 digits |
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -31,7 +31,7 @@
     """Return the ``timeout`` of a response's ``Keep-Alive`` header, or None."""
     for item in (head.header("keep-alive") or "").split(","):
         text = item.strip().removeprefix(KEEP_ALIVE_TIMEOUT_PREFIX)
-        if text.isdigit():
+        if text.isascii() and text.isdigit():
             return float(text)
     return None
 
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -1,5 +1,7 @@
 """Implements :class:`loomwind.serving.ports.Dialect` with the platform's header fields."""
 
+import math
+
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse, end_to_end_headers
 from loomwind.serving.ports import Dialect, ResponseCheck
 from loomwind.serving.views import CallerRequest, ModelKey, PromptPart
@@ -28,6 +30,8 @@
 PRIORITY = "x-request-priority"
 MISDIRECTED_STATUS = 421
 MAX_PRIORITY_VALUE = 9
+# Counts stay below 2 to the 53, so that all arithmetic on them is exact.
+MAX_COUNT_DIGITS = 15
 
 # Headers that the daemon sets on requests to servers instead of forwarding the caller's.
 DAEMON_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE, PRIORITY, LAST_EVENT_ID})
@@ -121,18 +125,24 @@
 def _parse_deadline_seconds(text: str | None) -> float | None:
     """Return the time until the deadline; None when the header is missing or malformed."""
     try:
-        return None if text is None else float(text) / 1000
+        seconds = None if text is None else float(text) / 1000
     except ValueError:
         return None
+    return seconds if seconds is None or math.isfinite(seconds) else None
 
 
 def _parse_token_usage(text: str | None) -> tuple[int, int]:
     """Return the prompt tokens and the maximum of new tokens; zeros when malformed."""
     prompt_tokens, _, max_new_tokens = (text or "").partition(",")
-    try:
-        return int(prompt_tokens or 0), int(max_new_tokens or 0)
-    except ValueError:
-        return 0, 0
+    counts = _parse_count(prompt_tokens or "0"), _parse_count(max_new_tokens or "0")
+    return (counts[0] or 0, counts[1] or 0) if None not in counts else (0, 0)
+
+
+def _parse_count(text: str) -> int | None:
+    """Return a count; None when it is malformed or too large for any use."""
+    digits = text.strip()
+    is_valid = digits.isascii() and digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS
+    return int(digits) if is_valid else None
 
 
 def _parse_target(text: str) -> ModelKey:
@@ -145,6 +155,7 @@
     parts = []
     for item in text.split(","):
         identity, _, tokens = item.strip().partition(":")
-        if identity and tokens.isdigit():
-            parts.append(PromptPart(identity, int(tokens)))
+        count = _parse_count(tokens)
+        if identity and count is not None:
+            parts.append(PromptPart(identity, count))
     return tuple(parts)
