Refuse a request that cannot be sent to a server as not run

Cause: the head of the request to the server was built outside of the mapping of errors, and an address whose host has an empty label fails with an error of its encoding, not of a socket.

Change: UnsendableRequest says that nothing was sent, so the connection stays usable and the request may go to another server, or is refused with 503 and a time to come back. A host that cannot be encoded is one that cannot be reached.

Evidence: unanswered: the three scenarios of 'cannot be sent to the only server' failed before.

--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -118,3 +118,15 @@
       | value       |
       | ²           |
       | 5000 digits |
+
+  Scenario Outline: a request that cannot be sent to the only server, for its <property>, is refused as not run
+    Given a daemon and a server whose <property>
+    When a caller sends a plain request on book with x-deadline-ms of 500
+    Then the client gets a whole response with status 503
+    And it is told when to come back
+
+    Examples:
+      | property                      |
+      | name has a line break         |
+      | name is not in Latin letters  |
+      | address has an empty label    |
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -15,6 +15,7 @@
 from loomwind.http.errors import (
     CONNECT_EXCEPTIONS,
     PROTOCOL_EXCEPTIONS,
+    REQUEST_EXCEPTIONS,
     BodyTruncated,
     ConnectionBroken,
     ExchangeTimeout,
@@ -114,13 +115,15 @@
     def send_request(self, request: HttpRequest) -> None:
         """Write a complete request in a single write.
 
+        :raises UnsendableRequest: the request is invalid; the connection can still be used.
         :raises ConnectionBroken: the connection is closed.
         """
         if self._transport is None or self._disconnected or self._transport.is_closing():
             self.close()
             raise ConnectionBroken("the connection has ended")
+        with map_exceptions(REQUEST_EXCEPTIONS):
+            head = _head_event(request, self.address)
         self.state = ClientState.ACTIVE
-        head = _head_event(request, self.address)
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -20,6 +20,10 @@
     """The host refused the connection: it is up, but no process listens on the port."""
 
 
+class UnsendableRequest(HttpError):
+    """HTTP does not allow the request to be sent; nothing was sent."""
+
+
 class ConnectionBroken(HttpError):
     """The connection ended or violated the protocol after data may have been sent."""
 
@@ -70,6 +74,12 @@
     ConnectionRefusedError: ConnectRefused,
     TimeoutError: ConnectFailed,
     OSError: ConnectFailed,
+    # A host name that cannot be encoded.
+    UnicodeError: ConnectFailed,
+}
+REQUEST_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
+    h11.LocalProtocolError: UnsendableRequest,
+    UnicodeEncodeError: UnsendableRequest,
 }
 PROTOCOL_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
     h11.RemoteProtocolError: ConnectionBroken,
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -7,7 +7,7 @@
 from loomwind import constants
 from loomwind.clock import Clock
 from loomwind.http.client import ClientConnection, HttpClient
-from loomwind.http.errors import ConnectFailed, HttpError
+from loomwind.http.errors import ConnectFailed, HttpError, UnsendableRequest
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.serving.connectivity import ServiceConnectivity
 from loomwind.serving.errors import SendFailed
@@ -101,6 +101,9 @@
             head, check = await self._read_matching_head(connection, request, outgoing, entry)
             if not check.may_have_run:
                 await self._drain_refusal(connection)
+        except UnsendableRequest as error:
+            self._client.release(connection)
+            raise SendFailed(f"{entry.instance}: {error}", may_have_run=False) from error
         except HttpError as error:
             connection.close()
             raise SendFailed(
