Hold open connections to the limits that their clients know

Callers: beside a configuration that lowers the idle timeout, a connection was closed as soon as the new limit was over, or at the next check, while its client still went by the longer one, with a request on its way; beside one that raises the limit on heads, a proper request on an open connection was refused with 431.

Cause: the idle timeout was looked up when a connection began to rest and again when the timer ran out, so only the newest counted; the parser of a connection kept the head limit of the moment at which it was opened.

Change: a connection keeps the longest idle timeout that has been in force while it was open; a lower one holds for new connections. Each request is parsed within the limits in force when it begins. A request that can't be read is answered with 'connection: close', since the connection closes.

--- /dev/null
+++ b/features/connection_limits.feature
@@ -0,0 +1,29 @@
+Feature: Open connections outlive changes of the limits, and their requests get a response
+
+  Scenario: a connection is kept for the longest idle timeout that was in force while it was open
+    Given a daemon whose configuration has an idle timeout of 10.0 s
+    And a caller's connection that becomes idle
+    When a version with an idle timeout of 2.0 s is activated 1.0 s later
+    And the connection is used 1.0 s after that
+    Then the connection is open 8.0 s later, and closed 2.5 s after that
+
+  Scenario: an idle timeout that is raised and lowered again is kept by connections that rest
+    Given a daemon whose configuration has an idle timeout of 4.0 s
+    And a caller's connection that becomes idle
+    When a version with an idle timeout of 10.0 s is activated 1.0 s later
+    And a version with an idle timeout of 2.0 s is activated 1.0 s later
+    Then the connection is open 7.0 s later, and closed 2.0 s after that
+
+  Scenario: a higher limit on heads also holds for connections that are open already
+    Given a daemon whose configuration has a head limit of 1000 bytes
+    And a caller's connection that has served a request
+    When a version with a head limit of 40000 bytes is activated
+    And a request with a head of 30000 bytes is sent on that connection
+    Then it gets a response with status 404
+
+  Scenario: a lower limit on heads also holds for connections that are open already
+    Given a daemon whose configuration has a head limit of 40000 bytes
+    And a caller's connection that has served a request
+    When a version with a head limit of 1000 bytes is activated
+    And a request with a head of 30000 bytes is sent on that connection
+    Then it gets a response with status 431
--- a/features/steps/configuration_effect_steps.py
+++ b/features/steps/configuration_effect_steps.py
@@ -17,11 +17,20 @@
 
 
 class IdleTransport(asyncio.Transport):
-    """A caller's connection without any traffic."""
+    """A caller's connection, whose traffic is only counted."""
 
     def __init__(self) -> None:
         super().__init__()
         self.closed = False
+        self.written_bytes = 0
+
+    def write(self, data: Any) -> None:
+        """Count what the daemon sends."""
+        self.written_bytes += len(data)
+
+    def is_closing(self) -> bool:
+        """Return whether the daemon closed it."""
+        return self.closed
 
     def close(self) -> None:
         """Record that the daemon closed it."""
@@ -37,6 +46,7 @@
 @given("a daemon whose configuration has an idle timeout of {seconds:f} s")
 def step_idle_timeout(context: Any, seconds: float) -> None:
     context.first_seconds = seconds
+    context.changes = []
 
 
 @given("a caller's connection that becomes idle")
@@ -46,7 +56,12 @@
 
 @when("a version with an idle timeout of {seconds:f} s is activated {later:f} s later")
 def step_new_version(context: Any, seconds: float, later: float) -> None:
-    context.second_seconds, context.later = seconds, later
+    context.changes.append((later, seconds))
+
+
+@when("the connection is used {later:f} s after that")
+def step_use(context: Any, later: float) -> None:
+    context.changes.append((later, None))
 
 
 @then("the connection is open {first:f} s later, and closed {second:f} s after that")
@@ -58,9 +73,14 @@
     store = StoreSettings("store:1")
     daemon = create_pool_daemon(Settings("daemon-1", store=store), store)
     _apply_configuration(daemon, 1, context.first_seconds)
-    ServerConnection(daemon.callers).connection_made(context.transport)
-    await asyncio.sleep(context.later)
-    _apply_configuration(daemon, 2, context.second_seconds)
+    connection = ServerConnection(daemon.callers)
+    connection.connection_made(context.transport)
+    for number, (later, seconds) in enumerate(context.changes):
+        await asyncio.sleep(later)
+        if seconds is None:
+            connection.data_received(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        else:
+            _apply_configuration(daemon, 2 + number, seconds)
     await asyncio.sleep(first)
     assert not context.transport.closed
     await asyncio.sleep(second)
--- /dev/null
+++ b/features/steps/connection_limit_steps.py
@@ -0,0 +1,79 @@
+"""Steps for connections that are open while the limits change or their server stops."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.unanswered_steps import whole_request
+from features.support.local_daemon import (
+    HOST,
+    LOCALHOST,
+    apply_configuration,
+    configuration,
+    create_daemon,
+)
+from features.support.raw_client import parse_replies
+from loomwind.serving.daemon import PoolDaemon
+
+FIRST_REQUEST = f"GET /nowhere HTTP/1.1\r\nhost: {HOST}\r\n\r\n".encode()
+FIRST_BODY = b"no route; configuration 1"
+
+
+@given("a daemon whose configuration has a head limit of {head_bytes:d} bytes")
+def step_head_limit(context: Any, head_bytes: int) -> None:
+    context.head_limits = [head_bytes]
+
+
+@given("a caller's connection that has served a request")
+def step_used_connection(context: Any) -> None:
+    """The connection is opened with the request that follows."""
+
+
+@when("a version with a head limit of {head_bytes:d} bytes is activated")
+def step_new_head_limit(context: Any, head_bytes: int) -> None:
+    context.head_limits.append(head_bytes)
+
+
+@when("a request with a head of {head_bytes:d} bytes is sent on that connection")
+def step_large_head(context: Any, head_bytes: int) -> None:
+    context.reply = parse_replies(asyncio.run(_send_after_change(context, head_bytes)), ["POST"])[0]
+
+
+@then("it gets a response with status {status:d}")
+def step_status(context: Any, status: int) -> None:
+    assert (context.reply.status, context.reply.is_complete) == (status, True), context.reply
+
+
+async def _send_after_change(context: Any, head_bytes: int) -> bytes:
+    """Return the response to a request whose head comes after the limit changed.
+
+    It comes in two parts if the limit was raised, the first of them above the limit before.
+    """
+    daemon = create_daemon()
+    first, second = context.head_limits
+    apply_configuration(daemon, configuration(1, {}, max_header_bytes=first))
+    await daemon.callers.start(LOCALHOST, 0)
+    reader, writer = await asyncio.open_connection(LOCALHOST, daemon.callers.port)
+    try:
+        writer.write(FIRST_REQUEST)
+        await reader.readuntil(FIRST_BODY)
+        await _until_idle(daemon, is_idle=True)
+        apply_configuration(daemon, configuration(2, {}, max_header_bytes=second), 2)
+        data = whole_request("/nowhere", headers=f"x-filler: {'a' * head_bytes}\r\n")
+        if second > first:
+            part_bytes = (first + head_bytes) // 2
+            writer.write(data[:part_bytes])
+            await _until_idle(daemon, is_idle=False)
+            data = data[part_bytes:]
+        writer.write(data)
+        return await reader.read()
+    finally:
+        writer.close()
+        daemon.close()
+
+
+async def _until_idle(daemon: PoolDaemon, is_idle: bool) -> None:
+    """Wait until all connections of callers are idle, or one is not."""
+    while all(each.is_idle for each in daemon.callers.connections) is not is_idle:
+        await asyncio.sleep(0)
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -24,12 +24,23 @@
 
     def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
         self.handler = handler
-        self.limits = limits or ServerLimits()
+        self._limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self.draining = False
         self._server: asyncio.Server | None = None
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the limits of requests that begin now."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ServerLimits) -> None:
+        self._limits = limits
+        for connection in self.connections:
+            connection.raise_idle_timeout()
+
     async def start(self, host: str, port: int) -> None:
         """Start listening; port 0 picks a free port, see :attr:`port`."""
         loop = asyncio.get_running_loop()
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -49,9 +49,8 @@
 
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.max_head_bytes
-        )
+        self._h11 = self._new_parser()
+        self._idle_timeout_seconds = 0.0
         self._transport: asyncio.Transport | None = None
         self._state = ConnectionState.IDLE
         self._head: h11.Request | None = None
@@ -60,13 +59,28 @@
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._has_client_closed = False
+        self._is_unreadable = False
         self._writable = asyncio.Event()
         self._writable.set()
 
+    def _new_parser(self) -> h11.Connection:
+        self._parser_head_bytes = self._server.limits.max_head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._parser_head_bytes)
+
     @property
     def closes_after_response(self) -> bool:
         """Return whether responses tell the client that the connection closes after them."""
-        return self._server.closing or self._server.draining or self._has_client_closed
+        return self._server.draining or self._ends_after_response
+
+    @property
+    def _ends_after_response(self) -> bool:
+        """Return whether the connection is closed after the response."""
+        return self._is_unreadable or self._has_client_closed or self._server.closing
+
+    @property
+    def _has_pipelined_data(self) -> bool:
+        """Return whether data that belongs to further requests has been read."""
+        return bool(self._h11.trailing_data[0])
 
     @property
     def is_idle(self) -> bool:
@@ -83,8 +97,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.connections.add(self)
-        self._idle_since = self._now()
-        self._start_timer(self._server.limits.idle_timeout_seconds)
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler, since nobody can receive its response."""
@@ -120,8 +133,7 @@
     def data_received(self, data: bytes) -> None:
         """Feed h11, and call the handler once a request is complete."""
         if self._state is ConnectionState.IDLE:
-            self._state = ConnectionState.READING_HEAD
-            self._start_timer(self._server.limits.head_timeout_seconds)
+            self._begin_request()
         self._h11.receive_data(data)
         if self._state is not ConnectionState.HANDLING:
             self._read_events()
@@ -193,14 +205,15 @@
 
     def _reject(self, bad_request: BadRequest) -> None:
         method = self._head.method.decode("latin-1") if self._head is not None else ""
-        self._handle(Exchange(self, None, bad_request, method), close=True)
+        self._is_unreadable = True
+        self._handle(Exchange(self, None, bad_request, method))
 
-    def _handle(self, exchange: Exchange, close: bool = False) -> None:
+    def _handle(self, exchange: Exchange) -> None:
         self._state = ConnectionState.HANDLING
         self._cancel_timer()
-        self._task = asyncio.get_running_loop().create_task(self._run(exchange, close))
+        self._task = asyncio.get_running_loop().create_task(self._run(exchange))
 
-    async def _run(self, exchange: Exchange, close: bool) -> None:
+    async def _run(self, exchange: Exchange) -> None:
         error: BaseException | None = None
         try:
             await self._server.handler(exchange)
@@ -211,7 +224,7 @@
             await self._ensure_response(exchange, error)
         finally:
             self._task = None
-            self._finish_exchange(close)
+            self._finish_exchange()
 
     async def _ensure_response(self, exchange: Exchange, error: BaseException | None) -> None:
         """Respond to a request that its handler has left without a response.
@@ -234,24 +247,31 @@
         closed = self._state is ConnectionState.CLOSED
         return closed or self._transport is None or self._transport.is_closing()
 
-    def _finish_exchange(self, close: bool) -> None:
+    def _finish_exchange(self) -> None:
         if self._is_closing:
             return
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if close or not reusable or self._has_client_closed or self._server.closing:
+        if not reusable or self._ends_after_response:
             self.close()
             return
         self._h11.start_next_cycle()
         self._head = None
-        self._idle_since = self._now()
-        has_pipelined_data = bool(self._h11.trailing_data[0])
-        self._state = ConnectionState.READING_HEAD if has_pipelined_data else ConnectionState.IDLE
-        limits = self._server.limits
-        self._start_timer(
-            limits.head_timeout_seconds if has_pipelined_data else limits.idle_timeout_seconds
-        )
-        if has_pipelined_data:
+        if self._has_pipelined_data:
+            self._begin_request()
             self._read_events()
+        else:
+            self._state = ConnectionState.IDLE
+            self._start_idle_timer()
+
+    def _begin_request(self) -> None:
+        """Expect the head of a request, within the limits that are in force now."""
+        if self._parser_head_bytes != self._server.limits.max_head_bytes:
+            received = self._h11.trailing_data[0]
+            self._h11 = self._new_parser()
+            if received:
+                self._h11.receive_data(received)
+        self._state = ConnectionState.READING_HEAD
+        self._start_timer(self._server.limits.head_timeout_seconds)
 
     def send_event(self, event: h11.Event) -> None:
         """Encode and write one h11 event.
@@ -308,11 +328,23 @@
         elif self._state is not ConnectionState.HANDLING:
             self._reject(BadRequest(408, "request-too-slow", "the request did not arrive in time"))
 
+    def raise_idle_timeout(self) -> None:
+        """Keep the connection idle for as long as any limit since it was opened has allowed.
+
+        Its client may not know a lower limit yet, and send a request that would cross the close.
+        """
+        self._idle_timeout_seconds = max(
+            self._idle_timeout_seconds, self._server.limits.idle_timeout_seconds
+        )
+
+    def _start_idle_timer(self) -> None:
+        self.raise_idle_timeout()
+        self._idle_since = self._now()
+        self._start_timer(self._idle_timeout_seconds)
+
     def _on_idle_timeout(self) -> None:
         """Close, unless the idle timeout has been raised since the timer was started."""
-        remaining_seconds = (
-            self._idle_since + self._server.limits.idle_timeout_seconds - self._now()
-        )
+        remaining_seconds = self._idle_since + self._idle_timeout_seconds - self._now()
         if remaining_seconds > 0:
             self._start_timer(remaining_seconds)
         else:
