Serve the requests that came together before their server stops

Callers: of requests that came together on one connection, only the first was answered when a daemon began to stop; the others had been read, and got neither an answer nor a refusal.

Cause: while a server drains or stops, each response announced and brought the close of its connection, also when further requests had been read from it.

Change: the last of the requests that have been read announces the close.

Evidence: connection_limits: both scenarios of 'read before the server' failed before, with one response of five.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -27,3 +27,13 @@
     When a version with a head limit of 1000 bytes is activated
     And a request with a head of 30000 bytes is sent on that connection
     Then it gets a response with status 431
+
+  Scenario Outline: requests that were read before the server <state> are all served
+    Given an HTTP server that serves 5 requests that came together on one connection
+    When it <state> while it serves the first
+    Then all 5 get a whole response, and only the last says that the connection closes
+
+    Examples:
+      | state           |
+      | stops listening |
+      | starts to drain |
--- a/features/steps/connection_limit_steps.py
+++ b/features/steps/connection_limit_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.steps.unanswered_steps import whole_request
+from features.steps.unanswered_steps import step_well, whole_request
 from features.support.local_daemon import (
     HOST,
     LOCALHOST,
@@ -13,7 +13,8 @@
     configuration,
     create_daemon,
 )
-from features.support.raw_client import parse_replies
+from features.support.raw_client import exchange_bytes, parse_replies
+from loomwind.http.server import Exchange, HttpServer
 from loomwind.serving.daemon import PoolDaemon
 
 FIRST_REQUEST = f"GET /nowhere HTTP/1.1\r\nhost: {HOST}\r\n\r\n".encode()
@@ -77,3 +78,49 @@
     """Wait until all connections of callers are idle, or one is not."""
     while all(each.is_idle for each in daemon.callers.connections) is not is_idle:
         await asyncio.sleep(0)
+
+
+# Servers that stop.
+
+
+@given("an HTTP server that serves {count:d} requests that came together on one connection")
+def step_pipelined(context: Any, count: int) -> None:
+    request = f"POST / HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: 2\r\n\r\nhi".encode()
+    context.pipelined = count * request
+    context.pipelined_count = count
+
+
+@when("it {state} while it serves the first")
+def step_stop_during_first(context: Any, state: str) -> None:
+    context.received = asyncio.run(_serve_pipelined(context.pipelined, state))
+
+
+async def _serve_pipelined(data: bytes, state: str) -> bytes:
+    async def handle(exchange: Exchange) -> None:
+        if state == "stops listening":
+            server.stop_listening()
+        else:
+            server.start_draining()
+        await exchange.respond(200, (), b"served")
+
+    server = HttpServer(handle)
+    await server.start(LOCALHOST, 0)
+    try:
+        return await exchange_bytes(server.port, data)
+    finally:
+        server.close()
+
+
+@then("all {count:d} get a whole response, and only the last says that the connection closes")
+def step_all_served(context: Any, count: int) -> None:
+    replies = parse_replies(context.received, ["POST"] * count)
+    got = [(reply.status, reply.is_complete) for reply in replies]
+    assert got == [(200, True)] * count, got
+    closes = [reply.headers.get("connection") == "close" for reply in replies]
+    assert closes == [False] * (count - 1) + [True], closes
+
+
+@given("a daemon that has ended all requests, as it stops")
+def step_ended(context: Any) -> None:
+    step_well(context)
+    context.has_ended_requests = True
--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -317,6 +317,8 @@
         relay = RelayService(handler)
         if hasattr(context, "failing_step"):
             _break_step(handler, context.failing_step)
+        if hasattr(context, "has_ended_requests"):
+            handler.end_all_requests()
         if is_relayed:
             return await ask_server(relay.handle, data)
         return await exchange_bytes(site.daemon.callers.port, data)
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -69,13 +69,19 @@
 
     @property
     def closes_after_response(self) -> bool:
-        """Return whether responses tell the client that the connection closes after them."""
-        return self._server.draining or self._ends_after_response
+        """Return whether responses tell the client that the connection closes after them.
+
+        They do not while further requests that were read are still to be served.
+        """
+        is_draining = self._server.draining and not self._has_pipelined_data
+        return is_draining or self._ends_after_response
 
     @property
     def _ends_after_response(self) -> bool:
         """Return whether the connection is closed after the response."""
-        return self._is_unreadable or self._has_client_closed or self._server.closing
+        if self._is_unreadable or self._has_client_closed:
+            return True
+        return self._server.closing and not self._has_pipelined_data
 
     @property
     def _has_pipelined_data(self) -> bool:
