Refuse requests that come after a stopping daemon has ended all others

Callers: a request that was read in the last moments of a stopping daemon, on a connection that was being read as it stopped to listen, was sent to a server and cut off as the process ended.

Cause: at the end of the grace time every request in progress got its final answer, but one that came after that was served as ever.

Change: it is refused with 503 and a time to come back; it has not run.

Evidence: connection_limits: 'is read after a stopping daemon has ended all others' failed before: the request was sent to a server.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -37,3 +37,9 @@
       | state           |
       | stops listening |
       | starts to drain |
+
+  Scenario: a request that is read after a stopping daemon has ended all others is refused
+    Given a daemon that has ended all requests, as it stops
+    When a caller sends a plain request on book
+    Then the client gets a whole response with status 503
+    And it is told when to come back
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -64,6 +64,7 @@
         self.open_requests = 0
         self.timeouts: set[asyncio.Timeout] = set()
         self.rejects_waiting = False
+        self._has_ended_requests = False
 
     @staticmethod
     def now() -> float:
@@ -98,7 +99,11 @@
         self.pool.demand.wake()
 
     def end_all_requests(self) -> None:
-        """Time out every request in progress, so that each gets its final response now."""
+        """Time out every request in progress, so that each gets its final response now.
+
+        Requests that arrive later are refused, since this daemon is about to stop.
+        """
+        self._has_ended_requests = True
         for timeout in self.timeouts:
             timeout.reschedule(self.now())
 
@@ -197,6 +202,8 @@
         :raises RelayDeclined: this daemon cannot serve the peer's request; another one may.
         :raises StreamTruncated: its stream has begun and cannot be completed.
         """
+        if self._has_ended_requests:
+            raise Refused(503, "this daemon is leaving", RETRY_SOON_SECONDS)
         routes = self._replicated_state.routes
         if routes is None:
             raise Refused(503, "no configuration is known yet", RETRY_SOON_SECONDS)
