Count a request that was just read among those a stopping daemon waits for

Callers: a request could be cut off by a daemon that stops, if it had been read whole but its handler had not begun when the daemon looked for requests in progress.

Cause: only requests whose handler had begun counted.

Change: HttpServer counts the exchanges that are open, from the moment that a request is read; the daemon waits for these too.

Evidence: connection_limits: 'a request that was just read counts' failed before: the wait ended without a response.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -43,3 +43,9 @@
     When a caller sends a plain request on book
     Then the client gets a whole response with status 503
     And it is told when to come back
+
+  Scenario: a request that was just read counts as one that a stopping daemon waits for
+    Given a daemon whose configuration has an idle timeout of 10.0 s
+    And a caller's connection that becomes idle
+    When the daemon waits for its last requests just after one was read
+    Then it has responded
--- a/features/steps/configuration_effect_steps.py
+++ b/features/steps/configuration_effect_steps.py
@@ -14,6 +14,7 @@
 from loomwind.settings import Settings, StoreSettings
 
 MS = 1000
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 
 
 class IdleTransport(asyncio.Transport):
@@ -78,10 +79,31 @@
     for number, (later, seconds) in enumerate(context.changes):
         await asyncio.sleep(later)
         if seconds is None:
-            connection.data_received(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            connection.data_received(REQUEST)
         else:
             _apply_configuration(daemon, 2 + number, seconds)
     await asyncio.sleep(first)
     assert not context.transport.closed
     await asyncio.sleep(second)
     assert context.transport.closed
+
+
+@when("the daemon waits for its last requests just after one was read")
+def step_wait_for_last(context: Any) -> None:
+    run_in_virtual_time(_finish_last_request(context))
+
+
+async def _finish_last_request(context: Any) -> None:
+    store = StoreSettings("store:1")
+    daemon = create_pool_daemon(Settings("daemon-1", store=store), store)
+    _apply_configuration(daemon, 1, context.first_seconds)
+    connection = ServerConnection(daemon.callers)
+    connection.connection_made(context.transport)
+    connection.data_received(REQUEST)
+    await daemon._finish_requests(asyncio.get_running_loop().time() + context.first_seconds)
+    context.written_bytes = context.transport.written_bytes
+
+
+@then("it has responded")
+def step_responded(context: Any) -> None:
+    assert context.written_bytes > 0
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -55,6 +55,11 @@
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
+    @property
+    def open_exchanges(self) -> int:
+        """Return the number of requests that were read and whose exchange has not ended."""
+        return sum(connection.is_handling for connection in self.connections)
+
     def start_draining(self) -> None:
         """Keep serving, but have responses close their connection, so that clients reconnect."""
         self.draining = True
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -93,6 +93,11 @@
         """Return whether no request is being read or handled."""
         return self._state is ConnectionState.IDLE
 
+    @property
+    def is_handling(self) -> bool:
+        """Return whether a request was read whole, or refused, and its exchange has not ended."""
+        return self._state is ConnectionState.HANDLING
+
     @property
     def is_connected(self) -> bool:
         """Return whether the client has closed neither the connection nor its sending side."""
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -403,9 +403,14 @@
 
     async def _finish_requests(self, deadline: float) -> None:
         """Wait until no request is in progress or the deadline has passed."""
-        while self._handler.open_requests and self._now() < deadline:
+        while self._has_open_requests() and self._now() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _has_open_requests(self) -> bool:
+        """Return whether a request is in progress, or was read and is about to be."""
+        open_exchanges = self.callers.open_exchanges + self._relay_server.open_exchanges
+        return bool(self._handler.open_requests or open_exchanges)
+
     async def _release_leadership(self) -> None:
         """Release the lease once no order of this daemon can arrive after the next leader's."""
         if self._election.release():
