--- a/features/reload.feature
+++ b/features/reload.feature
@@ -32,3 +32,9 @@
     And a site of 1 daemons and 1 engines
     When daemon-1 gets SIGHUP
     Then daemon-1 still answers
+
+  Scenario: SIGHUP does not end a daemon that is still reading its settings
+    Given a daemon that is still reading its settings
+    When the starting daemon gets SIGHUP
+    And its settings have been read
+    Then the started daemon answers
