Apply settings that change while a daemon starts

A change of the settings file between its loading and the moment at which a daemon began to watch it was never applied, and a SIGHUP in between is ignored.

Cause: the reloader took the content that it found when it was created for the one that had been loaded.

Change: its first check loads the file whatever its content, and says so only if something has changed.

--- a/features/reload.feature
+++ b/features/reload.feature
@@ -38,3 +38,8 @@
     When the starting daemon gets SIGHUP
     And its settings have been read
     Then the started daemon answers
+
+  Scenario: settings that change while a daemon starts are applied
+    Given a daemon that is still reading its settings
+    When its settings are changed as soon as they have been read
+    Then the started daemon applies bounds
--- a/features/steps/early_signal_steps.py
+++ b/features/steps/early_signal_steps.py
@@ -24,8 +24,9 @@
         self._settings = _settings(store_address, self.admin_address)
         self._path = folder / "starting.toml"
         os.mkfifo(self._path)
+        self._log_path = folder / "starting.log"
         environment = {**os.environ, "LOOMWIND_SETTINGS": str(self._path)}
-        self.process = Process("loomwind", ["serve"], folder / "starting.log", environment)
+        self.process = Process("loomwind", ["serve"], self._log_path, environment)
         self._pipe = -1
         wait_until(self._open_pipe, "the daemon reads its settings")
 
@@ -37,10 +38,17 @@
             return False
         return True
 
-    def finish_settings(self) -> None:
-        """Replace the pipe by a regular file, and give the daemon its content."""
+    def log(self) -> str:
+        """Return the log of the daemon."""
+        return self._log_path.read_text()
+
+    def finish_settings(self, new_settings: str = "") -> None:
+        """Replace the pipe by a regular file, and give the daemon its settings.
+
+        :param new_settings: lines that the file has in addition.
+        """
         regular = self._path.with_suffix(".regular")
-        regular.write_text(self._settings)
+        regular.write_text(self._settings + new_settings)
         regular.replace(self._path)
         if self.process.alive:
             os.write(self._pipe, self._settings.encode())
@@ -91,3 +99,14 @@
 
 def _status(starting: StartingDaemon) -> int:
     return send(plain(starting.admin_address, "GET", "/healthz")).status
+
+
+@when("its settings are changed as soon as they have been read")
+def step_settings_changed(context: Any) -> None:
+    context.starting.finish_settings("[bounds]\nlease_ms = 1234\n")
+
+
+@then("the started daemon applies bounds")
+def step_applies_bounds(context: Any) -> None:
+    starting: StartingDaemon = context.starting
+    wait_until(lambda: '"changed":["bounds"]' in starting.log(), "changed bounds are applied")
--- a/loomwind/reload.py
+++ b/loomwind/reload.py
@@ -53,7 +53,8 @@
         self._current = current
         self._daemon = daemon
         self._clock = clock
-        self._content = _read_bytes(path)
+        self._content: bytes | None = None
+        self._has_checked = False
         self._reload_requested = asyncio.Event()
 
     def install_signal_handler(self) -> None:
@@ -82,10 +83,13 @@
     def check_file(self, signalled: bool) -> None:
         """Reload the file if its content has changed.
 
+        The first check always loads it, since it may have changed while the daemon started.
+
         :param signalled: whether SIGHUP was received; the file is then reloaded in any case.
         """
         content = _read_bytes(self._path)
-        if content == self._content and not signalled:
+        is_first, self._has_checked = not self._has_checked, True
+        if content == self._content and not signalled and not is_first:
             return
         self._content = content
         try:
@@ -94,7 +98,8 @@
             faults = [str(fault) for fault in error.exceptions]
             log_state("settings", "rejected", path=str(self._path), faults=faults, told=signalled)
             return
-        self._apply(settings, signalled)
+        if signalled or not is_first or settings != self._current:
+            self._apply(settings, signalled)
 
     def _apply(self, settings: Settings, signalled: bool) -> None:
         changed = changed_sections(self._current, settings)
