End all requests of a stopping daemon, also beside one whose time is over

Callers: at the end of a daemon's grace time, all requests in progress could be cut off instead of getting their final answers.

Cause: to end a request is to reschedule its timeout, which asyncio refuses once that has expired; one request whose own time had run out in the same moment raised, and kept the others from being ended and the daemon from stopping in order.

Change: a timeout that has expired is left alone; its request is ending.

Evidence: connection_limits: 'ends its two requests, one of which has just run out of time' failed before with RuntimeError.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -49,3 +49,7 @@
     And a caller's connection that becomes idle
     When the daemon waits for its last requests just after one was read
     Then it has responded
+
+  Scenario: a request that runs out of time as a daemon ends all others does not keep it from that
+    When a daemon ends its two requests, one of which has just run out of time
+    Then both have ended
--- a/features/steps/connection_limit_steps.py
+++ b/features/steps/connection_limit_steps.py
@@ -12,6 +12,7 @@
     apply_configuration,
     configuration,
     create_daemon,
+    request_handler,
 )
 from features.support.raw_client import exchange_bytes, parse_replies
 from loomwind.http.server import Exchange, HttpServer
@@ -124,3 +125,33 @@
 def step_ended(context: Any) -> None:
     step_well(context)
     context.has_ended_requests = True
+
+
+@when("a daemon ends its two requests, one of which has just run out of time")
+def step_end_all(context: Any) -> None:
+    context.ends = asyncio.run(_end_all_requests())
+
+
+async def _end_all_requests() -> list[BaseException | None]:
+    """Return how the requests ended."""
+    daemon = create_daemon()
+    handler = request_handler(daemon)
+    loop = asyncio.get_running_loop()
+
+    async def run_until(deadline: float) -> None:
+        async with asyncio.timeout_at(deadline) as timeout:
+            handler.timeouts.add(timeout)
+            await asyncio.Event().wait()
+
+    tasks = [asyncio.ensure_future(run_until(loop.time() + late)) for late in (0.0, 60.0)]
+    while not any(timeout.expired() for timeout in handler.timeouts):
+        await asyncio.sleep(0)
+    handler.end_all_requests()
+    ends = await asyncio.gather(*tasks, return_exceptions=True)
+    daemon.close()
+    return ends
+
+
+@then("both have ended")
+def step_both_ended(context: Any) -> None:
+    assert [type(end) for end in context.ends] == [TimeoutError, TimeoutError], context.ends
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -105,7 +105,8 @@
         """
         self._has_ended_requests = True
         for timeout in self.timeouts:
-            timeout.reschedule(self.now())
+            if not timeout.expired():
+                timeout.reschedule(self.now())
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve the request of an exchange, and account for it in the metrics."""
