Log a request that this daemon cuts off as unanswered

Cause: a connection that had ended counted as one whose client had left, whoever closed it.

Change: the connection tells the two apart. Such a request has a line 'unanswered'; no caller is said to have left.

Evidence: connection_limits: 'a request that a daemon cuts off is not logged as one whose caller left' failed before.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -53,3 +53,9 @@
   Scenario: a request that runs out of time as a daemon ends all others does not keep it from that
     When a daemon ends its two requests, one of which has just run out of time
     Then both have ended
+
+  Scenario: a request that a daemon cuts off is not logged as one whose caller left
+    Given a daemon whose server works without end
+    When it closes its connections while it serves a request
+    Then no line of its log says caller-left
+    And its log says that the request is unanswered
--- a/features/steps/connection_limit_steps.py
+++ b/features/steps/connection_limit_steps.py
@@ -5,14 +5,16 @@
 
 from behave import given, then, when
 
-from features.steps.unanswered_steps import step_well, whole_request
+from features.steps.unanswered_steps import EndlessWork, step_well, whole_request
 from features.support.local_daemon import (
     HOST,
     LOCALHOST,
     apply_configuration,
+    captured_log,
     configuration,
     create_daemon,
     request_handler,
+    running_daemon,
 )
 from features.support.raw_client import exchange_bytes, parse_replies
 from loomwind.http.server import Exchange, HttpServer
@@ -155,3 +157,26 @@
 @then("both have ended")
 def step_both_ended(context: Any) -> None:
     assert [type(end) for end in context.ends] == [TimeoutError, TimeoutError], context.ends
+
+
+@when("it closes its connections while it serves a request")
+def step_close_connections(context: Any) -> None:
+    with captured_log() as context.lines:
+        asyncio.run(_cut_off())
+
+
+async def _cut_off() -> None:
+    """Close the connections of a daemon's callers while a server works on a request."""
+    work = EndlessWork()
+    async with running_daemon(work.handle) as site:
+        port = site.daemon.callers.port
+        reply = asyncio.ensure_future(exchange_bytes(port, whole_request("/look/item")))
+        await work.began.wait()
+        site.daemon.callers.close()
+        await reply
+        await work.cancelled.wait()
+
+
+@then("its log says that the request is unanswered")
+def step_unanswered(context: Any) -> None:
+    assert "unanswered" in [line.get("decision") for line in context.lines], context.lines
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -25,7 +25,10 @@
 
     @property
     def is_connected(self) -> bool:
-        """Return whether the client has closed neither the connection nor its sending side."""
+        """Return whether the client has closed neither the connection nor its sending side.
+
+        This still holds after this side has closed the connection.
+        """
 
     @property
     def closes_after_response(self) -> bool:
@@ -73,7 +76,7 @@
 
     @property
     def is_connected(self) -> bool:
-        """Return whether the client is still connected, and may send more."""
+        """Return whether the client has not closed its side; see the connection's property."""
         return self._connection.is_connected
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -59,6 +59,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._has_client_closed = False
+        self._is_closing_here = False
         self._is_unreadable = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -100,8 +101,11 @@
 
     @property
     def is_connected(self) -> bool:
-        """Return whether the client has closed neither the connection nor its sending side."""
-        return self._state is not ConnectionState.CLOSED and not self._has_client_closed
+        """Return whether the client has closed neither the connection nor its sending side.
+
+        This still holds after this side has closed the connection.
+        """
+        return not self._has_client_closed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timer."""
@@ -112,6 +116,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler, since nobody can receive its response."""
+        self._has_client_closed |= not self._is_closing_here
         self._state = ConnectionState.CLOSED
         self._server.connections.discard(self)
         self._cancel_timer()
@@ -314,12 +319,14 @@
 
     def abort(self) -> None:
         """Close immediately; written data may be lost."""
+        self._is_closing_here = True
         self._cancel_timer()
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Close once written data has been sent."""
+        self._is_closing_here = True
         self._cancel_timer()
         if self._transport is not None:
             self._transport.close()
