Go on reloading settings after one load has failed unexpectedly

A settings file that failed in a way that nothing expects, such as values nested too deeply for the parser, ended the task that reloads: no later change and no SIGHUP was heeded until the daemon was started again, and no line said so.

Change: the error is logged, and the next check goes on.

Evidence: reload: 'settings that fail in a way that nothing expects do not end the reloading' failed before.

--- a/features/reload.feature
+++ b/features/reload.feature
@@ -43,3 +43,8 @@
     Given a daemon that is still reading its settings
     When its settings are changed as soon as they have been read
     Then the started daemon applies bounds
+
+  Scenario: settings that fail in a way that nothing expects do not end the reloading
+    Given a daemon whose settings fail once with an error that nothing expects
+    When they are changed again
+    Then they are applied, and the failure is logged once
--- a/loomwind/reload.py
+++ b/loomwind/reload.py
@@ -67,7 +67,10 @@
             await self._wait_for_trigger()
             signalled = self._reload_requested.is_set()
             self._reload_requested.clear()
-            self.check_file(signalled)
+            try:
+                self.check_file(signalled)
+            except Exception as error:
+                log_state("settings", "failed", path=str(self._path), error=repr(error))
 
     async def _wait_for_trigger(self) -> None:
         tasks = [
