Explain requests that end with an unexpected error

loomwind explain said of such a request that the lines do not tell, or named the end of an attempt before. It now names the error of the daemon, from the lines 'failed' and 'unanswered'.

Evidence: unanswered: 'explain names an error that nothing expected' failed before.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -17,6 +17,7 @@
     running_daemon,
 )
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
+from loomwind.explain import LogLine, explain_request
 from loomwind.http.client import ClientConnection
 from loomwind.http.errors import ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
@@ -494,3 +495,11 @@
     assert reason in context.reply.body.decode(), context.reply
     failed = [line["reason"] for line in context.lines if line.get("decision") == "send-failed"]
     assert failed and all(reason in each for each in failed), failed
+
+
+@then("explain says that {cause}")
+def step_explain(context: Any, cause: str) -> None:
+    lines = [
+        LogLine(line["timestamp"], "daemon-1", line["message_type"], line) for line in context.lines
+    ]
+    assert explain_request("r1", lines).cause.value == cause, context.lines
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -136,3 +136,8 @@
     When a caller sends a plain request on book
     Then the client gets a whole response with status 502
     And its reason says the server closed the connection without a response
+
+  Scenario: explain names an error that nothing expected
+    Given a daemon whose connection to servers fails with an error that nothing expects
+    When a caller sends a plain request on look
+    Then explain says that the daemon failed with an error that nothing expected
--- a/loomwind/explain.py
+++ b/loomwind/explain.py
@@ -19,6 +19,7 @@
 LOOKBACK_SECONDS = 30.0
 REQUEST_TYPE = "loomwind:request"
 FAILED_DECISIONS = ("given-up", "out-of-time", "caller-left")
+UNEXPECTED_DECISIONS = ("failed", "unanswered")
 
 
 class Cause(enum.Enum):
@@ -42,6 +43,7 @@
     SERVER_UNREACHABLE = "no connection to the server could be made"
     SERVER_FAILED = "the servers answered with their own error"
     NO_SERVER = "no server of the service was known"
+    DAEMON_FAILED = "the daemon failed with an error that nothing expected"
     UNKNOWN = "the lines do not tell"
 
 
@@ -151,6 +153,8 @@
     refused = next((line for line in own if line.get("decision") == "refused"), None)
     ended = next((line for line in own if line.get("decision") in FAILED_DECISIONS), None)
     reason = str(refused.get("reason")) if refused else ""
+    if any(line.get("decision") in UNEXPECTED_DECISIONS for line in own):
+        return Cause.DAEMON_FAILED
     if refused and refused.get("status") == 404:
         return Cause.NO_ROUTE
     if "no configuration" in reason:
