Respond to the requests that are left when a daemon's grace time is over

Callers: the requests that a daemon without a store had open at the end of its grace time lost their connections without an answer, and so did any that a pool daemon could not end by their timeouts.

Change: before a daemon closes its connections, it cancels the handlers that are left and waits a moment; the requests without a response get 500.

Evidence: connection_limits: 'the requests that a stopping server cancels get a response'. Closing alone gave them none: 'a request that a daemon cuts off' shows what is logged then.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -59,3 +59,8 @@
     When it closes its connections while it serves a request
     Then no line of its log says caller-left
     And its log says that the request is unanswered
+
+  Scenario: the requests that a stopping server cancels get a response
+    Given an HTTP server that works on 3 requests without end, as it stops
+    When it ends its exchanges
+    Then all 3 get a whole response with status 500
--- a/features/steps/connection_limit_steps.py
+++ b/features/steps/connection_limit_steps.py
@@ -180,3 +180,34 @@
 @then("its log says that the request is unanswered")
 def step_unanswered(context: Any) -> None:
     assert "unanswered" in [line.get("decision") for line in context.lines], context.lines
+
+
+@given("an HTTP server that works on {count:d} requests without end, as it stops")
+def step_endless_requests(context: Any, count: int) -> None:
+    context.request_count = count
+
+
+@when("it ends its exchanges")
+def step_end_exchanges(context: Any) -> None:
+    context.received = asyncio.run(_end_exchanges(context.request_count))
+
+
+async def _end_exchanges(count: int) -> list[bytes]:
+    work = EndlessWork()
+    server = HttpServer(work.handle)
+    await server.start(LOCALHOST, 0)
+    data = whole_request("/")
+    replies = [asyncio.ensure_future(exchange_bytes(server.port, data)) for _ in range(count)]
+    while server.open_exchanges < count:
+        await asyncio.sleep(0)
+    server.stop_listening()
+    await server.end_exchanges(timeout_seconds=5.0)
+    server.close()
+    return list(await asyncio.gather(*replies))
+
+
+@then("all {count:d} get a whole response with status {status:d}")
+def step_all_ended(context: Any, count: int, status: int) -> None:
+    replies = [parse_replies(received, ["POST"])[0] for received in context.received]
+    got = [(reply.status, reply.is_complete) for reply in replies]
+    assert got == [(status, True)] * count, got
--- a/loomwind/daemon.py
+++ b/loomwind/daemon.py
@@ -45,6 +45,7 @@
 CATALOG_RETRY_SECONDS = 0.2
 # How much longer a stopping daemon waits to be removed from the voters.
 VOTER_REMOVAL_TIMEOUT_SECONDS = 2.0
+LAST_RESPONSES_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.05
 
 
@@ -358,7 +359,8 @@
     async def stop(self, grace_seconds: float = constants.SHUTDOWN_GRACE_SECONDS) -> None:
         """Shut down: hand over the controller role, stop accepting, finish open requests.
 
-        :param grace_seconds: how long open requests may take; then they are aborted.
+        :param grace_seconds: how long open requests may take; then they are cancelled, and those
+            without a response get one.
         """
         self.stopping = True
         log_state("daemon", "leaving", name=self.settings.name)
@@ -372,6 +374,7 @@
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
         except TimeoutError:
             log_state("daemon", "grace-over", open=len(self.callers.connections))
+            await self.callers.end_exchanges(LAST_RESPONSES_SECONDS)
         self.close()
         log_state("daemon", "stopped", name=self.settings.name)
 
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -12,6 +12,8 @@
 
 __all__ = ["BadRequest", "Exchange", "Handler", "HttpServer", "ServerLimits"]
 
+END_POLL_SECONDS = 0.01
+
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
@@ -73,6 +75,18 @@
             if connection.is_idle:
                 connection.close()
 
+    async def end_exchanges(self, timeout_seconds: float) -> None:
+        """Cancel the handlers of all requests, and wait while those without a response get one.
+
+        :param timeout_seconds: the longest wait, for clients that read slowly.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        for connection in self.connections:
+            connection.cancel_handler()
+        while self.open_exchanges and loop.time() < deadline:
+            await asyncio.sleep(END_POLL_SECONDS)
+
     @property
     def is_listening(self) -> bool:
         """Return whether new connections are accepted."""
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -134,10 +134,15 @@
         if self._task is None:
             return False
         self._has_client_closed = True
-        # The handler's task takes its first step before it is cancelled.
-        asyncio.get_running_loop().call_soon(self._task.cancel)
+        self.cancel_handler()
         return True
 
+    def cancel_handler(self) -> None:
+        """Cancel the handler of the current request, which then gets a response if none began."""
+        if self._task is not None:
+            # Its task takes its first step before it is cancelled.
+            asyncio.get_running_loop().call_soon(self._task.cancel)
+
     def pause_writing(self) -> None:
         """Block the handler's writes while the client reads slowly."""
         self._writable.clear()
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -399,6 +399,7 @@
             stop_started_at + grace - STOP_MARGIN_SECONDS + LAST_RESPONSES_SECONDS
         )
         log_state("daemon", "stopped", open=self._handler.open_requests)
+        await self.callers.end_exchanges(LAST_RESPONSES_SECONDS / 2)
         self.close()
 
     async def _finish_requests(self, deadline: float) -> None:
