--- a/features/reload.feature
+++ b/features/reload.feature
@@ -32,3 +32,19 @@
     And a site of 1 daemons and 1 engines
     When daemon-1 gets SIGHUP
     Then daemon-1 still answers
+
+  Scenario: SIGHUP does not end a daemon that is still reading its settings
+    Given a daemon that is still reading its settings
+    When the starting daemon gets SIGHUP
+    And its settings have been read
+    Then the started daemon answers
+
+  Scenario: settings that change while a daemon starts are applied
+    Given a daemon that is still reading its settings
+    When its settings are changed as soon as they have been read
+    Then the started daemon applies bounds
+
+  Scenario: settings that fail in a way that nothing expects do not end the reloading
+    Given a daemon whose settings fail once with an error that nothing expects
+    When they are changed again
+    Then they are applied, and the failure is logged once
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -15,9 +15,11 @@
 from loomwind.http.errors import (
     CONNECT_EXCEPTIONS,
     PROTOCOL_EXCEPTIONS,
+    REQUEST_EXCEPTIONS,
     BodyTruncated,
     ConnectionBroken,
     ExchangeTimeout,
+    ResponseMissing,
     map_exceptions,
 )
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
@@ -31,7 +33,7 @@
     """Return the ``timeout`` of a response's ``Keep-Alive`` header, or None."""
     for item in (head.header("keep-alive") or "").split(","):
         text = item.strip().removeprefix(KEEP_ALIVE_TIMEOUT_PREFIX)
-        if text.isdigit():
+        if text.isascii() and text.isdigit():
             return float(text)
     return None
 
@@ -114,13 +116,15 @@
     def send_request(self, request: HttpRequest) -> None:
         """Write a complete request in a single write.
 
+        :raises UnsendableRequest: the request is invalid; the connection can still be used.
         :raises ConnectionBroken: the connection is closed.
         """
         if self._transport is None or self._disconnected or self._transport.is_closing():
             self.close()
             raise ConnectionBroken("the connection has ended")
+        with map_exceptions(REQUEST_EXCEPTIONS):
+            head = _head_event(request, self.address)
         self.state = ClientState.ACTIVE
-        head = _head_event(request, self.address)
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
@@ -128,12 +132,20 @@
 
     async def _next_event(self) -> object:
         while True:
-            with map_exceptions(PROTOCOL_EXCEPTIONS):
+            try:
                 event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._head_error(error) from error
             if event is not h11.NEED_DATA:
                 return event
             await self._wait_for_data()
 
+    def _head_error(self, error: h11.RemoteProtocolError) -> ConnectionBroken:
+        """Return the error of a response without a valid head."""
+        if self._h11.trailing_data == (b"", True):
+            return ResponseMissing("the server closed the connection without a response")
+        return ConnectionBroken(str(error))
+
     async def _wait_for_data(self) -> None:
         if self._reset:
             raise ConnectionBroken("the connection was reset")
@@ -169,14 +181,15 @@
     async def read_head(self) -> HttpResponse:
         """Return the response's status and headers, without its body.
 
-        :raises ConnectionBroken: the connection ended before the head was complete.
+        :raises ResponseMissing: the server closed the connection without a response.
+        :raises ConnectionBroken: the connection ended inside the head, or the head is invalid.
         :raises ExchangeTimeout: the read was aborted.
         """
         event: object = None
         while not isinstance(event, h11.Response):
             event = await self._next_event()
             if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionBroken("closed before an answer")
+                raise ResponseMissing("the server closed the connection without a response")
         headers: Headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers
         )
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -9,7 +9,7 @@
 
 
 class HttpError(LoomwindError):
-    """Base class of all errors of the HTTP layer."""
+    """Base class of the errors of exchanges with servers."""
 
 
 class ConnectFailed(HttpError):
@@ -20,10 +20,18 @@
     """The host refused the connection: it is up, but no process listens on the port."""
 
 
+class UnsendableRequest(HttpError):
+    """HTTP does not allow the request to be sent; nothing was sent."""
+
+
 class ConnectionBroken(HttpError):
     """The connection ended or violated the protocol after data may have been sent."""
 
 
+class ResponseMissing(ConnectionBroken):
+    """The server closed the connection before it sent any part of a response."""
+
+
 class BodyTruncated(ConnectionBroken):
     """The response head arrived, but the connection ended before the end of the body."""
 
@@ -40,8 +48,23 @@
     """The peer did not respond in time after data was sent."""
 
 
+class ResponseError(LoomwindError):
+    """Base class of the errors of responding to a client.
+
+    They are no :class:`HttpError`: a lost connection to a server says nothing about the client.
+    """
+
+
+class ClientDisconnected(ResponseError):
+    """The client has closed its connection before its response was complete."""
+
+
+class UnsendableResponse(ResponseError):
+    """HTTP does not allow the response, or this part of it, to be sent."""
+
+
 @contextmanager
-def map_exceptions(mapping: dict[type[Exception], type[HttpError]]) -> Iterator[None]:
+def map_exceptions(mapping: dict[type[Exception], type[LoomwindError]]) -> Iterator[None]:
     """Translate errors of a lower layer into errors of this one.
 
     :param mapping: from lower-layer errors to this layer's; the first match in order applies.
@@ -55,12 +78,22 @@
         raise
 
 
-CONNECT_EXCEPTIONS: dict[type[Exception], type[HttpError]] = {
+CONNECT_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
     ConnectionRefusedError: ConnectRefused,
     TimeoutError: ConnectFailed,
     OSError: ConnectFailed,
+    # A host name that cannot be encoded.
+    UnicodeError: ConnectFailed,
+}
+REQUEST_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
+    h11.LocalProtocolError: UnsendableRequest,
+    UnicodeEncodeError: UnsendableRequest,
 }
-PROTOCOL_EXCEPTIONS: dict[type[Exception], type[HttpError]] = {
+PROTOCOL_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
     h11.RemoteProtocolError: ConnectionBroken,
     h11.LocalProtocolError: ConnectionBroken,
 }
+RESPONSE_EXCEPTIONS: dict[type[Exception], type[LoomwindError]] = {
+    h11.LocalProtocolError: UnsendableResponse,
+    UnicodeEncodeError: UnsendableResponse,
+}
--- /dev/null
+++ b/loomwind/http/server_connection.py
@@ -0,0 +1,378 @@
+"""A connection from a client: reads requests one at a time and has each one handled."""
+
+import asyncio
+import contextlib
+import enum
+from typing import TYPE_CHECKING
+
+import h11
+from msgspec import Struct
+
+from loomwind import constants
+from loomwind.http.errors import (
+    RESPONSE_EXCEPTIONS,
+    ClientDisconnected,
+    ResponseError,
+    map_exceptions,
+)
+from loomwind.http.exchange import BadRequest, Exchange
+from loomwind.http.messages import HttpRequest
+from loomwind.logs import log_state
+
+if TYPE_CHECKING:
+    from loomwind.http.server import HttpServer
+
+
+class ServerLimits(Struct, frozen=True):
+    """Limits that each connection enforces on its requests."""
+
+    max_head_bytes: int = constants.MAX_HEAD_BYTES
+    max_body_bytes: int = constants.MAX_BODY_BYTES
+    max_header_count: int = constants.MAX_HEADER_COUNT
+    head_timeout_seconds: float = constants.HEAD_TIMEOUT_SECONDS
+    body_timeout_seconds: float = constants.BODY_TIMEOUT_SECONDS
+    idle_timeout_seconds: float = constants.IDLE_TIMEOUT_SECONDS
+
+
+class ConnectionState(enum.Enum):
+    """State of a server connection."""
+
+    IDLE = enum.auto()
+    READING_HEAD = enum.auto()
+    READING_BODY = enum.auto()
+    HANDLING = enum.auto()
+    CLOSED = enum.auto()
+
+
+class ServerConnection(asyncio.Protocol):
+    """A connection from a client."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._h11 = self._new_parser()
+        self._idle_timeout_seconds = 0.0
+        self._transport: asyncio.Transport | None = None
+        self._state = ConnectionState.IDLE
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
+        self._has_client_closed = False
+        self._is_closing_here = False
+        self._is_unreadable = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+
+    def _new_parser(self) -> h11.Connection:
+        self._parser_head_bytes = self._server.limits.max_head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._parser_head_bytes)
+
+    @property
+    def closes_after_response(self) -> bool:
+        """Return whether responses tell the client that the connection closes after them.
+
+        They do not while further requests that were read are still to be served.
+        """
+        is_draining = self._server.draining and not self._has_pipelined_data
+        return is_draining or self._ends_after_response
+
+    @property
+    def _ends_after_response(self) -> bool:
+        """Return whether the connection is closed after the response."""
+        if self._is_unreadable or self._has_client_closed:
+            return True
+        return self._server.closing and not self._has_pipelined_data
+
+    @property
+    def _has_pipelined_data(self) -> bool:
+        """Return whether data that belongs to further requests has been read."""
+        return bool(self._h11.trailing_data[0])
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or handled."""
+        return self._state is ConnectionState.IDLE
+
+    @property
+    def is_handling(self) -> bool:
+        """Return whether a request was read whole, or refused, and its exchange has not ended."""
+        return self._state is ConnectionState.HANDLING
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the client has closed neither the connection nor its sending side.
+
+        This still holds after this side has closed the connection.
+        """
+        return not self._has_client_closed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection and start the idle timer."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._start_idle_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the handler, since nobody can receive its response."""
+        self._has_client_closed |= not self._is_closing_here
+        self._state = ConnectionState.CLOSED
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Cancel the handler; keep the connection open for the final response, if one is due.
+
+        A client that has left and one that has only closed its sending side look the same until
+        something is written. Back ends must not go on working for the former, so the request is
+        cancelled; the latter still gets a response.
+        """
+        if self._task is None:
+            return False
+        self._has_client_closed = True
+        self.cancel_handler()
+        return True
+
+    def cancel_handler(self) -> None:
+        """Cancel the handler of the current request, which then gets a response if none began."""
+        if self._task is not None:
+            # Its task takes its first step before it is cancelled.
+            asyncio.get_running_loop().call_soon(self._task.cancel)
+
+    def pause_writing(self) -> None:
+        """Block the handler's writes while the client reads slowly."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Unblock the handler's writes."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed h11, and call the handler once a request is complete."""
+        if self._state is ConnectionState.IDLE:
+            self._begin_request()
+        self._h11.receive_data(data)
+        if self._state is not ConnectionState.HANDLING:
+            self._read_events()
+
+    def _read_events(self) -> None:
+        try:
+            while self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
+                event = self._h11.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._on_event(event)
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            self._reject(BadRequest(status, "malformed-request", str(error)))
+
+    def _on_event(self, event: object) -> None:
+        if isinstance(event, h11.Request):
+            self._on_head(event)
+        elif isinstance(event, h11.Data):
+            self._on_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_end()
+
+    def _on_head(self, head: h11.Request) -> None:
+        self._head = head
+        limits = self._server.limits
+        names = [name for name, _ in head.headers]
+        head_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+        if head_bytes > limits.max_head_bytes:
+            detail = f"the head is larger than {limits.max_head_bytes} bytes"
+            self._reject(BadRequest(431, "head-too-large", detail))
+            return
+        if len(names) > limits.max_header_count:
+            detail = f"more than {limits.max_header_count} header fields"
+            self._reject(BadRequest(431, "too-many-headers", detail))
+            return
+        if b"transfer-encoding" in names and b"content-length" in names:
+            detail = "both transfer-encoding and content-length are given"
+            self._reject(BadRequest(400, "ambiguous-length", detail))
+            return
+        content_length = next((v for n, v in head.headers if n == b"content-length"), b"0")
+        if int(content_length) > limits.max_body_bytes:
+            self._reject_large_body()
+            return
+        self._body = bytearray()
+        self._state = ConnectionState.READING_BODY
+        self._start_timer(limits.body_timeout_seconds)
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _on_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._server.limits.max_body_bytes:
+            self._reject_large_body()
+
+    def _reject_large_body(self) -> None:
+        detail = f"the body is larger than {self._server.limits.max_body_bytes} bytes"
+        self._reject(BadRequest(413, "body-too-large", detail))
+
+    def _on_end(self) -> None:
+        head = self._head
+        assert head is not None
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
+        )
+        target = head.target.decode("latin-1")
+        request = HttpRequest(head.method.decode("latin-1"), target, headers, bytes(self._body))
+        self._handle(Exchange(self, request, None, request.method))
+
+    def _reject(self, bad_request: BadRequest) -> None:
+        method = self._head.method.decode("latin-1") if self._head is not None else ""
+        self._is_unreadable = True
+        self._handle(Exchange(self, None, bad_request, method))
+
+    def _handle(self, exchange: Exchange) -> None:
+        self._state = ConnectionState.HANDLING
+        self._cancel_timer()
+        self._task = asyncio.get_running_loop().create_task(self._run(exchange))
+
+    async def _run(self, exchange: Exchange) -> None:
+        error: BaseException | None = None
+        try:
+            await self._server.handler(exchange)
+        # Also a cancellation that is not of this task: of something that the handler waited for.
+        except (Exception, asyncio.CancelledError) as caught:
+            error = caught
+        try:
+            await self._ensure_response(exchange, error)
+        finally:
+            self._task = None
+            self._finish_exchange()
+
+    async def _ensure_response(self, exchange: Exchange, error: BaseException | None) -> None:
+        """Respond to a request that its handler has left without a response.
+
+        The connection of one that has left its response incomplete is closed afterwards.
+        """
+        if self._is_closing or isinstance(error, ClientDisconnected):
+            return
+        is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if not self._has_client_closed and (error is not None or not is_complete):
+            log_state("http", "handler-failed", error=repr(error), started=exchange.started)
+        if not exchange.started:
+            reason = b"cancelled: client closed" if self._has_client_closed else b"internal error"
+            with contextlib.suppress(ResponseError):
+                await exchange.respond(500, (), reason)
+
+    @property
+    def _is_closing(self) -> bool:
+        """Return whether the connection is closed, or will be once written data has been sent."""
+        closed = self._state is ConnectionState.CLOSED
+        return closed or self._transport is None or self._transport.is_closing()
+
+    def _finish_exchange(self) -> None:
+        if self._is_closing:
+            return
+        reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if not reusable or self._ends_after_response:
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._head = None
+        if self._has_pipelined_data:
+            self._begin_request()
+            self._read_events()
+        else:
+            self._state = ConnectionState.IDLE
+            self._start_idle_timer()
+
+    def _begin_request(self) -> None:
+        """Expect the head of a request, within the limits that are in force now."""
+        if self._parser_head_bytes != self._server.limits.max_head_bytes:
+            received = self._h11.trailing_data[0]
+            self._h11 = self._new_parser()
+            if received:
+                self._h11.receive_data(received)
+        self._state = ConnectionState.READING_HEAD
+        self._start_timer(self._server.limits.head_timeout_seconds)
+
+    def send_event(self, event: h11.Event) -> None:
+        """Encode and write one h11 event.
+
+        :raises ClientDisconnected: the client has disconnected.
+        :raises UnsendableResponse: h11 rejects the event in its current state.
+        """
+        if self._transport is None or self._state is ConnectionState.CLOSED:
+            raise ClientDisconnected("the client has disconnected")
+        with map_exceptions(RESPONSE_EXCEPTIONS):
+            data = self._h11.send(event)
+        if data:
+            self._transport.write(data)
+
+    def write_raw(self, data: bytes) -> None:
+        """Write bytes that bypass h11."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the write buffer has room.
+
+        :raises ClientDisconnected: the client has disconnected meanwhile.
+        """
+        if not self._writable.is_set():
+            await self._writable.wait()
+        if self._state is ConnectionState.CLOSED:
+            raise ClientDisconnected("the client has disconnected")
+
+    def abort(self) -> None:
+        """Close immediately; written data may be lost."""
+        self._is_closing_here = True
+        self._cancel_timer()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close once written data has been sent."""
+        self._is_closing_here = True
+        self._cancel_timer()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _start_timer(self, seconds: float) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timeout)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timeout(self) -> None:
+        if self._state is ConnectionState.IDLE:
+            self._on_idle_timeout()
+        elif self._state is not ConnectionState.HANDLING:
+            self._reject(BadRequest(408, "request-too-slow", "the request did not arrive in time"))
+
+    def raise_idle_timeout(self) -> None:
+        """Keep the connection idle for as long as any limit since it was opened has allowed.
+
+        Its client may not know a lower limit yet, and send a request that would cross the close.
+        """
+        self._idle_timeout_seconds = max(
+            self._idle_timeout_seconds, self._server.limits.idle_timeout_seconds
+        )
+
+    def _start_idle_timer(self) -> None:
+        self.raise_idle_timeout()
+        self._idle_since = self._now()
+        self._start_timer(self._idle_timeout_seconds)
+
+    def _on_idle_timeout(self) -> None:
+        """Close, unless the idle timeout has been raised since the timer was started."""
+        remaining_seconds = self._idle_since + self._idle_timeout_seconds - self._now()
+        if remaining_seconds > 0:
+            self._start_timer(remaining_seconds)
+        else:
+            self.close()
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from loomwind.clock import MS_PER_SECOND
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.serving.demand import DemandKey
@@ -136,8 +136,8 @@
         except (Refused, StreamTruncated):
             self._log_end("given-up")
             raise
-        except (ConnectionBroken, asyncio.CancelledError):
-            self._log_end("caller-left")
+        except (ClientDisconnected, asyncio.CancelledError):
+            self._log_end("cancelled" if self._exchange.is_connected else "caller-left")
             raise
         finally:
             self._handler.timeouts.discard(timeout)
