Show that a daemon that is out of step joins streams of two versions

Reported: during a release one front machine was cut off or stood still for some seconds, and streams that had begun at the new software version through other machines went on there at another version.

A daemon whose copies of the registry and of the server list name one version takes that version for the answer, whatever the age of the copies.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -109,3 +109,20 @@
     Given the versions v1 of tutor are registered
     When servers of tutor run v1 and none
     Then streams may begin at v1 but not at none
+
+  Scenario: a daemon that was out of step when a version was registered does not join two versions
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 relays the first event of a stream from v2
+    And daemon-1 writes origins for 1 s
+    Then daemon-2 continues that stream at v2
+
+  Scenario: a daemon that is out of step and cannot read the registry rejects what it does not know
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And the store is unavailable
+    Then daemon-2 rejects an unknown stream, with a time to retry
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -103,6 +103,7 @@
     context.software = _split(versions)
     context.list_version = 1
     context.daemons = {}
+    context.out_of_step = set()
     context.streams = []
 
 
@@ -124,9 +125,15 @@
 
 
 async def _list_servers(context: Any) -> None:
-    for daemon in context.daemons.values():
-        rows = server_rows(context.list_version, context.software)
-        daemon.state.on_server_rows(rows, is_full=True)
+    for name, daemon in context.daemons.items():
+        if name not in context.out_of_step:
+            rows = server_rows(context.list_version, context.software)
+            daemon.state.on_server_rows(rows, is_full=True)
+
+
+@when("{name:S} is out of step")
+def step_out_of_step(context: Any, name: str) -> None:
+    context.out_of_step.add(name)
 
 
 @when("{name:S} keeps the registry for {seconds:d} s")
