Let the belief in a sole software version expire

What callers saw: a stream that had begun at a new software version went on at another version, at a daemon that had stood still or was cut off while the new version was registered.

Cause: "only one version can have begun it" is taken from what is absent in this daemon's copies of the registry and of the server list, and holds only as of the time of these copies; nothing bounded their age.

Change: the belief counts while the copy is younger than a lease, 0.8 of the drain bound, which is more than the age that server lists reach in normal operation, so quiet times need no further calls. Its age is measured from the beginning of the read that confirmed it, on the monotonic clock, which runs while the process stands still. The list stands for the registry as long as the daemon has seen every entry; a full read, or the removal of an entry that it never saw, is a gap that a read of the registry has to close. Mirrors pass on what was listed and is not registered yet. An older belief is confirmed by one shared read of the changes of the row that begins after the question.

A further version is registered as opening: streams begin at it 0.9 of the drain bound after it is known, when no belief without it is left; then a second write opens it, so that daemons that start later don't wait. While the registry can be neither read nor written, a version is waited for likewise; before, streams began at once at any version. The wait for a registry that is not known is now a read of it.

The last version stays registered until another one is.

Look-ups while the store is silent no longer queue up behind each other: callers share a read that begins after they asked, and its failure.

The list of a test daemon has an age now, as the real one: the steps set when it matched the store, and confirm the registry as a started daemon does.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -126,3 +126,46 @@
     And daemon-1 keeps the registry for 4 s
     And the store is unavailable
     Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: streams begin at a further version only when no daemon can take the other one for the only one
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+    And a stream that began at daemon-2 goes on at v1, without a call to the store
+    When daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 and at v2
+    And daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario: servers of a further version came and went while a daemon was out of step
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 relays the first event of a stream from v2
+    And daemon-1 writes origins for 1 s
+    And servers of tutor run v1
+    And daemon-2 is in step again
+    Then daemon-2 continues that stream at v2
+
+  Scenario: streams begin at once at versions that were open before a daemon restarted
+    Given the versions v1 of tutor are registered
+    When servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 restarts
+    Then streams may begin at v1 and at v2
+
+  Scenario: a daemon that restarts while a version is opening waits as well
+    Given the versions v1 of tutor are registered
+    When servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    And daemon-1 restarts
+    Then streams may begin at v1 but not at v2
+
+  Scenario: a new version that cannot be registered is waited for as well
+    Given the versions v1 of tutor are registered
+    When servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -83,3 +83,32 @@
     Then no stream has events of two software versions
     And at least 0.9 of all streams are complete
     And server four holds m1
+
+  Scenario: a daemon that stood still during a release continues streams of the new version
+    Given a model server one of version v1 with m1
+    And 3 pool daemons
+    And every event of a stream takes 0.05 s
+    When daemon-1 is suspended
+    Given a model server two of version v2 with m1
+    And every event of a stream takes 0.05 s
+    When streams begin at daemon-2 and daemon-3 only, until 6 have begun at each of v1 and v2
+    And daemon-2 is killed
+    And daemon-3 is killed
+    And the callers resume their streams at daemon-1, which then continues
+    Then no stream has events of two software versions
+    And at least 0.5 of the resumed streams are complete
+
+  Scenario: a daemon that stood still and was cut off during a release does not join two versions
+    Given a model server one of version v1 with m1
+    And a link between daemon-1 and the store, and 3 pool daemons
+    And every event of a stream takes 0.05 s
+    When the link to the store becomes partition
+    And daemon-1 is suspended
+    Given a model server two of version v2 with m1
+    And every event of a stream takes 0.05 s
+    When streams begin at daemon-2 and daemon-3 only, until 6 have begun at each of v1 and v2
+    And daemon-2 is killed
+    And daemon-3 is killed
+    And the callers resume their streams at daemon-1, which then continues
+    Then no stream has events of two software versions
+    And every rejected resumption has status 503 and came before half of its caller's time
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -24,6 +24,7 @@
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.request_lifecycle import RequestLifecycle
 from loomwind.serving.residency import Residency, ServerHolding
+from loomwind.serving.resumption import Resumption
 from loomwind.serving.views import (
     CallerRequest,
     HeldModel,
@@ -92,6 +93,13 @@
         return 0.0
 
 
+class NoResumption:
+    """Requires no software version."""
+
+    async def required_version(self, caller: CallerRequest, service: str) -> None:
+        """Return None: no request resumes a stream."""
+
+
 class UnstartedExchange:
     """An exchange whose response has not begun."""
 
@@ -123,6 +131,7 @@
         cast(PeerRelay, None),
         cast(PromptGuard, NoBannedPrompts()),
         cast(OriginLog, None),
+        cast(Resumption, NoResumption()),
     )
     parts = (WeightedService(SERVICE, 1.0),)
     route = RouteRule("r", "h", "/", RequestKind.STREAMING, parts, 30.0, 0.6)
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -11,6 +11,7 @@
 
 from features.support.memory_store import MemoryStore
 from features.support.virtual_time import VirtualTimeLoop
+from loomwind.clock import MS_PER_SECOND
 from loomwind.metrics import Metrics
 from loomwind.platform.documents import PlatformDocumentParser
 from loomwind.serving.errors import OriginUnknown
@@ -79,9 +80,17 @@
     follower = TableFollower(store, PEER_TABLE, health, registrar.on_rows)
     await follower.poll_once(0.0)
     context.list_version += 1
-    state.on_server_rows(server_rows(context.list_version, context.software), is_full=True)
+    _list(state, context)
+    await registrar.confirm()
     origins = OriginLog(store, ORIGIN_TABLE, name, pool.versions, peers)
-    return Daemon(state, registrar, follower, origins, Resumption(pool.versions, origins))
+    resumption = Resumption(pool.versions, origins, registrar.confirm, lambda: state.list_age_ms)
+    return Daemon(state, registrar, follower, origins, resumption)
+
+
+def _list(state: ReplicatedState, context: Any) -> None:
+    """Give a daemon the list of servers as of now."""
+    state.on_server_rows(server_rows(context.list_version, context.software), is_full=True)
+    state.servers_fresh_at = asyncio.get_running_loop().time()
 
 
 def _run(context: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
@@ -127,8 +136,7 @@
 async def _list_servers(context: Any) -> None:
     for name, daemon in context.daemons.items():
         if name not in context.out_of_step:
-            rows = server_rows(context.list_version, context.software)
-            daemon.state.on_server_rows(rows, is_full=True)
+            _list(daemon.state, context)
 
 
 @when("{name:S} is out of step")
@@ -161,6 +169,17 @@
     context.daemons[name] = _run(context, _start(context, name))
 
 
+@when("{name:S} is in step again")
+def step_in_step(context: Any, name: str) -> None:
+    context.out_of_step.discard(name)
+    _run(context, _list_servers(context))
+
+
+@when("{seconds:d} s pass")
+def step_pass(context: Any, seconds: int) -> None:
+    _run(context, asyncio.sleep(seconds))
+
+
 @when("the store is unavailable")
 def step_unavailable(context: Any) -> None:
     context.store.is_available = False
@@ -259,7 +278,14 @@
 
 def _may_begin(context: Any, version: str) -> bool:
     daemon: Daemon = context.daemons["daemon-1"]
-    return daemon.state.pool.versions.may_begin(SERVICE, "" if version == "none" else version)
+    name = "" if version == "none" else version
+    may_begin: bool = _run(context, _ask_may_begin(daemon, name))
+    return may_begin
+
+
+async def _ask_may_begin(daemon: Daemon, version: str) -> bool:
+    now_ms = asyncio.get_running_loop().time() * MS_PER_SECOND
+    return daemon.state.pool.versions.may_begin(SERVICE, version, now_ms)
 
 
 @then("streams may begin at {version:w} but not at {other:w}")
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -2,6 +2,8 @@
 
 import itertools
 import re
+import signal
+import threading
 import time
 from collections import Counter
 from concurrent.futures import Future
@@ -13,7 +15,8 @@
 from features.steps.pool_steps import first_daemon, pool, replies_of
 from features.support.caller import Reply, Request, send
 from features.support.pool_site import PoolDaemonProcess, PoolSite
-from features.support.processes import wait_until
+from features.support.processes import Process, wait_until
+from features.support.site import Link, LinkProcess
 
 ROUTE = "drill"
 MODEL = "m1"
@@ -21,6 +24,7 @@
 TIMEOUT_SECONDS = 20.0
 MAX_RESUMPTIONS = 4
 RETRY_PAUSE_SECONDS = 0.1
+CONTINUE_AFTER_SECONDS = 0.5
 EVENT = re.compile(rb"id: (\d+)\ndata: token-\d+ (\S+)\n\n")
 
 
@@ -66,6 +70,25 @@
     pool(context).wait_ready()
 
 
+@given("a link between daemon-1 and the store, and {count:d} pool daemons")
+def step_store_link(context: Any, count: int) -> None:
+    site = pool(context)
+    link = Link("daemon-1", site.store_address)
+    process = Process("standins.link", ["--targets", link.target], site.folder / "store-link.log")
+    site.links.append(process)
+    context.store_link = LinkProcess([link], process)
+    site.configure()
+    for number in range(1, count + 1):
+        name = f"daemon-{number}"
+        site.add_daemon(name, context.store_link.overrides(name).get(link.target, ""))
+    site.wait_ready()
+
+
+@when("the link to the store becomes {state:w}")
+def step_store_link_state(context: Any, state: str) -> None:
+    context.store_link.set_state(state)
+
+
 @given("every event of a stream takes {seconds:f} s")
 def step_event_seconds(context: Any, seconds: float) -> None:
     for server in pool(context).servers.values():
@@ -78,17 +101,30 @@
 
 @when("streams begin at every daemon until {count:d} have begun at each of {versions}")
 def step_streams_begin(context: Any, count: int, versions: str) -> None:
+    _begin_streams(context, list(pool(context).daemons.values()), count, versions)
+
+
+@when("streams begin at {names} only, until {count:d} have begun at each of {versions}")
+def step_streams_begin_at(context: Any, names: str, count: int, versions: str) -> None:
+    daemons = [pool(context).daemons[name] for name in names.split(" and ")]
+    _begin_streams(context, daemons, count, versions)
+
+
+def _begin_streams(
+    context: Any, at_daemons: list[PoolDaemonProcess], count: int, versions: str
+) -> None:
+    """Begin streams one after the other, until enough have begun at each version."""
     site = pool(context)
     context.stream_futures = []
     wanted = versions.split(" and ")
-    daemons = itertools.cycle(site.daemons.values())
+    daemons = itertools.cycle(at_daemons)
     for _ in range(count * len(wanted) * 4):
         if all(_begun(context)[version] >= count for version in wanted):
             break
         site.callers.begin([_stream_request(site, next(daemons))])
         context.stream_futures.append(site.callers.pending.pop())
         wait_until(lambda: _all_begun(context), "the stream begins")
-    wait_until(lambda: _origins_recorded(site), "the daemons have relayed the first events")
+    wait_until(lambda: _origins_recorded(at_daemons), "the daemons have relayed the first events")
 
 
 def _all_begun(context: Any) -> bool:
@@ -104,8 +140,8 @@
     return begun
 
 
-def _origins_recorded(site: PoolSite) -> bool:
-    running = [d for d in site.daemons.values() if d.process and d.process.alive]
+def _origins_recorded(daemons: list[PoolDaemonProcess]) -> bool:
+    running = [d for d in daemons if d.process and d.process.alive]
     return all(d.metric("loomwind_first_event_seconds_count") > 0 for d in running)
 
 
@@ -118,13 +154,30 @@
     site.apply(remove=[{"table": "servers", "key": instance}])
 
 
-@when("daemon-1 is killed")
-def step_kill_daemon(context: Any) -> None:
-    process = first_daemon(context).process
+@when("{name:S} is killed")
+def step_kill_daemon(context: Any, name: str) -> None:
+    process = pool(context).daemons[name].process
     assert process is not None
     process.kill()
 
 
+@when("{name:S} is suspended")
+def step_suspend_daemon(context: Any, name: str) -> None:
+    process = pool(context).daemons[name].process
+    assert process is not None
+    process.signal(signal.SIGSTOP)
+
+
+@when("the callers resume their streams at {name:S}, which then continues")
+def step_resume_at_suspended(context: Any, name: str) -> None:
+    """Resume the streams while the daemon stands still, so that it reads the requests first."""
+    daemon = pool(context).daemons[name]
+    assert daemon.process is not None
+    timer = threading.Timer(CONTINUE_AFTER_SECONDS, daemon.process.signal, (signal.SIGCONT,))
+    timer.start()
+    _resume_streams(context, [daemon])
+
+
 @when("the callers resume their streams")
 def step_resume(context: Any) -> None:
     _resume_streams(context, list(pool(context).daemons.values()))
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -147,7 +147,11 @@
     :param servers: the entries that changed since the peer's version.
     :param store_in_trouble: whether the store recently failed, so that entries may be missing
         although their servers still run.
-    :param software_versions: the versions at which streams may have begun; None if not known.
+    :param software_versions: the registered software versions; None if the sender does not know
+        every version that the list has had.
+    :param versions_row: the store version of the row that they were read from.
+    :param unregistered_versions: pairs of service and version that were listed, and are not
+        registered as far as the sender knows.
     """
 
     version: int
@@ -155,6 +159,8 @@
     servers: tuple[ServerDocument, ...]
     store_in_trouble: bool = False
     software_versions: tuple[ServiceVersions, ...] | None = None
+    versions_row: int = 0
+    unregistered_versions: tuple[tuple[str, str], ...] = ()
 
 
 class ServerListAnswer(Message, frozen=True, tag=True, array_like=True):
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -40,6 +40,7 @@
 from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.replicated_state import ReplicatedState
+from loomwind.serving.resumption import Resumption
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.serving.version_registrar import VersionRegistrar
 from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
@@ -288,6 +289,12 @@
             ),
             self._prompt_guard,
             self._origins,
+            Resumption(
+                self._pool.versions,
+                self._origins,
+                self._registrar.confirm,
+                lambda: self.replicated_state.list_age_ms,
+            ),
         )
         self._relay_service = RelayService(self._handler)
         self._relay_server = HttpServer(self._on_relayed_request)
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -45,6 +45,7 @@
         relay: PeerRelay,
         prompts: PromptGuard,
         origins: OriginLog,
+        resumption: Resumption,
     ) -> None:
         """Create a handler.
 
@@ -59,7 +60,7 @@
         self.relay = relay
         self.prompts = prompts
         self.origins = origins
-        self.resumption = Resumption(pool.versions, origins)
+        self.resumption = resumption
         self.open_requests = 0
         self.timeouts: set[asyncio.Timeout] = set()
         self.rejects_waiting = False
--- a/loomwind/serving/origin_log.py
+++ b/loomwind/serving/origin_log.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from loomwind.clock import MS_PER_SECOND, Clock
+from loomwind.coalescing import CoalescedCall
 from loomwind.logs import log_state
 from loomwind.serving.errors import MalformedOrigins
 from loomwind.serving.peers import PeerTable
@@ -55,8 +56,7 @@
         self._written: frozenset[int] = frozenset()
         self._was_answered = True
         self._recorded = asyncio.Event()
-        self._reading = asyncio.Lock()
-        self._read_began_ms = float("-inf")
+        self._refresh = CoalescedCall(self._read)
 
     def record(self, request_id: str, origin: StreamOrigin, lifetime_ms: float) -> None:
         """Record the origin of a stream.
@@ -99,18 +99,12 @@
                     raise
             await self._clock.sleep_ms(LOOKUP_RETRY_MS)
 
-    async def _refresh(self) -> None:
-        """Read the rows of all daemons; calls that came before a read began share it."""
-        called_at_ms = self._clock.now_ms()
-        async with self._reading:
-            if self._read_began_ms >= called_at_ms:
-                return
-            began_ms = self._clock.now_ms()
-            snapshot = await self._store.read(self._table)
-            self._read_began_ms = began_ms
-            self._stored = {}
-            for row in snapshot.rows:
-                self._stored.update(_decode_row(row))
+    async def _read(self) -> None:
+        """Read the rows of all daemons."""
+        snapshot = await self._store.read(self._table)
+        self._stored = {}
+        for row in snapshot.rows:
+            self._stored.update(_decode_row(row))
 
     async def run(self) -> None:
         """Write the row of this daemon whenever it has changed, until cancelled."""
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -32,7 +32,7 @@
 
     def __init__(self, bounds: BoundSettings) -> None:
         self.directory = ServerDirectory(bounds.drain_seconds)
-        self.versions = VersionRegistry(self.directory)
+        self.versions = VersionRegistry(self.directory, bounds.drain_ms)
         self.residency = Residency()
         self.demand = DemandTracker()
         self.expectations = Expectations()
@@ -126,6 +126,7 @@
         """Apply changed bounds; retries already counted against a budget stay counted."""
         self._bounds = bounds
         self.directory.set_drain_seconds(bounds.drain_seconds)
+        self.versions.set_drain_ms(bounds.drain_ms)
         for budget in self._budgets.values():
             budget.set_limits(
                 bounds.retry_ratio * bounds.retry_safety,
--- a/loomwind/serving/replicated_state.py
+++ b/loomwind/serving/replicated_state.py
@@ -5,12 +5,10 @@
 """
 
 import asyncio
-import enum
 import math
 import zlib
 from collections.abc import Callable, Iterable
 
-from attrs import frozen
 from msgspec.structs import replace
 
 from loomwind.clock import MS_PER_SECOND
@@ -28,32 +26,10 @@
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import DocumentParser, MalformedDocument, Snapshot
 from loomwind.serving.routes import RouteTable
+from loomwind.serving.update_origin import UpdateOrigin, UpdateSource
 from loomwind.serving.views import Configuration, ServerEntry, ServerState
 
 
-class UpdateSource(enum.Enum):
-    """How an update of the server list or the configuration was received."""
-
-    FEED = "feed"
-    TABLE = "table"
-    PEER = "peer"
-    GOSSIP = "gossip"
-
-
-@frozen
-class UpdateOrigin:
-    """Where an update of the server list or the configuration comes from.
-
-    :param version: the store version of the updated list, or of the write of the configuration; 0
-        when a peer did not send one.
-    :param sender: the peer's ``host:port``; empty when the update came from the store.
-    """
-
-    source: UpdateSource
-    version: int
-    sender: str = ""
-
-
 class ReplicatedState:
     """Configuration and server list of one daemon.
 
@@ -168,6 +144,8 @@
         if is_full:
             listed = {row.key for row in snapshot.rows if not row.deleted}
             self._remove_unlisted(listed, store_unstable, origin)
+        if is_full or self._has_missed(snapshot):
+            self.pool.versions.record_gap(self._now() * MS_PER_SECOND)
         for row in snapshot.rows:
             if row.deleted:
                 self._remove_server(row.key, store_unstable, origin)
@@ -175,15 +153,23 @@
                 self._apply_server(row.key, row.value, origin)
         self._finish_update(snapshot.version)
 
+    def _has_missed(self, snapshot: Snapshot) -> bool:
+        """Whether an entry was removed that this daemon has never seen."""
+        return any(
+            row.deleted
+            and row.version > self.server_version
+            and row.key not in self._server_documents
+            for row in snapshot.rows
+        )
+
     def on_directory_copy(self, copy: DirectoryCopy, sender: str = "") -> None:
         """Apply a peer's server list, if it is newer.
 
         :param sender: the peer's ``host:port``, for the log.
         """
-        if copy.software_versions is not None:
-            self.pool.versions.adopt_from_peer(copy.software_versions)
         if copy.version <= self.server_version:
             return
+        self._adopt_versions(copy)
         store_unstable = copy.store_in_trouble or self._health.recently_failed(self._now())
         origin = UpdateOrigin(UpdateSource.PEER, copy.version, sender)
         self._remove_unlisted(copy.listed, store_unstable, origin)
@@ -191,6 +177,16 @@
             self._apply_server(server.name, server.document, origin)
         self._finish_update(copy.version)
 
+    def _adopt_versions(self, copy: DirectoryCopy) -> None:
+        """Adopt what a peer knows of versions whose servers may have come and gone meanwhile."""
+        versions, now_ms = self.pool.versions, self._now() * MS_PER_SECOND
+        if copy.software_versions is None:
+            versions.record_gap(now_ms)
+            return
+        versions.adopt_from_peer(
+            copy.software_versions, copy.versions_row, copy.unregistered_versions, now_ms
+        )
+
     def on_departure_notice(self, notice: ServerDepartures) -> None:
         """Apply a peer's notice of departing servers.
 
@@ -269,7 +265,9 @@
             listed,
             changed,
             store_unstable,
-            versions.services() if versions.is_known else None,
+            versions.services() if versions.is_known and versions.is_complete else None,
+            versions.row_version,
+            versions.unregistered,
         )
 
     async def wait_for_server_change(self, timeout: float) -> None:
@@ -353,6 +351,8 @@
             self._record_departure(known, origin, listed=True)
         self._server_documents[name] = document
         directory.put(entry)
+        now_ms = self._now() * MS_PER_SECOND
+        self.pool.versions.record_listed(entry.service, entry.software_version, now_ms)
 
     def _finish_update(self, version: int) -> None:
         directory = self.pool.directory
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -1,10 +1,18 @@
 """Finds the software version at which a stream that its caller resumes must go on.
 
-If streams may have begun at one version only, that is the answer. Otherwise the origin of the
-stream is looked up; a stream whose origin is unknown is not continued.
+An origin that anyone knows is the answer, however old that knowledge is. That streams can have
+begun at one version only is an answer while the copy of the registry is young enough, or after a
+new read of it. Otherwise the origin is looked up in the store; a stream whose origin is unknown is
+not continued.
 """
 
-from loomwind.clock import Clock
+import asyncio
+import math
+from collections.abc import Awaitable, Callable, Iterable
+
+from attrs import frozen
+
+from loomwind.clock import MS_PER_SECOND, Clock
 from loomwind.logs import log_decision
 from loomwind.serving.errors import RETRY_SOON_SECONDS, OriginUnknown
 from loomwind.serving.origin_log import OriginLog
@@ -13,17 +21,45 @@
 from loomwind.serving.version_registry import VersionRegistry
 from loomwind.serving.views import CallerRequest
 
-# A daemon that has just started learns the registry within a few calls to the store.
 LOOKUP_TIMEOUT_MS = 1500.0
-REGISTRY_POLL_MS = 20.0
+CONFIRM_RETRY_MS = 100.0
+# The store answers within a few milliseconds; the origin is looked up only if that decides nothing.
+STORE_HEAD_START_MS = 40.0
+
+
+@frozen
+class Clue:
+    """What one source says of the origin of a stream.
+
+    :ivar origin: where the stream began; None if the source does not know it.
+    :ivar may_be_known_later: whether the source may know it when it is asked again.
+    """
+
+    source: str
+    origin: StreamOrigin | None = None
+    may_be_known_later: bool = False
+    detail: str = "it is not known at which software version the stream began"
 
 
 class Resumption:
     """Finds the required software versions of resumed streams."""
 
-    def __init__(self, registry: VersionRegistry, origins: OriginLog) -> None:
+    def __init__(
+        self,
+        registry: VersionRegistry,
+        origins: OriginLog,
+        confirm_registry: Callable[[], Awaitable[None]],
+        list_age_ms: Callable[[], float],
+    ) -> None:
+        """Create a finder.
+
+        :param confirm_registry: reads the registry; raises StoreUnavailable.
+        :param list_age_ms: returns the time since the server list matched the store.
+        """
         self._registry = registry
         self._origins = origins
+        self._confirm_registry = confirm_registry
+        self._list_age_ms = list_age_ms
         self._clock = Clock()
 
     async def required_version(self, caller: CallerRequest, service: str) -> str | None:
@@ -33,23 +69,73 @@
         """
         if caller.last_event_id is None:
             return None
-        origin = self._origins.find(caller.origin_id) if caller.origin_id else None
-        source = "origin-known"
-        if origin is None:
-            await self._wait_for_registry()
-            sole_version = self._registry.sole_version(service)
-            if sole_version is not None:
-                self._log(caller, service, sole_version, "sole-version")
-                return sole_version
-            origin = await self._look_up(caller.origin_id)
-            source = "origin-looked-up"
+        clue = self._known_here(caller.origin_id, service) or await self._search(
+            caller.origin_id, service
+        )
+        if clue.origin is None:
+            retry_after_seconds = RETRY_SOON_SECONDS if clue.may_be_known_later else None
+            raise OriginUnknown(clue.detail, retry_after_seconds)
         # Versions of different services are not related.
-        version = origin.software_version if origin.service == service else None
-        self._log(caller, service, version, source)
+        version = clue.origin.software_version if clue.origin.service == service else None
+        self._log(caller, service, version, clue.source)
         return version
 
+    def _known_here(self, origin_id: str | None, service: str) -> Clue | None:
+        """Return what this daemon knows without a call; None if that is nothing."""
+        origin = self._origins.find(origin_id) if origin_id else None
+        if origin is not None:
+            return Clue("origin-known", origin)
+        return self._sole_version(service)
+
+    def _sole_version(self, service: str) -> Clue | None:
+        version = self._registry.sole_version(service)
+        if version is None or not self._is_current():
+            return None
+        return Clue("sole-version", StreamOrigin(service, version))
+
+    def _is_current(self) -> bool:
+        return self._registry.is_current(self._list_age_ms(), self._clock.now_ms())
+
+    async def _search(self, origin_id: str | None, service: str) -> Clue:
+        """Ask the registry, and if that does not decide it, the stored origins."""
+        searches = [asyncio.create_task(self._confirm(service))]
+        try:
+            await asyncio.wait(searches, timeout=STORE_HEAD_START_MS / MS_PER_SECOND)
+            if origin_id and not (searches[0].done() and searches[0].result().origin):
+                searches.append(asyncio.create_task(self._look_up(origin_id)))
+            return await _first_to_know(searches)
+        finally:
+            for search in searches:
+                search.cancel()
+
+    async def _confirm(self, service: str) -> Clue:
+        """Read the registry; its only version at the time of the read is the answer."""
+        deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
+        while len(self._registry.possible(service)) < 2:
+            try:
+                await self._confirm_registry()
+                break
+            except StoreUnavailable as error:
+                if (clue := self._sole_version(service)) is not None:
+                    return clue
+                if self._clock.now_ms() + CONFIRM_RETRY_MS >= deadline_ms:
+                    detail = f"the registered software versions cannot be read: {error}"
+                    return Clue("registry", None, True, detail)
+            await self._clock.sleep_ms(CONFIRM_RETRY_MS)
+        return self._sole_version(service) or Clue("registry")
+
+    async def _look_up(self, origin_id: str) -> Clue:
+        """Look in the rows of all daemons."""
+        try:
+            origin = await self._origins.look_up(origin_id, LOOKUP_TIMEOUT_MS)
+        except StoreUnavailable as error:
+            detail = f"where the stream began cannot be read: {error}"
+            return Clue("origin-looked-up", None, True, detail)
+        return Clue("origin-looked-up", origin)
+
     def _log(self, caller: CallerRequest, service: str, version: str | None, source: str) -> None:
         """Log the version that is required, and what this daemon took it from."""
+        list_age_ms = self._list_age_ms()
         log_decision(
             "version-required",
             caller.request_id,
@@ -58,25 +144,18 @@
             source=source,
             possible=sorted(self._registry.possible(service)),
             registry=self._registry.row_version if self._registry.is_known else None,
+            list_age_ms=round(list_age_ms) if math.isfinite(list_age_ms) else None,
         )
 
-    async def _wait_for_registry(self) -> None:
-        deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
-        while not self._registry.is_known and self._clock.now_ms() < deadline_ms:
-            await self._clock.sleep_ms(REGISTRY_POLL_MS)
-
-    async def _look_up(self, origin_id: str | None) -> StreamOrigin:
-        """Return the origin of a stream.
 
-        :raises OriginUnknown: there is none, or the store did not respond.
-        """
-        if not origin_id:
-            raise OriginUnknown("the request does not tell which attempt began its stream")
-        try:
-            origin = await self._origins.look_up(origin_id, LOOKUP_TIMEOUT_MS)
-        except StoreUnavailable as error:
-            detail = f"where the stream began cannot be read: {error}"
-            raise OriginUnknown(detail, RETRY_SOON_SECONDS) from error
-        if origin is None:
-            raise OriginUnknown("it is not known at which software version the stream began")
-        return origin
+async def _first_to_know(searches: Iterable[asyncio.Task[Clue]]) -> Clue:
+    """Return the first clue with an origin; otherwise one that says whether to ask again."""
+    pending = set(searches)
+    clues: list[Clue] = []
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for search in done:
+            clues.append(search.result())
+            if clues[-1].origin is not None:
+                return clues[-1]
+    return max(clues, key=lambda clue: clue.may_be_known_later)
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -68,8 +68,10 @@
             return [entry for entry in entries if entry.software_version == self.software_version]
         if not self._is_resumable:
             return entries
-        may_begin = self._pool.versions.may_begin
-        return [entry for entry in entries if may_begin(entry.service, entry.software_version)]
+        may_begin, now_ms = self._pool.versions.may_begin, self._pool.now() * MS_PER_SECOND
+        return [
+            entry for entry in entries if may_begin(entry.service, entry.software_version, now_ms)
+        ]
 
     def _candidate(self, entry: ServerEntry, now: float) -> Candidate:
         health = self._pool.health(entry)
--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -1,17 +1,26 @@
 """Keeps the registry of software versions in the store up to date.
 
-Every daemon registers versions that it finds in the server list; the leader also removes versions
-whose servers have left long ago. All writes are conditional on the row's version.
+Every daemon registers versions that it finds in the server list, and opens them once their first
+streams may begin; the leader also removes versions whose servers have left long ago. All writes are
+conditional on the row's version.
 """
 
 import random
 
 from loomwind.clock import MS_PER_SECOND, Clock
+from loomwind.coalescing import CoalescedCall
 from loomwind.logs import log_state
 from loomwind.serving.errors import MalformedVersions
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.peers import PeerTable
-from loomwind.serving.ports import Snapshot, Store, StoreUnavailable, Write, WriteConflict
+from loomwind.serving.ports import (
+    HistoryLost,
+    Snapshot,
+    Store,
+    StoreUnavailable,
+    Write,
+    WriteConflict,
+)
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.version_registry import (
     ServiceVersions,
@@ -48,6 +57,8 @@
         self._health = health
         self._clock = Clock()
         self._unlisted_since_ms: dict[tuple[str, str], float] = {}
+        self._read_version = 0
+        self.confirm = CoalescedCall(self._read)
 
     def on_rows(self, snapshot: Snapshot, is_full: bool) -> None:
         """Apply the row of the registry, if it is among the changed rows or ``is_full``."""
@@ -55,7 +66,8 @@
         if row is not None and not row.deleted:
             self._apply(row.value, row.version)
         elif row is not None or is_full:
-            self._registry.replace((), row.version if row is not None else 0)
+            row_version = row.version if row is not None else 0
+            self._registry.replace((), row_version, self._clock.now_ms())
 
     def _apply(self, value: bytes, row_version: int) -> None:
         """Adopt a row, and let requests that wait for its versions go on."""
@@ -64,33 +76,75 @@
         except MalformedVersions as error:
             log_state("software-versions", "unreadable", version=row_version, error=str(error))
             services = ()
-        self._registry.replace(services, row_version)
+        self._registry.replace(services, row_version, self._clock.now_ms())
         self._registry.is_writable = True
         self._replicated_state.pool.demand.wake()
 
+    async def _read(self) -> None:
+        """Read what has changed of the row, so that this copy is as of now.
+
+        :raises StoreUnavailable: the store did not respond.
+        """
+        began_ms = self._clock.now_ms()
+        after = max(self._read_version, self._registry.row_version)
+        is_full = not self._registry.is_known or not after
+        try:
+            read = self._store.changes(self._table, after, 0.0) if not is_full else None
+            snapshot = await (read or self._store.read(self._table))
+        except HistoryLost:
+            is_full = True
+            snapshot = await self._store.read(self._table)
+        if snapshot.version < after:
+            raise StoreUnavailable("the response is older than what is known")
+        self.on_rows(snapshot, is_full)
+        self._read_version = snapshot.version
+        self._registry.confirm(began_ms)
+
     async def run(self) -> None:
-        """Register and retire versions until cancelled."""
+        """Register, open and retire versions until cancelled."""
         while True:
-            await self._replicated_state.wait_for_server_change(CHECK_INTERVAL_MS / MS_PER_SECOND)
             try:
                 await self._update()
             except Exception as error:
                 log_state("software-versions", "failed", error=repr(error))
+            await self._replicated_state.wait_for_server_change(CHECK_INTERVAL_MS / MS_PER_SECOND)
 
     async def _update(self) -> None:
         if not self._registry.is_known:
             return
+        if not self._registry.is_complete:
+            await self._close_gap()
         if self._registry.has_unregistered:
             await self._register()
+        elif self._registry.waited(self._clock.now_ms()):
+            await self._open()
         elif self._peers.leads:
             await self._retire()
 
+    async def _close_gap(self) -> None:
+        """Read the versions of servers that were listed unnoticed, at the start or after a gap."""
+        try:
+            await self.confirm()
+        except StoreUnavailable as error:
+            log_state("software-versions", "not-read", error=str(error))
+
     async def _register(self) -> None:
+        await self._leave_to_leader()
+        if self._registry.has_unregistered:
+            await self._write(self._registry.with_listed())
+
+    async def _open(self) -> None:
+        """Let streams begin at versions that every daemon knows by now, also after restarts."""
+        self._replicated_state.pool.demand.wake()
+        await self._leave_to_leader()
+        now_ms = self._clock.now_ms()
+        if self._registry.waited(now_ms) and not self._registry.has_unregistered:
+            await self._write(self._registry.with_opened(now_ms))
+
+    async def _leave_to_leader(self) -> None:
         if not self._peers.leads:
             delay_ms = self._peers.scale_interval(random.uniform(0.3, 1.0) * MAX_FOLLOWER_DELAY_MS)
             await self._clock.sleep_ms(delay_ms)
-        if self._registry.has_unregistered:
-            await self._write(self._registry.with_listed())
 
     async def _retire(self) -> None:
         """Remove versions that no listed server has had for the retention time."""
@@ -106,8 +160,9 @@
             for key, since_ms in self._unlisted_since_ms.items()
             if now_ms - since_ms >= RETENTION_MS
         }
-        if retired:
-            await self._write(self._registry.without(retired))
+        services = self._registry.without(retired)
+        if services != self._registry.services():
+            await self._write(services)
 
     async def _write(self, services: tuple[ServiceVersions, ...]) -> None:
         write = Write(ROW_KEY, encode_versions(services), self._registry.row_version)
@@ -125,6 +180,6 @@
             self._registry.is_writable = False
             return
         self._registry.is_writable = True
-        self._registry.replace(services, version)
+        self._registry.replace(services, version, self._clock.now_ms())
         self._replicated_state.pool.demand.wake()
         log_state("software-versions", "written", version=version, services=services)
