Store origins at once when a service gets a second version

What callers saw: streams that had begun within the last second before a second software version was listed, at a daemon that then died, were not continued.

Cause: the origins of a service of one version are not stored, and the writer looked only once a second whether the service has become mixed.

Change: a version that becomes known wakes the writer. The scenario "streams that began before a second version was listed are stored at once" failed before: the origin was not known 0.05 s after the version was listed.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -89,6 +89,12 @@
     And daemon-1 writes origins for 3 s
     Then daemon-2 continues that stream at v1
 
+  Scenario: streams that began before a second version was listed are stored at once
+    Given the versions v1 of tutor are registered
+    When daemon-1 relays the first event of a stream from v1
+    And daemon-1 has written origins for 0.3 s when servers of tutor run v1 and v2
+    Then daemon-2 continues that stream at v1
+
   Scenario: an unknown origin is rejected for good
     Given the versions v1 and v2 of tutor are registered
     Then daemon-2 rejects an unknown stream, without a time to retry
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -154,6 +154,21 @@
     _run(context, _run_for(context.daemons[name].origins.run(), seconds))
 
 
+@when("{name:S} has written origins for {seconds:f} s when servers of tutor run {versions}")
+def step_servers_while_writing(context: Any, name: str, seconds: float, versions: str) -> None:
+    async def write_origins() -> None:
+        writing = asyncio.ensure_future(context.daemons[name].origins.run())
+        await asyncio.sleep(seconds)
+        context.software = _split(versions)
+        context.list_version += 1
+        await _list_servers(context)
+        await asyncio.sleep(WRITE_DELAY_SECONDS)
+        writing.cancel()
+        await asyncio.gather(writing, return_exceptions=True)
+
+    _run(context, write_origins())
+
+
 @when("{name:S} relays the first event of {which} stream from {version:w}")
 def step_first_event(context: Any, name: str, which: str, version: str) -> None:
     context.streams.append(f"request-{len(context.streams)}")
--- a/loomwind/serving/origin_log.py
+++ b/loomwind/serving/origin_log.py
@@ -57,6 +57,7 @@
         self._was_answered = True
         self._recorded = asyncio.Event()
         self._refresh = CoalescedCall(self._read)
+        registry.on_new_version = self._recorded.set
 
     def record(self, request_id: str, origin: StreamOrigin, lifetime_ms: float) -> None:
         """Record the origin of a stream.
--- a/loomwind/serving/version_registry.py
+++ b/loomwind/serving/version_registry.py
@@ -10,7 +10,7 @@
 expired. Then a second write opens it, so that daemons that start later need not wait.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import msgspec
 from msgspec import Struct
@@ -44,6 +44,7 @@
     :ivar is_known: whether the registry was received since this daemon started.
     :ivar row_version: the store version of the row; 0 when there is none.
     :ivar is_writable: whether the last write of the row succeeded or was not needed.
+    :ivar on_new_version: called when a further version of a service becomes known.
     """
 
     def __init__(self, directory: ServerDirectory, drain_ms: float) -> None:
@@ -57,6 +58,7 @@
         self.is_known = False
         self.row_version = 0
         self.is_writable = True
+        self.on_new_version: Callable[[], None] = lambda: None
         self.set_drain_ms(drain_ms)
 
     def set_drain_ms(self, drain_ms: float) -> None:
@@ -81,6 +83,8 @@
         for pair in self._pairs() - before:
             self._known_since_ms[pair] = now_ms
         self._unregistered -= self._pairs()
+        if self._pairs() - before:
+            self.on_new_version()
 
     def reset(self) -> None:
         """Record that the row does not exist."""
@@ -109,6 +113,7 @@
             return
         self._unregistered.add(pair)
         self._known_since_ms.setdefault(pair, now_ms)
+        self.on_new_version()
 
     def record_gap(self, now_ms: float) -> None:
         """Record that servers may have been listed and removed without this daemon's notice."""
