Ask the peers for the origins of streams

What callers saw: resumed streams were refused with "it is not known at which software version the stream began" or after 1.5 s because the store did not answer, though the daemon that had relayed their first events lived.

Cause: only that daemon's memory and its row in the store told the origin; peers were not asked.

Change: a daemon that neither knows the origin nor finds it in the store within 40 ms asks all peers, in parallel with further look-ups in the store. The look-ups of 15 ms (more in a large fleet) share one question to each peer; a peer answers from memory. A peer that does not answer in 150 ms is asked once more after 250 ms; if it stays silent it may know the origin, so the refusal says when to come back. If all peers have answered that they do not know it, and no row has it, the refusal is final as before.

Without peers, the scenarios "the daemon that relayed a stream is asked while the store is unavailable", "streams that are resumed in a moment share a question" and "a peer that does not answer may know the origin" can't pass: nobody else was asked before. The older scenarios, which check what the store tells, run without peers, as before.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -175,3 +175,29 @@
     And the store is unavailable
     And daemon-1 keeps the registry for 1 s
     Then streams may begin at v1 but not at v2
+
+  Scenario: the daemon that relayed a stream is asked while the store is unavailable
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v2
+    And the store is unavailable
+    Then daemon-2 continues that stream at v2
+
+  Scenario: streams that are resumed in a moment share a question to each peer
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v2
+    And daemon-1 relays the first event of another stream from v2
+    And daemon-1 relays the first event of another stream from v2
+    Then daemon-2 continues all streams at v2, with one call to its peer
+
+  Scenario: a peer that does not answer may know the origin, so there is a time to retry
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 does not answer its peers
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: no peer knows the origin, so it is rejected for good
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    Then daemon-2 rejects an unknown stream, without a time to retry
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -12,12 +12,16 @@
 from features.support.memory_store import MemoryStore
 from features.support.virtual_time import VirtualTimeLoop
 from loomwind.clock import MS_PER_SECOND
+from loomwind.messages.serving import OriginAnswer, OriginQuestion
 from loomwind.metrics import Metrics
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
 from loomwind.platform.documents import PlatformDocumentParser
 from loomwind.serving.errors import OriginUnknown
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.origin_log import OriginLog
-from loomwind.serving.peers import PeerTable
+from loomwind.serving.peer_origins import PeerOrigins
+from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Snapshot, StoredRow, Write
 from loomwind.serving.replicated_state import ReplicatedState
@@ -36,15 +40,47 @@
 
 
 class LeadingPeers:
-    """A peer table of a small fleet, whose daemon leads."""
+    """The peer table of a daemon that leads a small fleet.
+
+    :param known: the names of the daemons that have peers, which are also their addresses.
+    """
 
     leads = True
 
+    def __init__(self, own: str, known: set[str]) -> None:
+        self._own = own
+        self._known = known
+
+    def others(self) -> list[PeerEntry]:
+        """Return the other daemons."""
+        return [PeerEntry(name, "z", name) for name in sorted(self._known) if name != self._own]
+
     def scale_interval(self, seconds: float) -> float:
         """Return the interval of a small fleet."""
         return seconds
 
 
+class MemoryTransport:
+    """Calls peers in memory.
+
+    :param silent: the names of the daemons that do not answer.
+    :ivar calls: the number of calls.
+    """
+
+    def __init__(self, daemons: dict[str, "Daemon"], silent: set[str]) -> None:
+        self._daemons = daemons
+        self._silent = silent
+        self.calls = 0
+
+    async def call(self, address: str, message: OriginQuestion, timeout: float) -> OriginAnswer:
+        """Return the answer of a peer."""
+        self.calls += 1
+        if address in self._silent:
+            await asyncio.sleep(timeout)
+            raise PeerUnreachable("no answer")
+        return self._daemons[address].peer_origins.answer(message)
+
+
 @define
 class Daemon:
     """The parts of a daemon that the scenarios need."""
@@ -53,6 +89,7 @@
     registrar: VersionRegistrar
     follower: TableFollower
     origins: OriginLog
+    peer_origins: PeerOrigins
     resumption: Resumption
 
 
@@ -72,7 +109,7 @@
 
 async def _start(context: Any, name: str) -> Daemon:
     """Return a daemon that has read the registry and the list of servers."""
-    store, peers = context.store, cast(PeerTable, LeadingPeers())
+    store, peers = context.store, cast(PeerTable, LeadingPeers(name, context.known_peers))
     health = StoreHealth()
     pool = ServerPool(BoundSettings())
     state = ReplicatedState(PlatformDocumentParser(), "config", pool, health, Metrics())
@@ -83,8 +120,11 @@
     _list(state, context)
     await registrar.confirm()
     origins = OriginLog(store, ORIGIN_TABLE, name, pool.versions, peers)
-    resumption = Resumption(pool.versions, origins, registrar.confirm, lambda: state.list_age_ms)
-    return Daemon(state, registrar, follower, origins, resumption)
+    peer_origins = PeerOrigins(cast(PeerTransport, context.transport), peers, origins)
+    resumption = Resumption(
+        pool.versions, origins, peer_origins, registrar.confirm, lambda: state.list_age_ms
+    )
+    return Daemon(state, registrar, follower, origins, peer_origins, resumption)
 
 
 def _list(state: ReplicatedState, context: Any) -> None:
@@ -113,6 +153,8 @@
     context.list_version = 1
     context.daemons = {}
     context.out_of_step = set()
+    context.known_peers, context.silent = set(), set()
+    context.transport = MemoryTransport(context.daemons, context.silent)
     context.streams = []
 
 
@@ -184,6 +226,11 @@
     context.daemons[name] = _run(context, _start(context, name))
 
 
+@given("the daemons ask each other")
+def step_ask_each_other(context: Any) -> None:
+    context.known_peers.update(context.daemons)
+
+
 @when("{name:S} is in step again")
 def step_in_step(context: Any, name: str) -> None:
     context.out_of_step.discard(name)
@@ -195,6 +242,11 @@
     _run(context, asyncio.sleep(seconds))
 
 
+@when("{name:S} does not answer its peers")
+def step_silent(context: Any, name: str) -> None:
+    context.silent.add(name)
+
+
 @when("the store is unavailable")
 def step_unavailable(context: Any) -> None:
     context.store.is_available = False
@@ -286,6 +338,21 @@
         raise AssertionError(f"the stream goes on at {version}")
 
 
+@then("{name:S} continues all streams at {version:w}, with one call to its peer")
+def step_continues_all(context: Any, name: str, version: str) -> None:
+    async def resume_all() -> list[str | None]:
+        callers = [
+            CallerRequest("r", "h", 10.0, last_event_id="3", origin_id=stream)
+            for stream in context.streams
+        ]
+        find = context.daemons[name].resumption.required_version
+        found: list[str | None] = await asyncio.gather(*(find(each, SERVICE) for each in callers))
+        return found
+
+    assert set(_run(context, resume_all())) == {version}
+    assert context.transport.calls == 1, context.transport.calls
+
+
 @then("no origin is stored")
 def step_none_stored(context: Any) -> None:
     assert context.store.rows.table(ORIGIN_TABLE) == []
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -55,6 +55,8 @@
     LeaderAnswer,
     LeaderQuestion,
     LeaseNotice,
+    OriginAnswer,
+    OriginQuestion,
     PoolDemand,
     PoolDigest,
     PoolExpectations,
@@ -107,6 +109,8 @@
     | PoolExpectations
     | ServerListQuestion
     | ServerListAnswer
+    | OriginQuestion
+    | OriginAnswer
     | ServerDepartures
     | PromptCrashes
     | PromptsAnswered
@@ -150,6 +154,8 @@
     "MemberInfo",
     "MemberList",
     "Message",
+    "OriginAnswer",
+    "OriginQuestion",
     "PoolDemand",
     "PoolDigest",
     "PoolExpectations",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -7,6 +7,7 @@
 from loomwind.serving.demand import RunningCount, TargetDemand
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.residency import LearnedConcurrencyLimit, ServerHolding
+from loomwind.serving.stream_origins import OriginGroup, read_hashes
 from loomwind.serving.version_registry import ServiceVersions
 
 
@@ -176,6 +177,25 @@
     copy: DirectoryCopy | None = None
 
 
+class OriginQuestion(Message, frozen=True, tag=True, array_like=True):
+    """Asks at which software versions streams began.
+
+    :param request_hashes: the hashes of the request IDs that brought the first events, packed.
+    """
+
+    request_hashes: bytes
+
+    def hashes(self) -> list[int]:
+        """Return the hashes one by one."""
+        return read_hashes(self.request_hashes)
+
+
+class OriginAnswer(Message, frozen=True, tag=True, array_like=True):
+    """The origins that a daemon knows of those asked for."""
+
+    groups: tuple[OriginGroup, ...]
+
+
 class ServerDeparture(Message, frozen=True, array_like=True):
     """A server instance that is leaving and gets no new requests.
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -33,6 +33,7 @@
 from loomwind.serving.metered_store import MeteredStore
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_exchange import PeerExchange
+from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
@@ -223,6 +224,7 @@
         self._departure_gossip = DepartureGossip(
             self._own.address, self._transport, self._peers, self.replicated_state
         )
+        self._peer_origins = PeerOrigins(self._transport, self._peers, self._origins)
         self._exchange = PeerExchange(
             self._own,
             self._transport,
@@ -236,6 +238,7 @@
             self._anti_entropy,
             self._prompt_guard,
             self._configuration_gossip,
+            self._peer_origins,
         )
 
     def _create_placement(self, deployment: Deployment) -> None:
@@ -292,6 +295,7 @@
             Resumption(
                 self._pool.versions,
                 self._origins,
+                self._peer_origins,
                 self._registrar.confirm,
                 lambda: self.replicated_state.list_age_ms,
             ),
--- a/loomwind/serving/origin_log.py
+++ b/loomwind/serving/origin_log.py
@@ -71,7 +71,10 @@
 
     def find(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream, as far as this daemon knows it."""
-        request_hash = hash_request_id(request_id)
+        return self.find_hash(hash_request_id(request_id))
+
+    def find_hash(self, request_hash: int) -> StreamOrigin | None:
+        """Return the origin of the stream whose request ID has a hash."""
         return self._own.find(request_hash) or self._stored.get(request_hash)
 
     async def look_up(self, request_id: str, timeout_ms: float) -> StreamOrigin | None:
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -16,6 +16,7 @@
     DirectoryCopy,
     LeaderQuestion,
     LeaseNotice,
+    OriginQuestion,
     PoolDemand,
     PoolDigest,
     PoolExpectations,
@@ -30,6 +31,7 @@
 from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.leader_watch import LeaderWatch
+from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.prompt_guard import PromptGuard
@@ -91,6 +93,7 @@
         anti_entropy: AntiEntropy,
         prompts: PromptGuard,
         configurations: ConfigurationGossip,
+        origins: PeerOrigins,
     ) -> None:
         self._own = own
         self._transport = transport
@@ -104,6 +107,7 @@
         self._anti_entropy = anti_entropy
         self._prompts = prompts
         self._configurations = configurations
+        self._origins = origins
         self._holdings_fence = 0
         self._pending_holdings: dict[str, ServerHolding] = {}
         self._broadcast_timer: asyncio.TimerHandle | None = None
@@ -131,6 +135,8 @@
                 self._configurations.record_peer_version(message.sender, message.version)
             case ConfigurationQuestion():
                 return self._configurations.answer(message)
+            case OriginQuestion():
+                return self._origins.answer(message)
             case DirectoryCopy():
                 self._replicated_state.on_directory_copy(message)
             case ServerDepartures():
--- /dev/null
+++ b/loomwind/serving/peer_origins.py
@@ -0,0 +1,113 @@
+"""Asks the peers at which software versions streams began, without the store.
+
+The daemon that relayed the first event of a stream knows its origin, also while the store does not
+answer or the origin is not stored yet. Look-ups of a moment share one question to all peers.
+"""
+
+import asyncio
+
+from attrs import frozen
+
+from loomwind.clock import Clock
+from loomwind.messages.serving import OriginAnswer, OriginQuestion
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
+from loomwind.serving.origin_log import OriginLog
+from loomwind.serving.peers import PeerTable
+from loomwind.serving.stream_origins import (
+    HASH_BYTES,
+    StreamOrigin,
+    group_origins,
+    hash_request_id,
+    read_groups,
+)
+
+BATCH_MS = 15.0
+# A peer answers from memory; one that is busy, or stands still, is not waited for.
+ANSWER_TIMEOUT_SECONDS = 0.15
+
+
+@frozen
+class PeerFinding:
+    """What the peers said of a stream.
+
+    :ivar origin: where the stream began; None if no peer knew it.
+    :ivar silent: how many peers did not answer, and may know it.
+    """
+
+    origin: StreamOrigin | None
+    silent: int
+
+
+class _Batch:
+    """The look-ups that share one question.
+
+    :ivar findings: what is awaited, by the hash of the request ID.
+    """
+
+    def __init__(self) -> None:
+        self.findings: dict[int, asyncio.Future[PeerFinding]] = {}
+
+    def resolve(self, request_hash: int, finding: PeerFinding) -> None:
+        """Pass on a finding, unless the look-up has one."""
+        future = self.findings.get(request_hash)
+        if future is not None and not future.done():
+            future.set_result(finding)
+
+
+class PeerOrigins:
+    """Asks all peers for origins, and answers their questions."""
+
+    def __init__(self, transport: PeerTransport, peers: PeerTable, origins: OriginLog) -> None:
+        self._transport = transport
+        self._peers = peers
+        self._origins = origins
+        self._clock = Clock()
+        self._batch: _Batch | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def look_up(self, request_id: str) -> PeerFinding:
+        """Return what the peers know of a stream; the first one that knows it decides."""
+        request_hash = hash_request_id(request_id)
+        if self._batch is None:
+            self._batch = _Batch()
+            task = asyncio.get_running_loop().create_task(self._ask_all(self._batch))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        future = self._batch.findings.setdefault(
+            request_hash, asyncio.get_running_loop().create_future()
+        )
+        return await asyncio.shield(future)
+
+    def answer(self, question: OriginQuestion) -> OriginAnswer:
+        """Return the origins that this daemon knows of those asked for."""
+        known = {
+            request_hash: origin
+            for request_hash in question.hashes()
+            if (origin := self._origins.find_hash(request_hash)) is not None
+        }
+        return OriginAnswer(group_origins(known))
+
+    async def _ask_all(self, batch: _Batch) -> None:
+        await self._clock.sleep_ms(self._peers.scale_interval(BATCH_MS))
+        self._batch = None
+        hashes = b"".join(each.to_bytes(HASH_BYTES, "big") for each in batch.findings)
+        question = OriginQuestion(hashes)
+        addresses = [peer.address for peer in self._peers.others()]
+        answered = await asyncio.gather(*(self._ask(each, question, batch) for each in addresses))
+        finding = PeerFinding(None, answered.count(False))
+        for request_hash in batch.findings:
+            batch.resolve(request_hash, finding)
+
+    async def _ask(self, address: str, question: OriginQuestion, batch: _Batch) -> bool:
+        """Ask one peer; returns whether it answered."""
+        try:
+            answer = await self._transport.call(address, question, ANSWER_TIMEOUT_SECONDS)
+        except PeerUnreachable as error:
+            # A process that refuses connections has lost its memory.
+            return error.refused
+        if not isinstance(answer, OriginAnswer):
+            return False
+        for request_hash, origin in read_groups(answer.groups).items():
+            batch.resolve(request_hash, PeerFinding(origin, 0))
+        return True
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -2,8 +2,8 @@
 
 An origin that anyone knows is the answer, however old that knowledge is. That streams can have
 begun at one version only is an answer while the copy of the registry is young enough, or after a
-new read of it. Otherwise the origin is looked up in the store; a stream whose origin is unknown is
-not continued.
+new read of it. Otherwise the stored origins and the peers are asked, whichever answers first; a
+stream whose origin is unknown is not continued.
 """
 
 import asyncio
@@ -16,6 +16,7 @@
 from loomwind.logs import log_decision
 from loomwind.serving.errors import RETRY_SOON_SECONDS, OriginUnknown
 from loomwind.serving.origin_log import OriginLog
+from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.ports import StoreUnavailable
 from loomwind.serving.stream_origins import StreamOrigin
 from loomwind.serving.version_registry import VersionRegistry
@@ -23,8 +24,10 @@
 
 LOOKUP_TIMEOUT_MS = 1500.0
 CONFIRM_RETRY_MS = 100.0
-# The store answers within a few milliseconds; the origin is looked up only if that decides nothing.
+# The store answers within a few milliseconds; only what it does not answer is asked elsewhere.
 STORE_HEAD_START_MS = 40.0
+# A peer that stands still may answer the second time.
+ASK_PAUSES_MS = (STORE_HEAD_START_MS, 250.0)
 
 
 @frozen
@@ -48,6 +51,7 @@
         self,
         registry: VersionRegistry,
         origins: OriginLog,
+        peer_origins: PeerOrigins,
         confirm_registry: Callable[[], Awaitable[None]],
         list_age_ms: Callable[[], float],
     ) -> None:
@@ -58,6 +62,7 @@
         """
         self._registry = registry
         self._origins = origins
+        self._peer_origins = peer_origins
         self._confirm_registry = confirm_registry
         self._list_age_ms = list_age_ms
         self._clock = Clock()
@@ -97,12 +102,13 @@
         return self._registry.is_current(self._list_age_ms(), self._clock.now_ms())
 
     async def _search(self, origin_id: str | None, service: str) -> Clue:
-        """Ask the registry, and if that does not decide it, the stored origins."""
+        """Ask the registry, and if that does not decide it, the stored origins and the peers."""
         searches = [asyncio.create_task(self._confirm(service))]
         try:
             await asyncio.wait(searches, timeout=STORE_HEAD_START_MS / MS_PER_SECOND)
             if origin_id and not (searches[0].done() and searches[0].result().origin):
                 searches.append(asyncio.create_task(self._look_up(origin_id)))
+                searches.append(asyncio.create_task(self._ask_peers(origin_id)))
             return await _first_to_know(searches)
         finally:
             for search in searches:
@@ -133,6 +139,22 @@
             return Clue("origin-looked-up", None, True, detail)
         return Clue("origin-looked-up", origin)
 
+    async def _ask_peers(self, origin_id: str) -> Clue:
+        """Ask the daemons, which know the origins of the streams that they relayed."""
+        silent = 0
+        for pause_ms in ASK_PAUSES_MS:
+            await self._clock.sleep_ms(pause_ms)
+            finding = await self._peer_origins.look_up(origin_id)
+            silent = finding.silent
+            if finding.origin is not None or not silent:
+                return Clue("origin-asked", finding.origin)
+        return Clue(
+            "origin-asked",
+            None,
+            True,
+            f"where the stream began is unknown: {silent} peers are silent",
+        )
+
     def _log(self, caller: CallerRequest, service: str, version: str | None, source: str) -> None:
         """Log the version that is required, and what this daemon took it from."""
         list_age_ms = self._list_age_ms()
--- a/loomwind/serving/stream_origins.py
+++ b/loomwind/serving/stream_origins.py
@@ -79,16 +79,35 @@
     return xxhash.xxh64_intdigest(request_id.encode())
 
 
-def encode_origins(origins: dict[int, StreamOrigin]) -> bytes:
-    """Encode the row of a daemon."""
+def group_origins(origins: dict[int, StreamOrigin]) -> tuple[OriginGroup, ...]:
+    """Return origins by the version of a service."""
     grouped: dict[StreamOrigin, bytearray] = defaultdict(bytearray)
     for request_hash, origin in origins.items():
         grouped[origin] += request_hash.to_bytes(HASH_BYTES, "big")
-    groups = tuple(
+    return tuple(
         OriginGroup(origin.service, origin.software_version, bytes(hashes))
         for origin, hashes in grouped.items()
     )
-    return msgspec.msgpack.encode(groups)
+
+
+def read_groups(groups: Iterable[OriginGroup]) -> dict[int, StreamOrigin]:
+    """Return the origins in groups by the hashes of their request IDs."""
+    return {
+        request_hash: StreamOrigin(group.service, group.software_version)
+        for group in groups
+        for request_hash in read_hashes(group.request_hashes)
+    }
+
+
+def read_hashes(packed: bytes) -> list[int]:
+    """Return hashes of request IDs that were packed one after the other."""
+    starts = range(0, len(packed), HASH_BYTES)
+    return [int.from_bytes(packed[start : start + HASH_BYTES], "big") for start in starts]
+
+
+def encode_origins(origins: dict[int, StreamOrigin]) -> bytes:
+    """Encode the row of a daemon."""
+    return msgspec.msgpack.encode(group_origins(origins))
 
 
 def decode_origins(value: bytes) -> dict[int, StreamOrigin]:
@@ -97,13 +116,6 @@
     :raises MalformedOrigins: the row does not hold origins.
     """
     try:
-        groups = decode_msgpack(value, tuple[OriginGroup, ...])
+        return read_groups(decode_msgpack(value, tuple[OriginGroup, ...]))
     except DecodeError as error:
         raise MalformedOrigins(str(error)) from error
-    return {
-        int.from_bytes(group.request_hashes[start : start + HASH_BYTES], "big"): StreamOrigin(
-            group.service, group.software_version
-        )
-        for group in groups
-        for start in range(0, len(group.request_hashes), HASH_BYTES)
-    }
