Wait for a new server list before a version counts as gone

What callers saw (by reading): a daemon that stood still during a release finds out that a resumed stream began at the new version, but its list of servers has none of that version yet, so the stream is refused for good with "no server of software version v2 is left".

Cause: "no server of this version is left" is taken from a list of any age.

Change: if no server of the version is listed and the list is older than the belief lease, the resumption waits up to 0.5 s for a newer list, which the store or a peer sends within two calls. The scenario "a daemon that was out of step continues a stream when it knows servers of its version" fails without the wait.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -125,6 +125,15 @@
     And daemon-1 writes origins for 1 s
     Then daemon-2 continues that stream at v2
 
+  Scenario: a daemon that was out of step continues a stream when it knows servers of its version
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 relays the first event of a stream from v2
+    And daemon-1 writes origins for 1 s
+    Then daemon-2 continues that stream at v2, when it is in step again after 0.2 s
+
   Scenario: a daemon that is out of step and cannot read the registry rejects what it does not know
     Given the versions v1 of tutor are registered
     When daemon-2 is out of step
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -338,6 +338,25 @@
         raise AssertionError(f"the stream goes on at {version}")
 
 
+@then("{name:S} continues that stream at {version:w}, when it is in step again after {seconds:f} s")
+def step_continues_with_list(context: Any, name: str, version: str, seconds: float) -> None:
+    daemon: Daemon = context.daemons[name]
+
+    async def resume() -> bool:
+        caller = CallerRequest("r", "h", 10.0, last_event_id="3", origin_id=context.streams[-1])
+        assert await daemon.resumption.required_version(caller, SERVICE) == version
+        return daemon.state.pool.versions.is_listed(SERVICE, version)
+
+    async def resume_while_out_of_step() -> bool:
+        resuming = asyncio.ensure_future(resume())
+        await asyncio.sleep(seconds)
+        context.out_of_step.discard(name)
+        await _list_servers(context)
+        return await resuming
+
+    assert _run(context, resume_while_out_of_step())
+
+
 @then("{name:S} continues all streams at {version:w}, with one call to its peer")
 def step_continues_all(context: Any, name: str, version: str) -> None:
     async def resume_all() -> list[str | None]:
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -24,6 +24,9 @@
 
 LOOKUP_TIMEOUT_MS = 1500.0
 CONFIRM_RETRY_MS = 100.0
+# A daemon that stood still gets a new list from the store or a peer within two calls.
+LIST_WAIT_MS = 500.0
+LIST_POLL_MS = 20.0
 # The store answers within a few milliseconds; only what it does not answer is asked elsewhere.
 STORE_HEAD_START_MS = 40.0
 # A peer that stands still may answer the second time.
@@ -82,6 +85,8 @@
             raise OriginUnknown(clue.detail, retry_after_seconds)
         # Versions of different services are not related.
         version = clue.origin.software_version if clue.origin.service == service else None
+        if version is not None:
+            await self._wait_for_list(service, version)
         self._log(caller, service, version, clue.source)
         return version
 
@@ -101,6 +106,16 @@
     def _is_current(self) -> bool:
         return self._registry.is_current(self._list_age_ms(), self._clock.now_ms())
 
+    async def _wait_for_list(self, service: str, version: str) -> None:
+        """Wait briefly for a newer server list if an outdated one has no server of the version."""
+        deadline_ms = self._clock.now_ms() + LIST_WAIT_MS
+        while not (
+            self._registry.is_listed(service, version)
+            or self._registry.is_recent(self._list_age_ms())
+            or self._clock.now_ms() >= deadline_ms
+        ):
+            await self._clock.sleep_ms(LIST_POLL_MS)
+
     async def _search(self, origin_id: str | None, service: str) -> Clue:
         """Ask the registry, and if that does not decide it, the stored origins and the peers."""
         searches = [asyncio.create_task(self._confirm(service))]
--- a/loomwind/serving/version_registry.py
+++ b/loomwind/serving/version_registry.py
@@ -229,8 +229,16 @@
         age_ms = now_ms - self._confirmed_at_ms
         if self.is_complete:
             age_ms = min(age_ms, list_age_ms)
+        return self.is_recent(age_ms)
+
+    def is_recent(self, age_ms: float) -> bool:
+        """Whether a copy of an age is within the belief lease."""
         return age_ms < self._lease_ms
 
+    def is_listed(self, service: str, version: str) -> bool:
+        """Whether the server list of this daemon has a server of a version."""
+        return version in self._listed(service)
+
     @property
     def is_complete(self) -> bool:
         """Whether this copy has every version that any server list so far has had."""
