Wait for the configuration before a resumed stream is refused

Change: a request that resumes a stream waits up to 0.4 s for the configuration, which the store or a peer sends within a few calls. New requests are refused at once, as before. The scenario "a daemon that has just started waits for its configuration before it refuses a resumed stream" failed before.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -210,3 +210,8 @@
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
     Then daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario: a daemon that has just started waits for its configuration before it refuses a resumed stream
+    Given a daemon that has just started, whose configuration arrives after 0.2 s
+    Then a new stream is refused at once, as no configuration is known
+    And a resumed stream is handled by the configuration
--- /dev/null
+++ b/features/steps/out_of_step_steps.py
@@ -0,0 +1,69 @@
+"""Steps for daemons that miss changes of the versions, and for questions between daemons."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from features.steps.resumption_steps import SERVICE, Daemon, list_servers, run
+from loomwind.serving.views import CallerRequest
+
+
+@when("{name:S} is out of step")
+def step_out_of_step(context: Any, name: str) -> None:
+    context.out_of_step.add(name)
+
+
+@given("the daemons ask each other")
+def step_ask_each_other(context: Any) -> None:
+    context.known_peers.update(context.daemons)
+
+
+@when("{name:S} is in step again")
+def step_in_step(context: Any, name: str) -> None:
+    context.out_of_step.discard(name)
+    run(context, list_servers(context))
+
+
+@when("{seconds:d} s pass")
+def step_pass(context: Any, seconds: int) -> None:
+    run(context, asyncio.sleep(seconds))
+
+
+@when("{name:S} does not answer its peers")
+def step_silent(context: Any, name: str) -> None:
+    context.silent.add(name)
+
+
+@then("{name:S} continues that stream at {version:w}, when it is in step again after {seconds:f} s")
+def step_continues_with_list(context: Any, name: str, version: str, seconds: float) -> None:
+    daemon: Daemon = context.daemons[name]
+
+    async def resume() -> bool:
+        caller = CallerRequest("r", "h", 10.0, last_event_id="3", origin_id=context.streams[-1])
+        assert await daemon.resumption.required_version(caller, SERVICE) == version
+        return daemon.state.pool.versions.is_listed(SERVICE, version)
+
+    async def resume_while_out_of_step() -> bool:
+        resuming = asyncio.ensure_future(resume())
+        await asyncio.sleep(seconds)
+        context.out_of_step.discard(name)
+        await list_servers(context)
+        return await resuming
+
+    assert run(context, resume_while_out_of_step())
+
+
+@then("{name:S} continues all streams at {version:w}, with one call to its peer")
+def step_continues_all(context: Any, name: str, version: str) -> None:
+    async def resume_all() -> list[str | None]:
+        callers = [
+            CallerRequest("r", "h", 10.0, last_event_id="3", origin_id=stream)
+            for stream in context.streams
+        ]
+        find = context.daemons[name].resumption.required_version
+        found: list[str | None] = await asyncio.gather(*(find(each, SERVICE) for each in callers))
+        return found
+
+    assert set(run(context, resume_all())) == {version}
+    assert context.transport.calls == 1, context.transport.calls
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -133,7 +133,8 @@
     state.servers_fresh_at = asyncio.get_running_loop().time()
 
 
-def _run(context: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
+def run(context: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine in the virtual time of a scenario."""
     return context.runner.run(coroutine)
 
 
@@ -163,37 +164,33 @@
     context.software = _split(versions)
     registered = (ServiceVersions(SERVICE, tuple(sorted(_split(versions)))),)
     write = Write(ROW_KEY, encode_versions(registered), 0)
-    _run(context, context.store.write(PEER_TABLE, write))
+    run(context, context.store.write(PEER_TABLE, write))
     for name in ("daemon-1", "daemon-2"):
-        context.daemons[name] = _run(context, _start(context, name))
+        context.daemons[name] = run(context, _start(context, name))
 
 
 @when("servers of tutor run {versions}")
 def step_servers(context: Any, versions: str) -> None:
     context.software = _split(versions)
     context.list_version += 1
-    _run(context, _list_servers(context))
+    run(context, list_servers(context))
 
 
-async def _list_servers(context: Any) -> None:
+async def list_servers(context: Any) -> None:
+    """Give the list of servers to all daemons but those out of step."""
     for name, daemon in context.daemons.items():
         if name not in context.out_of_step:
             _list(daemon.state, context)
 
 
-@when("{name:S} is out of step")
-def step_out_of_step(context: Any, name: str) -> None:
-    context.out_of_step.add(name)
-
-
 @when("{name:S} keeps the registry for {seconds:d} s")
 def step_keep_registry(context: Any, name: str, seconds: int) -> None:
-    _run(context, _run_for(context.daemons[name].registrar.run(), seconds))
+    run(context, _run_for(context.daemons[name].registrar.run(), seconds))
 
 
 @when("{name:S} writes origins for {seconds:d} s")
 def step_write_origins(context: Any, name: str, seconds: int) -> None:
-    _run(context, _run_for(context.daemons[name].origins.run(), seconds))
+    run(context, _run_for(context.daemons[name].origins.run(), seconds))
 
 
 @when("{name:S} has written origins for {seconds:f} s when servers of tutor run {versions}")
@@ -203,18 +200,18 @@
         await asyncio.sleep(seconds)
         context.software = _split(versions)
         context.list_version += 1
-        await _list_servers(context)
+        await list_servers(context)
         await asyncio.sleep(WRITE_DELAY_SECONDS)
         writing.cancel()
         await asyncio.gather(writing, return_exceptions=True)
 
-    _run(context, write_origins())
+    run(context, write_origins())
 
 
 @when("{name:S} relays the first event of {which} stream from {version:w}")
 def step_first_event(context: Any, name: str, which: str, version: str) -> None:
     context.streams.append(f"request-{len(context.streams)}")
-    _run(context, _record(context.daemons[name].origins, context.streams[-1], version))
+    run(context, _record(context.daemons[name].origins, context.streams[-1], version))
 
 
 async def _record(origins: OriginLog, request_id: str, version: str) -> None:
@@ -223,28 +220,7 @@
 
 @when("{name:S} restarts")
 def step_restart(context: Any, name: str) -> None:
-    context.daemons[name] = _run(context, _start(context, name))
-
-
-@given("the daemons ask each other")
-def step_ask_each_other(context: Any) -> None:
-    context.known_peers.update(context.daemons)
-
-
-@when("{name:S} is in step again")
-def step_in_step(context: Any, name: str) -> None:
-    context.out_of_step.discard(name)
-    _run(context, _list_servers(context))
-
-
-@when("{seconds:d} s pass")
-def step_pass(context: Any, seconds: int) -> None:
-    _run(context, asyncio.sleep(seconds))
-
-
-@when("{name:S} does not answer its peers")
-def step_silent(context: Any, name: str) -> None:
-    context.silent.add(name)
+    context.daemons[name] = run(context, _start(context, name))
 
 
 @when("the store is unavailable")
@@ -274,13 +250,13 @@
 
 @when("another writer leaves an odd row among the origins")
 def step_odd_row(context: Any) -> None:
-    _run(context, context.store.write(ORIGIN_TABLE, Write("a-writer", b"\x91" * 100_000)))
+    run(context, context.store.write(ORIGIN_TABLE, Write("a-writer", b"\x91" * 100_000)))
 
 
 def _required(context: Any, name: str, request_id: str) -> str | None:
     caller = CallerRequest("retry", "h", 10.0, last_event_id="3", origin_id=request_id)
     required = context.daemons[name].resumption.required_version(caller, SERVICE)
-    version: str | None = _run(context, required)
+    version: str | None = run(context, required)
     return version
 
 
@@ -319,7 +295,7 @@
         await asyncio.gather(writing, return_exceptions=True)
         return found
 
-    assert _run(context, resume()) == version
+    assert run(context, resume()) == version
 
 
 async def _write_later(origins: OriginLog) -> None:
@@ -338,40 +314,6 @@
         raise AssertionError(f"the stream goes on at {version}")
 
 
-@then("{name:S} continues that stream at {version:w}, when it is in step again after {seconds:f} s")
-def step_continues_with_list(context: Any, name: str, version: str, seconds: float) -> None:
-    daemon: Daemon = context.daemons[name]
-
-    async def resume() -> bool:
-        caller = CallerRequest("r", "h", 10.0, last_event_id="3", origin_id=context.streams[-1])
-        assert await daemon.resumption.required_version(caller, SERVICE) == version
-        return daemon.state.pool.versions.is_listed(SERVICE, version)
-
-    async def resume_while_out_of_step() -> bool:
-        resuming = asyncio.ensure_future(resume())
-        await asyncio.sleep(seconds)
-        context.out_of_step.discard(name)
-        await _list_servers(context)
-        return await resuming
-
-    assert _run(context, resume_while_out_of_step())
-
-
-@then("{name:S} continues all streams at {version:w}, with one call to its peer")
-def step_continues_all(context: Any, name: str, version: str) -> None:
-    async def resume_all() -> list[str | None]:
-        callers = [
-            CallerRequest("r", "h", 10.0, last_event_id="3", origin_id=stream)
-            for stream in context.streams
-        ]
-        find = context.daemons[name].resumption.required_version
-        found: list[str | None] = await asyncio.gather(*(find(each, SERVICE) for each in callers))
-        return found
-
-    assert set(_run(context, resume_all())) == {version}
-    assert context.transport.calls == 1, context.transport.calls
-
-
 @then("no origin is stored")
 def step_none_stored(context: Any) -> None:
     assert context.store.rows.table(ORIGIN_TABLE) == []
@@ -380,7 +322,7 @@
 def _may_begin(context: Any, version: str) -> bool:
     daemon: Daemon = context.daemons["daemon-1"]
     name = "" if version == "none" else version
-    may_begin: bool = _run(context, _ask_may_begin(daemon, name))
+    may_begin: bool = run(context, _ask_may_begin(daemon, name))
     return may_begin
 
 
@@ -401,7 +343,7 @@
 
 @then("the registered versions of tutor are {versions}")
 def step_versions(context: Any, versions: str) -> None:
-    snapshot = _run(context, context.store.read(PEER_TABLE))
+    snapshot = run(context, context.store.read(PEER_TABLE))
     row = next(row for row in snapshot.rows if row.key == ROW_KEY)
     registered = {each.service: each.versions for each in decode_versions(row.value)}
     assert list(registered[SERVICE]) == _split(versions), registered
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -29,6 +29,9 @@
 from loomwind.serving.views import CallerRequest, ServerEntry
 
 DEFAULT_LOAD_MS = 5000.0
+# A daemon that has just started reads its configuration within a few calls. A stream that is
+# resumed has no first event to be late with, so its caller is not sent away meanwhile.
+START_WAIT_MS = 400.0
 
 
 class RequestHandler:
@@ -168,6 +171,8 @@
         :raises RelayDeclined: this daemon cannot serve the peer's request; another one may.
         :raises StreamTruncated: its stream has begun and cannot be completed.
         """
+        if self._replicated_state.routes is None and caller.last_event_id is not None:
+            await self._replicated_state.wait_for_configuration(START_WAIT_MS)
         routes = self._replicated_state.routes
         if routes is None:
             raise Refused(503, "no configuration is known yet", RETRY_SOON_SECONDS)
--- a/loomwind/serving/replicated_state.py
+++ b/loomwind/serving/replicated_state.py
@@ -55,6 +55,7 @@
         self._metrics = metrics
         self._configuration_document = b""
         self._cached_copy: ConfigurationCopy | None = None
+        self._configured = asyncio.Event()
         self.configuration_listeners: list[Callable[[], None]] = []
         self._server_documents: dict[str, bytes] = {}
         self._server_change_versions: dict[str, int] = {}
@@ -109,6 +110,7 @@
         if self.routes is not None and configuration.version <= self.configuration_version:
             return
         self.routes = RouteTable(configuration, self.routes)
+        self._configured.set()
         self._configuration_document = document
         self.limits = _server_limits(configuration)
         self._metrics.catalog_version.set(configuration.version)
@@ -124,6 +126,14 @@
         for listener in self.configuration_listeners:
             listener()
 
+    async def wait_for_configuration(self, timeout_ms: float) -> None:
+        """Wait until a configuration is known, at most for the given time."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                await self._configured.wait()
+        except TimeoutError:
+            return
+
     def configuration_copy(self) -> ConfigurationCopy:
         """Return the active configuration for a peer; version 0 when there is none."""
         version = self.configuration_version
