Open a version from followers late, and close gaps only while the store answers

Found by reading: in a large fleet every daemon would write the row that opens a version before it hears of the leader's write. Followers wait 3 s more, scaled with the fleet; streams do not depend on this write. A gap in the list is closed by a read of the registry only while the store answers, so that an outage is not met with two calls a second from each daemon.

--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -33,6 +33,8 @@
 CHECK_INTERVAL_MS = 500.0
 # Lets the leader register a version first, so that the other daemons have nothing to write.
 MAX_FOLLOWER_DELAY_MS = 300.0
+# Streams begin without this write; it only spares daemons that start later the wait.
+FOLLOWER_OPENING_DELAY_MS = 3000.0
 # Longer than the streams of a version can last, with the resumptions of their callers.
 RETENTION_MS = 120_000.0
 
@@ -112,11 +114,12 @@
     async def _update(self) -> None:
         if not self._registry.is_known:
             return
-        if not self._registry.is_complete:
+        if not self._registry.is_complete and self._health.available_since is not None:
             await self._close_gap()
         if self._registry.has_unregistered:
             await self._register()
         elif self._registry.waited(self._clock.now_ms()):
+            self._replicated_state.pool.demand.wake()
             await self._open()
         elif self._peers.leads:
             await self._retire()
@@ -135,11 +138,11 @@
 
     async def _open(self) -> None:
         """Let streams begin at versions that every daemon knows by now, also after restarts."""
-        self._replicated_state.pool.demand.wake()
-        await self._leave_to_leader()
-        now_ms = self._clock.now_ms()
-        if self._registry.waited(now_ms) and not self._registry.has_unregistered:
-            await self._write(self._registry.with_opened(now_ms))
+        waited_by_ms = self._clock.now_ms()
+        if not self._peers.leads:
+            waited_by_ms -= self._peers.scale_interval(FOLLOWER_OPENING_DELAY_MS)
+        if self._registry.waited(waited_by_ms):
+            await self._write(self._registry.with_opened(waited_by_ms))
 
     async def _leave_to_leader(self) -> None:
         if not self._peers.leads:
