Replicate the origins of streams to a few peers while several versions count

Cause: until its row is written, only the daemon that relayed the first event knows the origin.

Change: while a service has several versions, a daemon sends its new origins to three random peers every 15 ms (longer in a large fleet), one message for all of them; when a service becomes mixed, also those from before. Services of one version send nothing. The scenarios "a daemon dies before its origins are stored, and a peer knows them" and "origins from before a second version was listed are replicated as well" fail without it.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -200,6 +200,26 @@
     And daemon-1 relays the first event of another stream from v2
     Then daemon-2 continues all streams at v2, with one call to its peer
 
+  Scenario: a daemon dies before its origins are stored, and a peer knows them
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    And the store is unavailable
+    When daemon-1 relays the first event of a stream from v2
+    And daemon-1 replicates origins for 0.1 s
+    And daemon-1 does not answer its peers
+    Then daemon-2 continues that stream at v2, without a call to the store
+
+  Scenario: origins from before a second version was listed are replicated as well
+    Given the versions v1 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v1
+    Then nothing is replicated by daemon-1
+    When servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 replicates origins for 0.1 s
+    And daemon-1 does not answer its peers
+    Then daemon-2 continues that stream at v1, without a call to the store
+
   Scenario: a peer that does not answer may know the origin, so there is a time to retry
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.steps.resumption_steps import SERVICE, Daemon, list_servers, run
+from features.steps.resumption_steps import SERVICE, Daemon, list_servers, run, run_for
 from loomwind.serving.views import CallerRequest
 
 
@@ -67,3 +67,13 @@
 
     assert set(run(context, resume_all())) == {version}
     assert context.transport.calls == 1, context.transport.calls
+
+
+@when("{name:S} replicates origins for {seconds:f} s")
+def step_replicate(context: Any, name: str, seconds: float) -> None:
+    run(context, run_for(context.daemons[name].peer_origins.run(), seconds))
+
+
+@then("nothing is replicated by {name:S}")
+def step_nothing_replicated(context: Any, name: str) -> None:
+    assert not context.daemons[name].origins.has_unreplicated.is_set()
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -12,7 +12,7 @@
 from features.support.memory_store import MemoryStore
 from features.support.virtual_time import VirtualTimeLoop
 from loomwind.clock import MS_PER_SECOND
-from loomwind.messages.serving import OriginAnswer, OriginQuestion
+from loomwind.messages.serving import OriginAnswer, OriginNotice, OriginQuestion
 from loomwind.metrics import Metrics
 from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
@@ -72,6 +72,11 @@
         self._silent = silent
         self.calls = 0
 
+    def send(self, address: str, message: OriginNotice) -> None:
+        """Send a message to a peer."""
+        if address not in self._silent:
+            self._daemons[address].peer_origins.on_notice(message)
+
     async def call(self, address: str, message: OriginQuestion, timeout: float) -> OriginAnswer:
         """Return the answer of a peer."""
         self.calls += 1
@@ -138,7 +143,7 @@
     return context.runner.run(coroutine)
 
 
-async def _run_for(coroutine: Coroutine[None, None, None], seconds: float) -> None:
+async def run_for(coroutine: Coroutine[None, None, None], seconds: float) -> None:
     """Run a loop that never ends for some time."""
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
@@ -185,12 +190,12 @@
 
 @when("{name:S} keeps the registry for {seconds:d} s")
 def step_keep_registry(context: Any, name: str, seconds: int) -> None:
-    run(context, _run_for(context.daemons[name].registrar.run(), seconds))
+    run(context, run_for(context.daemons[name].registrar.run(), seconds))
 
 
 @when("{name:S} writes origins for {seconds:d} s")
 def step_write_origins(context: Any, name: str, seconds: int) -> None:
-    run(context, _run_for(context.daemons[name].origins.run(), seconds))
+    run(context, run_for(context.daemons[name].origins.run(), seconds))
 
 
 @when("{name:S} has written origins for {seconds:f} s when servers of tutor run {versions}")
@@ -223,6 +228,7 @@
     context.daemons[name] = run(context, _start(context, name))
 
 
+@given("the store is unavailable")
 @when("the store is unavailable")
 def step_unavailable(context: Any) -> None:
     context.store.is_available = False
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -56,6 +56,7 @@
     LeaderQuestion,
     LeaseNotice,
     OriginAnswer,
+    OriginNotice,
     OriginQuestion,
     PoolDemand,
     PoolDigest,
@@ -111,6 +112,7 @@
     | ServerListAnswer
     | OriginQuestion
     | OriginAnswer
+    | OriginNotice
     | ServerDepartures
     | PromptCrashes
     | PromptsAnswered
@@ -155,6 +157,7 @@
     "MemberList",
     "Message",
     "OriginAnswer",
+    "OriginNotice",
     "OriginQuestion",
     "PoolDemand",
     "PoolDigest",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -196,6 +196,12 @@
     groups: tuple[OriginGroup, ...]
 
 
+class OriginNotice(Message, frozen=True, tag=True, array_like=True):
+    """Replicates the origins of streams that a daemon has begun."""
+
+    groups: tuple[OriginGroup, ...]
+
+
 class ServerDeparture(Message, frozen=True, array_like=True):
     """A server instance that is leaving and gets no new requests.
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -323,6 +323,7 @@
         self._spawn(self._peers.register())
         self._spawn(self._registrar.run())
         self._spawn(self._origins.run())
+        self._spawn(self._peer_origins.run())
         self._spawn(self._probe.run())
         self._spawn(self._leader_stepdown.run())
         self._spawn(self._exchange.send_demand())
--- a/loomwind/serving/origin_log.py
+++ b/loomwind/serving/origin_log.py
@@ -57,7 +57,11 @@
         self._was_answered = True
         self._recorded = asyncio.Event()
         self._refresh = CoalescedCall(self._read)
-        registry.on_new_version = self._recorded.set
+        self._replicas = OriginTable()
+        self._mixed = frozenset(self._mixed_services())
+        self._unreplicated: dict[int, StreamOrigin] = {}
+        self.has_unreplicated = asyncio.Event()
+        registry.on_new_version = self._on_new_version
 
     def record(self, request_id: str, origin: StreamOrigin, lifetime_ms: float) -> None:
         """Record the origin of a stream.
@@ -66,8 +70,39 @@
         :param lifetime_ms: how long its caller may still resume the stream.
         """
         expires_at_ms = self._clock.now_ms() + lifetime_ms + EXPIRY_MARGIN_MS
-        self._own.record(hash_request_id(request_id), origin, expires_at_ms)
+        request_hash = hash_request_id(request_id)
+        self._own.record(request_hash, origin, expires_at_ms)
         self._recorded.set()
+        if origin.service in self._mixed:
+            self._replicate({request_hash: origin})
+
+    def record_replicas(self, origins: dict[int, StreamOrigin]) -> None:
+        """Record origins of a peer's streams, for when it cannot be asked any more."""
+        now_ms = self._clock.now_ms()
+        self._replicas.expire(now_ms)
+        for request_hash, origin in origins.items():
+            self._replicas.record(request_hash, origin, now_ms + INHERITED_LIFETIME_MS)
+
+    def take_unreplicated(self) -> dict[int, StreamOrigin]:
+        """Return the origins of mixed services that were recorded since the last call."""
+        taken, self._unreplicated = self._unreplicated, {}
+        self.has_unreplicated.clear()
+        return taken
+
+    def _replicate(self, origins: dict[int, StreamOrigin]) -> None:
+        self._unreplicated |= origins
+        self.has_unreplicated.set()
+
+    def _on_new_version(self) -> None:
+        self._update_mixed()
+        self._recorded.set()
+
+    def _update_mixed(self) -> None:
+        """Find the mixed services; all origins of those that are new are replicated."""
+        mixed = frozenset(self._mixed_services())
+        if origins := self._own.newest(mixed - self._mixed):
+            self._replicate(origins)
+        self._mixed = mixed
 
     def find(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream, as far as this daemon knows it."""
@@ -75,7 +110,11 @@
 
     def find_hash(self, request_hash: int) -> StreamOrigin | None:
         """Return the origin of the stream whose request ID has a hash."""
-        return self._own.find(request_hash) or self._stored.get(request_hash)
+        return (
+            self._own.find(request_hash)
+            or self._stored.get(request_hash)
+            or self._replicas.find(request_hash)
+        )
 
     async def look_up(self, request_id: str, timeout_ms: float) -> StreamOrigin | None:
         """Return the origin of a stream, from the store if this daemon does not know it.
@@ -122,7 +161,8 @@
 
     async def _write_changes(self) -> None:
         self._own.expire(self._clock.now_ms())
-        origins = self._own.newest(self._mixed_services())
+        self._update_mixed()
+        origins = self._own.newest(self._mixed)
         if origins.keys() != self._written:
             await self._write(origins)
 
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -16,6 +16,7 @@
     DirectoryCopy,
     LeaderQuestion,
     LeaseNotice,
+    OriginNotice,
     OriginQuestion,
     PoolDemand,
     PoolDigest,
@@ -137,6 +138,8 @@
                 return self._configurations.answer(message)
             case OriginQuestion():
                 return self._origins.answer(message)
+            case OriginNotice():
+                self._origins.on_notice(message)
             case DirectoryCopy():
                 self._replicated_state.on_directory_copy(message)
             case ServerDepartures():
--- a/loomwind/serving/peer_origins.py
+++ b/loomwind/serving/peer_origins.py
@@ -1,15 +1,18 @@
-"""Asks the peers at which software versions streams began, without the store.
+"""Shares with the peers at which software versions streams began, without the store.
 
 The daemon that relayed the first event of a stream knows its origin, also while the store does not
-answer or the origin is not stored yet. Look-ups of a moment share one question to all peers.
+answer or the origin is not stored yet. Look-ups of a moment share one question to all peers. While
+several versions count, each daemon also sends its new origins to a few peers, which know them
+when it dies before it has stored them.
 """
 
 import asyncio
+import random
 
 from attrs import frozen
 
 from loomwind.clock import Clock
-from loomwind.messages.serving import OriginAnswer, OriginQuestion
+from loomwind.messages.serving import OriginAnswer, OriginNotice, OriginQuestion
 from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
 from loomwind.serving.origin_log import OriginLog
@@ -23,6 +26,7 @@
 )
 
 BATCH_MS = 15.0
+REPLICAS = 3
 # A peer answers from memory; one that is busy, or stands still, is not waited for.
 ANSWER_TIMEOUT_SECONDS = 0.15
 
@@ -88,6 +92,23 @@
         }
         return OriginAnswer(group_origins(known))
 
+    def on_notice(self, notice: OriginNotice) -> None:
+        """Keep the origins of a peer's streams."""
+        self._origins.record_replicas(read_groups(notice.groups))
+
+    async def run(self) -> None:
+        """Replicate new origins until cancelled."""
+        while True:
+            await self._origins.has_unreplicated.wait()
+            self._send(self._origins.take_unreplicated())
+            await self._clock.sleep_ms(self._peers.scale_interval(BATCH_MS))
+
+    def _send(self, origins: dict[int, StreamOrigin]) -> None:
+        notice = OriginNotice(group_origins(origins))
+        others = self._peers.others()
+        for peer in random.sample(others, min(REPLICAS, len(others))):
+            self._transport.send(peer.address, notice)
+
     async def _ask_all(self, batch: _Batch) -> None:
         await self._clock.sleep_ms(self._peers.scale_interval(BATCH_MS))
         self._batch = None
