--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -89,6 +89,12 @@
     And daemon-1 writes origins for 3 s
     Then daemon-2 continues that stream at v1
 
+  Scenario: streams that began before a second version was listed are stored at once
+    Given the versions v1 of tutor are registered
+    When daemon-1 relays the first event of a stream from v1
+    And daemon-1 has written origins for 0.3 s when servers of tutor run v1 and v2
+    Then daemon-2 continues that stream at v1
+
   Scenario: an unknown origin is rejected for good
     Given the versions v1 and v2 of tutor are registered
     Then daemon-2 rejects an unknown stream, without a time to retry
@@ -109,3 +115,123 @@
     Given the versions v1 of tutor are registered
     When servers of tutor run v1 and none
     Then streams may begin at v1 but not at none
+
+  Scenario: a daemon that was out of step when a version was registered does not join two versions
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 relays the first event of a stream from v2
+    And daemon-1 writes origins for 1 s
+    Then daemon-2 continues that stream at v2
+
+  Scenario: a daemon that was out of step continues a stream when it knows servers of its version
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 relays the first event of a stream from v2
+    And daemon-1 writes origins for 1 s
+    Then daemon-2 continues that stream at v2, when it is in step again after 0.2 s
+
+  Scenario: a daemon that is out of step and cannot read the registry rejects what it does not know
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And the store is unavailable
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: streams begin at a further version only when no daemon can take the other one for the only one
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+    And a stream that began at daemon-2 goes on at v1, without a call to the store
+    When daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 and at v2
+    And daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario: servers of a further version came and went while a daemon was out of step
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 relays the first event of a stream from v2
+    And daemon-1 writes origins for 1 s
+    And servers of tutor run v1
+    And daemon-2 is in step again
+    Then daemon-2 continues that stream at v2
+
+  Scenario: streams begin at once at versions that were open before a daemon restarted
+    Given the versions v1 of tutor are registered
+    When servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And daemon-1 restarts
+    Then streams may begin at v1 and at v2
+
+  Scenario: a daemon that restarts while a version is opening waits as well
+    Given the versions v1 of tutor are registered
+    When servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    And daemon-1 restarts
+    Then streams may begin at v1 but not at v2
+
+  Scenario: a new version that cannot be registered is waited for as well
+    Given the versions v1 of tutor are registered
+    When servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+
+  Scenario: the daemon that relayed a stream is asked while the store is unavailable
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v2
+    And the store is unavailable
+    Then daemon-2 continues that stream at v2
+
+  Scenario: streams that are resumed in a moment share a question to each peer
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v2
+    And daemon-1 relays the first event of another stream from v2
+    And daemon-1 relays the first event of another stream from v2
+    Then daemon-2 continues all streams at v2, with one call to its peer
+
+  Scenario: a daemon dies before its origins are stored, and a peer knows them
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    And the store is unavailable
+    When daemon-1 relays the first event of a stream from v2
+    And daemon-1 replicates origins for 0.1 s
+    And daemon-1 does not answer its peers
+    Then daemon-2 continues that stream at v2, without a call to the store
+
+  Scenario: origins from before a second version was listed are replicated as well
+    Given the versions v1 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v1
+    Then nothing is replicated by daemon-1
+    When servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 replicates origins for 0.1 s
+    And daemon-1 does not answer its peers
+    Then daemon-2 continues that stream at v1, without a call to the store
+
+  Scenario: a peer that does not answer may know the origin, so there is a time to retry
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 does not answer its peers
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: no peer knows the origin, so it is rejected for good
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario: a daemon that has just started waits for its configuration before it refuses a resumed stream
+    Given a daemon that has just started, whose configuration arrives after 0.2 s
+    Then a new stream is refused at once, as no configuration is known
+    And a resumed stream is handled by the configuration
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -24,6 +24,7 @@
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.request_lifecycle import RequestLifecycle
 from loomwind.serving.residency import Residency, ServerHolding
+from loomwind.serving.resumption import Resumption
 from loomwind.serving.views import (
     CallerRequest,
     HeldModel,
@@ -117,6 +118,13 @@
         return True
 
 
+class NoResumption:
+    """Requires no software version."""
+
+    async def required_version(self, caller: CallerRequest, service: str) -> None:
+        """Return None: no request resumes a stream."""
+
+
 class UnstartedExchange:
     """An exchange whose response has not begun."""
 
@@ -152,6 +160,7 @@
         cast(PeerRelay, None),
         cast(PromptGuard, NoBannedPrompts()),
         cast(OriginLog, None),
+        cast(Resumption, NoResumption()),
     )
     parts = (WeightedService(SERVICE, 1.0),)
     route = RouteRule("r", "h", "/", kind, parts, 30.0, 0.6, attempts)
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -11,12 +11,17 @@
 
 from features.support.memory_store import MemoryStore
 from features.support.virtual_time import VirtualTimeLoop
+from loomwind.clock import MS_PER_SECOND
+from loomwind.messages.serving import OriginAnswer, OriginNotice, OriginQuestion
 from loomwind.metrics import Metrics
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
 from loomwind.platform.documents import PlatformDocumentParser
 from loomwind.serving.errors import OriginUnknown
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.origin_log import OriginLog
-from loomwind.serving.peers import PeerTable
+from loomwind.serving.peer_origins import PeerOrigins
+from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Snapshot, StoredRow, Write
 from loomwind.serving.replicated_state import ReplicatedState
@@ -35,15 +40,52 @@
 
 
 class LeadingPeers:
-    """A peer table of a small fleet, whose daemon leads."""
+    """The peer table of a daemon that leads a small fleet.
+
+    :param known: the names of the daemons that have peers, which are also their addresses.
+    """
 
     leads = True
 
+    def __init__(self, own: str, known: set[str]) -> None:
+        self._own = own
+        self._known = known
+
+    def others(self) -> list[PeerEntry]:
+        """Return the other daemons."""
+        return [PeerEntry(name, "z", name) for name in sorted(self._known) if name != self._own]
+
     def scale_interval(self, seconds: float) -> float:
         """Return the interval of a small fleet."""
         return seconds
 
 
+class MemoryTransport:
+    """Calls peers in memory.
+
+    :param silent: the names of the daemons that do not answer.
+    :ivar calls: the number of calls.
+    """
+
+    def __init__(self, daemons: dict[str, "Daemon"], silent: set[str]) -> None:
+        self._daemons = daemons
+        self._silent = silent
+        self.calls = 0
+
+    def send(self, address: str, message: OriginNotice) -> None:
+        """Send a message to a peer."""
+        if address not in self._silent:
+            self._daemons[address].peer_origins.on_notice(message)
+
+    async def call(self, address: str, message: OriginQuestion, timeout: float) -> OriginAnswer:
+        """Return the answer of a peer."""
+        self.calls += 1
+        if address in self._silent:
+            await asyncio.sleep(timeout)
+            raise PeerUnreachable("no answer")
+        return self._daemons[address].peer_origins.answer(message)
+
+
 @define
 class Daemon:
     """The parts of a daemon that the scenarios need."""
@@ -52,6 +94,7 @@
     registrar: VersionRegistrar
     follower: TableFollower
     origins: OriginLog
+    peer_origins: PeerOrigins
     resumption: Resumption
 
 
@@ -71,7 +114,7 @@
 
 async def _start(context: Any, name: str) -> Daemon:
     """Return a daemon that has read the registry and the list of servers."""
-    store, peers = context.store, cast(PeerTable, LeadingPeers())
+    store, peers = context.store, cast(PeerTable, LeadingPeers(name, context.known_peers))
     health = StoreHealth()
     pool = ServerPool(BoundSettings())
     state = ReplicatedState(PlatformDocumentParser(), "config", pool, health, Metrics())
@@ -79,16 +122,28 @@
     follower = TableFollower(store, PEER_TABLE, health, registrar.on_rows)
     await follower.poll_once(0.0)
     context.list_version += 1
-    state.on_server_rows(server_rows(context.list_version, context.software), is_full=True)
+    _list(state, context)
+    await registrar.confirm()
     origins = OriginLog(store, ORIGIN_TABLE, name, pool.versions, peers)
-    return Daemon(state, registrar, follower, origins, Resumption(pool.versions, origins))
+    peer_origins = PeerOrigins(cast(PeerTransport, context.transport), peers, origins)
+    resumption = Resumption(
+        pool.versions, origins, peer_origins, registrar.confirm, lambda: state.list_age_ms
+    )
+    return Daemon(state, registrar, follower, origins, peer_origins, resumption)
+
 
+def _list(state: ReplicatedState, context: Any) -> None:
+    """Give a daemon the list of servers as of now."""
+    state.on_server_rows(server_rows(context.list_version, context.software), is_full=True)
+    state.servers_fresh_at = asyncio.get_running_loop().time()
 
-def _run(context: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
+
+def run(context: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine in the virtual time of a scenario."""
     return context.runner.run(coroutine)
 
 
-async def _run_for(coroutine: Coroutine[None, None, None], seconds: float) -> None:
+async def run_for(coroutine: Coroutine[None, None, None], seconds: float) -> None:
     """Run a loop that never ends for some time."""
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
@@ -103,6 +158,9 @@
     context.software = _split(versions)
     context.list_version = 1
     context.daemons = {}
+    context.out_of_step = set()
+    context.known_peers, context.silent = set(), set()
+    context.transport = MemoryTransport(context.daemons, context.silent)
     context.streams = []
 
 
@@ -111,38 +169,54 @@
     context.software = _split(versions)
     registered = (ServiceVersions(SERVICE, tuple(sorted(_split(versions)))),)
     write = Write(ROW_KEY, encode_versions(registered), 0)
-    _run(context, context.store.write(PEER_TABLE, write))
+    run(context, context.store.write(PEER_TABLE, write))
     for name in ("daemon-1", "daemon-2"):
-        context.daemons[name] = _run(context, _start(context, name))
+        context.daemons[name] = run(context, _start(context, name))
 
 
 @when("servers of tutor run {versions}")
 def step_servers(context: Any, versions: str) -> None:
     context.software = _split(versions)
     context.list_version += 1
-    _run(context, _list_servers(context))
+    run(context, list_servers(context))
 
 
-async def _list_servers(context: Any) -> None:
-    for daemon in context.daemons.values():
-        rows = server_rows(context.list_version, context.software)
-        daemon.state.on_server_rows(rows, is_full=True)
+async def list_servers(context: Any) -> None:
+    """Give the list of servers to all daemons but those out of step."""
+    for name, daemon in context.daemons.items():
+        if name not in context.out_of_step:
+            _list(daemon.state, context)
 
 
 @when("{name:S} keeps the registry for {seconds:d} s")
 def step_keep_registry(context: Any, name: str, seconds: int) -> None:
-    _run(context, _run_for(context.daemons[name].registrar.run(), seconds))
+    run(context, run_for(context.daemons[name].registrar.run(), seconds))
 
 
 @when("{name:S} writes origins for {seconds:d} s")
 def step_write_origins(context: Any, name: str, seconds: int) -> None:
-    _run(context, _run_for(context.daemons[name].origins.run(), seconds))
+    run(context, run_for(context.daemons[name].origins.run(), seconds))
+
+
+@when("{name:S} has written origins for {seconds:f} s when servers of tutor run {versions}")
+def step_servers_while_writing(context: Any, name: str, seconds: float, versions: str) -> None:
+    async def write_origins() -> None:
+        writing = asyncio.ensure_future(context.daemons[name].origins.run())
+        await asyncio.sleep(seconds)
+        context.software = _split(versions)
+        context.list_version += 1
+        await list_servers(context)
+        await asyncio.sleep(WRITE_DELAY_SECONDS)
+        writing.cancel()
+        await asyncio.gather(writing, return_exceptions=True)
+
+    run(context, write_origins())
 
 
 @when("{name:S} relays the first event of {which} stream from {version:w}")
 def step_first_event(context: Any, name: str, which: str, version: str) -> None:
     context.streams.append(f"request-{len(context.streams)}")
-    _run(context, _record(context.daemons[name].origins, context.streams[-1], version))
+    run(context, _record(context.daemons[name].origins, context.streams[-1], version))
 
 
 async def _record(origins: OriginLog, request_id: str, version: str) -> None:
@@ -151,9 +225,10 @@
 
 @when("{name:S} restarts")
 def step_restart(context: Any, name: str) -> None:
-    context.daemons[name] = _run(context, _start(context, name))
+    context.daemons[name] = run(context, _start(context, name))
 
 
+@given("the store is unavailable")
 @when("the store is unavailable")
 def step_unavailable(context: Any) -> None:
     context.store.is_available = False
@@ -181,13 +256,13 @@
 
 @when("another writer leaves an odd row among the origins")
 def step_odd_row(context: Any) -> None:
-    _run(context, context.store.write(ORIGIN_TABLE, Write("a-writer", b"\x91" * 100_000)))
+    run(context, context.store.write(ORIGIN_TABLE, Write("a-writer", b"\x91" * 100_000)))
 
 
 def _required(context: Any, name: str, request_id: str) -> str | None:
     caller = CallerRequest("retry", "h", 10.0, last_event_id="3", origin_id=request_id)
     required = context.daemons[name].resumption.required_version(caller, SERVICE)
-    version: str | None = _run(context, required)
+    version: str | None = run(context, required)
     return version
 
 
@@ -226,7 +301,7 @@
         await asyncio.gather(writing, return_exceptions=True)
         return found
 
-    assert _run(context, resume()) == version
+    assert run(context, resume()) == version
 
 
 async def _write_later(origins: OriginLog) -> None:
@@ -252,7 +327,14 @@
 
 def _may_begin(context: Any, version: str) -> bool:
     daemon: Daemon = context.daemons["daemon-1"]
-    return daemon.state.pool.versions.may_begin(SERVICE, "" if version == "none" else version)
+    name = "" if version == "none" else version
+    may_begin: bool = run(context, _ask_may_begin(daemon, name))
+    return may_begin
+
+
+async def _ask_may_begin(daemon: Daemon, version: str) -> bool:
+    now_ms = asyncio.get_running_loop().time() * MS_PER_SECOND
+    return daemon.state.pool.versions.may_begin(SERVICE, version, now_ms)
 
 
 @then("streams may begin at {version:w} but not at {other:w}")
@@ -267,7 +349,7 @@
 
 @then("the registered versions of tutor are {versions}")
 def step_versions(context: Any, versions: str) -> None:
-    snapshot = _run(context, context.store.read(PEER_TABLE))
+    snapshot = run(context, context.store.read(PEER_TABLE))
     row = next(row for row in snapshot.rows if row.key == ROW_KEY)
     registered = {each.service: each.versions for each in decode_versions(row.value)}
     assert list(registered[SERVICE]) == _split(versions), registered
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -55,6 +55,9 @@
     LeaderAnswer,
     LeaderQuestion,
     LeaseNotice,
+    OriginAnswer,
+    OriginNotice,
+    OriginQuestion,
     PoolDemand,
     PoolDigest,
     PoolExpectations,
@@ -107,6 +110,9 @@
     | PoolExpectations
     | ServerListQuestion
     | ServerListAnswer
+    | OriginQuestion
+    | OriginAnswer
+    | OriginNotice
     | ServerDepartures
     | PromptCrashes
     | PromptsAnswered
@@ -150,6 +156,9 @@
     "MemberInfo",
     "MemberList",
     "Message",
+    "OriginAnswer",
+    "OriginNotice",
+    "OriginQuestion",
     "PoolDemand",
     "PoolDigest",
     "PoolExpectations",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -7,6 +7,7 @@
 from loomwind.serving.demand import RunningCount, TargetDemand
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.residency import LearnedConcurrencyLimit, ServerHolding
+from loomwind.serving.stream_origins import OriginGroup, read_hashes
 from loomwind.serving.version_registry import ServiceVersions
 
 
@@ -147,7 +148,11 @@
     :param servers: the entries that changed since the peer's version.
     :param store_in_trouble: whether the store recently failed, so that entries may be missing
         although their servers still run.
-    :param software_versions: the versions at which streams may have begun; None if not known.
+    :param software_versions: the registered software versions; None if the sender does not know
+        every version that the list has had.
+    :param versions_row: the store version of the row that they were read from.
+    :param unregistered_versions: pairs of service and version that were listed, and are not
+        registered as far as the sender knows.
     """
 
     version: int
@@ -155,6 +160,8 @@
     servers: tuple[ServerDocument, ...]
     store_in_trouble: bool = False
     software_versions: tuple[ServiceVersions, ...] | None = None
+    versions_row: int = 0
+    unregistered_versions: tuple[tuple[str, str], ...] = ()
 
 
 class ServerListAnswer(Message, frozen=True, tag=True, array_like=True):
@@ -170,6 +177,31 @@
     copy: DirectoryCopy | None = None
 
 
+class OriginQuestion(Message, frozen=True, tag=True, array_like=True):
+    """Asks at which software versions streams began.
+
+    :param request_hashes: the hashes of the request IDs that brought the first events, packed.
+    """
+
+    request_hashes: bytes
+
+    def hashes(self) -> list[int]:
+        """Return the hashes one by one."""
+        return read_hashes(self.request_hashes)
+
+
+class OriginAnswer(Message, frozen=True, tag=True, array_like=True):
+    """The origins that a daemon knows of those asked for."""
+
+    groups: tuple[OriginGroup, ...]
+
+
+class OriginNotice(Message, frozen=True, tag=True, array_like=True):
+    """Replicates the origins of streams that a daemon has begun."""
+
+    groups: tuple[OriginGroup, ...]
+
+
 class ServerDeparture(Message, frozen=True, array_like=True):
     """A server instance that is leaving and gets no new requests.
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -33,6 +33,7 @@
 from loomwind.serving.metered_store import MeteredStore
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_exchange import PeerExchange
+from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.pool import ServerPool
@@ -40,6 +41,7 @@
 from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.replicated_state import ReplicatedState
+from loomwind.serving.resumption import Resumption
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.serving.version_registrar import VersionRegistrar
 from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
@@ -222,6 +224,7 @@
         self._departure_gossip = DepartureGossip(
             self._own.address, self._transport, self._peers, self.replicated_state
         )
+        self._peer_origins = PeerOrigins(self._transport, self._peers, self._origins)
         self._exchange = PeerExchange(
             self._own,
             self._transport,
@@ -235,6 +238,7 @@
             self._anti_entropy,
             self._prompt_guard,
             self._configuration_gossip,
+            self._peer_origins,
         )
 
     def _create_placement(self, deployment: Deployment) -> None:
@@ -288,6 +292,13 @@
             ),
             self._prompt_guard,
             self._origins,
+            Resumption(
+                self._pool.versions,
+                self._origins,
+                self._peer_origins,
+                self._registrar.confirm,
+                lambda: self.replicated_state.list_age_ms,
+            ),
         )
         self._relay_service = RelayService(self._handler)
         self._relay_server = HttpServer(self._on_relayed_request)
@@ -312,6 +323,7 @@
         self._spawn(self._peers.register())
         self._spawn(self._registrar.run())
         self._spawn(self._origins.run())
+        self._spawn(self._peer_origins.run())
         self._spawn(self._probe.run())
         self._spawn(self._leader_stepdown.run())
         self._spawn(self._exchange.send_demand())
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -30,6 +30,9 @@
 from loomwind.serving.views import CallerRequest, ServerEntry
 
 DEFAULT_LOAD_MS = 5000.0
+# A daemon that has just started reads its configuration within a few calls. A stream that is
+# resumed has no first event to be late with, so its caller is not sent away meanwhile.
+START_WAIT_MS = 400.0
 
 
 class RequestHandler:
@@ -46,6 +49,7 @@
         relay: PeerRelay,
         prompts: PromptGuard,
         origins: OriginLog,
+        resumption: Resumption,
     ) -> None:
         """Create a handler.
 
@@ -60,7 +64,7 @@
         self.relay = relay
         self.prompts = prompts
         self.origins = origins
-        self.resumption = Resumption(pool.versions, origins)
+        self.resumption = resumption
         self.open_requests = 0
         self.timeouts: set[asyncio.Timeout] = set()
         self.rejects_waiting = False
@@ -205,6 +209,8 @@
         """
         if self._has_ended_requests:
             raise Refused(503, "this daemon is leaving", RETRY_SOON_SECONDS)
+        if self._replicated_state.routes is None and caller.last_event_id is not None:
+            await self._replicated_state.wait_for_configuration(START_WAIT_MS)
         routes = self._replicated_state.routes
         if routes is None:
             raise Refused(503, "no configuration is known yet", RETRY_SOON_SECONDS)
--- a/loomwind/serving/origin_log.py
+++ b/loomwind/serving/origin_log.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from loomwind.clock import MS_PER_SECOND, Clock
+from loomwind.coalescing import CoalescedCall
 from loomwind.logs import log_state
 from loomwind.serving.errors import MalformedOrigins
 from loomwind.serving.peers import PeerTable
@@ -55,8 +56,12 @@
         self._written: frozenset[int] = frozenset()
         self._was_answered = True
         self._recorded = asyncio.Event()
-        self._reading = asyncio.Lock()
-        self._read_began_ms = float("-inf")
+        self._refresh = CoalescedCall(self._read)
+        self._replicas = OriginTable()
+        self._mixed = frozenset(self._mixed_services())
+        self._unreplicated: dict[int, StreamOrigin] = {}
+        self.has_unreplicated = asyncio.Event()
+        registry.on_new_version = self._on_new_version
 
     def record(self, request_id: str, origin: StreamOrigin, lifetime_ms: float) -> None:
         """Record the origin of a stream.
@@ -65,13 +70,51 @@
         :param lifetime_ms: how long its caller may still resume the stream.
         """
         expires_at_ms = self._clock.now_ms() + lifetime_ms + EXPIRY_MARGIN_MS
-        self._own.record(hash_request_id(request_id), origin, expires_at_ms)
+        request_hash = hash_request_id(request_id)
+        self._own.record(request_hash, origin, expires_at_ms)
+        self._recorded.set()
+        if origin.service in self._mixed:
+            self._replicate({request_hash: origin})
+
+    def record_replicas(self, origins: dict[int, StreamOrigin]) -> None:
+        """Record origins of a peer's streams, for when it cannot be asked any more."""
+        now_ms = self._clock.now_ms()
+        self._replicas.expire(now_ms)
+        for request_hash, origin in origins.items():
+            self._replicas.record(request_hash, origin, now_ms + INHERITED_LIFETIME_MS)
+
+    def take_unreplicated(self) -> dict[int, StreamOrigin]:
+        """Return the origins of mixed services that were recorded since the last call."""
+        taken, self._unreplicated = self._unreplicated, {}
+        self.has_unreplicated.clear()
+        return taken
+
+    def _replicate(self, origins: dict[int, StreamOrigin]) -> None:
+        self._unreplicated |= origins
+        self.has_unreplicated.set()
+
+    def _on_new_version(self) -> None:
+        self._update_mixed()
         self._recorded.set()
 
+    def _update_mixed(self) -> None:
+        """Find the mixed services; all origins of those that are new are replicated."""
+        mixed = frozenset(self._mixed_services())
+        if origins := self._own.newest(mixed - self._mixed):
+            self._replicate(origins)
+        self._mixed = mixed
+
     def find(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream, as far as this daemon knows it."""
-        request_hash = hash_request_id(request_id)
-        return self._own.find(request_hash) or self._stored.get(request_hash)
+        return self.find_hash(hash_request_id(request_id))
+
+    def find_hash(self, request_hash: int) -> StreamOrigin | None:
+        """Return the origin of the stream whose request ID has a hash."""
+        return (
+            self._own.find(request_hash)
+            or self._stored.get(request_hash)
+            or self._replicas.find(request_hash)
+        )
 
     async def look_up(self, request_id: str, timeout_ms: float) -> StreamOrigin | None:
         """Return the origin of a stream, from the store if this daemon does not know it.
@@ -99,18 +142,12 @@
                     raise
             await self._clock.sleep_ms(LOOKUP_RETRY_MS)
 
-    async def _refresh(self) -> None:
-        """Read the rows of all daemons; calls that came before a read began share it."""
-        called_at_ms = self._clock.now_ms()
-        async with self._reading:
-            if self._read_began_ms >= called_at_ms:
-                return
-            began_ms = self._clock.now_ms()
-            snapshot = await self._store.read(self._table)
-            self._read_began_ms = began_ms
-            self._stored = {}
-            for row in snapshot.rows:
-                self._stored.update(_decode_row(row))
+    async def _read(self) -> None:
+        """Read the rows of all daemons."""
+        snapshot = await self._store.read(self._table)
+        self._stored = {}
+        for row in snapshot.rows:
+            self._stored.update(_decode_row(row))
 
     async def run(self) -> None:
         """Write the row of this daemon whenever it has changed, until cancelled."""
@@ -124,7 +161,8 @@
 
     async def _write_changes(self) -> None:
         self._own.expire(self._clock.now_ms())
-        origins = self._own.newest(self._mixed_services())
+        self._update_mixed()
+        origins = self._own.newest(self._mixed)
         if origins.keys() != self._written:
             await self._write(origins)
 
