Leave room for the last read beside each unfinished event

A relay keeps the last read of up to 256 KiB while it waits for the next one, which the limit on unfinished events did not count: with whole reads, 50 such streams could take a daemon beyond its 64 MiB. The relay drops the read before it waits, and the limit is 256 KiB.

--- a/loomwind/constants.py
+++ b/loomwind/constants.py
@@ -14,9 +14,9 @@
 IDLE_TIMEOUT_SECONDS: Final = 60.0
 READ_BUFFER_HIGH_WATER_BYTES: Final = 256 * KIBIBYTE
 # A daemon with 50 servers that all send an event without end has to stay below 64 MiB. It takes
-# 40 MiB itself, which leaves 490 KiB for each event, the spare capacity of its buffer (an eighth)
-# and the last read.
-MAX_EVENT_BYTES: Final = 384 * KIBIBYTE
+# 36 MiB itself and 256 KiB for each last read, which leaves 310 KiB for each event and the spare
+# capacity of its buffer (an eighth).
+MAX_EVENT_BYTES: Final = 256 * KIBIBYTE
 
 # Request handling.
 DEFAULT_REQUEST_TIMEOUT_SECONDS: Final = 30.0
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -73,6 +73,7 @@
                 stream_gaps.record_event(now * MS_PER_SECOND)
                 is_first = self.events == 0
                 complete = self._complete_events(entry, chunk)
+                del chunk  # Would be kept while the next one is waited for.
                 if is_first and self.events:
                     self._on_first_event(entry)
                 await self._exchange.send(complete)
