--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -17,7 +17,7 @@
 from loomwind.serving.forwarder import Forwarder, OpenResponse
 from loomwind.serving.hand_over import HandOver, Moved, MoveDecision, MovePolicy
 from loomwind.serving.inactivity import (
-    EVENT_TIMEOUT_MS,
+    EVENT_SILENCE_MS,
     Liveness,
     Silence,
 )
@@ -173,7 +173,7 @@
         return EVENT
 
     try:
-        data = await HandOver("id-1", policy).read(server("silent"), read, EVENT_TIMEOUT_MS)
+        data = await HandOver("id-1", policy).read(server("silent"), read, EVENT_SILENCE_MS)
         assert data == EVENT
         reading.outcome = "the silent server goes on"
     except Moved as moved:
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -11,10 +11,10 @@
 TIMEOUT_PER_OBJECTIVE = 2.0
 MIN_TIMEOUT_MS = 250.0
 # Callers stay for at least 2 s without an event; another server needs the rest of that to go on.
-EVENT_TIMEOUT_MS = 800.0
+EVENT_SILENCE_MS = 800.0
 
 
-def start_timeout_ms(route: RouteRule) -> float | None:
+def start_silence_ms(route: RouteRule) -> float | None:
     """Return how long a server may take to begin a response until it counts as silent.
 
     :returns: None when the request cannot be repeated, and has to wait for this server.
@@ -27,12 +27,12 @@
     return max(timeout_ms, MIN_TIMEOUT_MS)
 
 
-def event_timeout_ms(route: RouteRule, events: int) -> float | None:
+def event_silence_ms(route: RouteRule, events: int) -> float | None:
     """Return how long a stream may bring no data until its server counts as silent.
 
     :param events: the number of events so far, of all attempts.
     """
-    return EVENT_TIMEOUT_MS if route.repeatable and events else start_timeout_ms(route)
+    return EVENT_SILENCE_MS if route.repeatable and events else start_silence_ms(route)
 
 
 @frozen
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -23,7 +23,7 @@
 from loomwind.serving.final_errors import FinalErrors
 from loomwind.serving.forwarder import OutgoingRequest
 from loomwind.serving.hand_over import HandOver, Moved
-from loomwind.serving.inactivity import event_timeout_ms, start_timeout_ms
+from loomwind.serving.inactivity import event_silence_ms, start_silence_ms
 from loomwind.serving.model_wait import ModelWait
 from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.relay_protocol import RelayMetadata, with_software_version
@@ -298,7 +298,7 @@
             self._progress.server = entry.instance
             await attempt.connect()
             attempt.send(self._attempts.record_begun(attempt))
-        answer = await self._hand_over.answer(attempt, start_timeout_ms(self._route))
+        answer = await self._hand_over.answer(attempt, start_silence_ms(self._route))
         if answer.body is not None:
             await self._send_full_response(entry, answer, answer.body)
             return
@@ -315,7 +315,7 @@
 
         :raises Moved: the server was silent, and another one has taken the stream over.
         """
-        timeout_ms = event_timeout_ms(self._route, self._stream.events)
+        timeout_ms = event_silence_ms(self._route, self._stream.events)
         return await self._hand_over.read(entry, read, timeout_ms)
 
     async def _send_full_response(self, entry: ServerEntry, answer: Answer, body: bytes) -> None:
