--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 
 from loomwind.http.exchange import BadRequest, Exchange
-from loomwind.http.server_connection import ServerConnection, ServerLimits
+from loomwind.http.limits import ServerLimits
+from loomwind.http.server_connection import ServerConnection
 
 __all__ = ["BadRequest", "Exchange", "Handler", "HttpServer", "ServerLimits"]
 
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -6,9 +6,7 @@
 from typing import TYPE_CHECKING
 
 import h11
-from msgspec import Struct
 
-from loomwind import constants
 from loomwind.http.errors import (
     RESPONSE_EXCEPTIONS,
     ClientDisconnected,
@@ -23,17 +21,6 @@
     from loomwind.http.server import HttpServer
 
 
-class ServerLimits(Struct, frozen=True):
-    """Limits that each connection enforces on its requests."""
-
-    max_head_bytes: int = constants.MAX_HEAD_BYTES
-    max_body_bytes: int = constants.MAX_BODY_BYTES
-    max_header_count: int = constants.MAX_HEADER_COUNT
-    head_timeout_seconds: float = constants.HEAD_TIMEOUT_SECONDS
-    body_timeout_seconds: float = constants.BODY_TIMEOUT_SECONDS
-    idle_timeout_seconds: float = constants.IDLE_TIMEOUT_SECONDS
-
-
 class ConnectionState(enum.Enum):
     """State of a server connection."""
 
