Let a refusal reach a client that is still sending

Callers: a request over a limit was refused with 413 or 431, but a client that was still sending its rest saw its connection reset, and often no response.

Cause: the connection was closed with data unread, which TCP answers with a reset that discards what the client hasn't read yet.

Change: after such a refusal only the sending side is closed; the rest is discarded until the client closes, for a second at most.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -17,6 +17,7 @@
     running_daemon,
 )
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
+from loomwind import constants
 from loomwind.explain import LogLine, explain_request
 from loomwind.http.client import ClientConnection
 from loomwind.http.errors import ConnectionBroken
@@ -31,6 +32,8 @@
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 CAUSE = "the cause of this scenario"
+LARGE_BODY_BYTES = 16 * constants.MEBIBYTE
+WRITE_BYTES = 64 * constants.KIBIBYTE
 # Fixes the examples. Without it, derandomize derives the seed from the source text of the test.
 EXAMPLES_SEED = 20_261_205
 EXAMPLES = settings(
@@ -503,3 +506,30 @@
         LogLine(line["timestamp"], "daemon-1", line["message_type"], line) for line in context.lines
     ]
     assert explain_request("r1", lines).cause.value == cause, context.lines
+
+
+@when("a client sends it a body far over the limit, and reads when all is sent")
+def step_send_large_body(context: Any) -> None:
+    context.replies = parse_replies(asyncio.run(_send_large_body(context.handler)), ["POST"])
+
+
+async def _send_large_body(handler: Handler) -> bytes:
+    server = HttpServer(handler)
+    await server.start(LOCALHOST, 0)
+    reader, writer = await asyncio.open_connection(LOCALHOST, server.port)
+    try:
+        lines = f"POST / HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n"
+        writer.write(lines.encode())
+        for _ in range(LARGE_BODY_BYTES // WRITE_BYTES):
+            writer.write(bytes(WRITE_BYTES))
+            await writer.drain()
+        return await reader.read()
+    finally:
+        writer.close()
+        server.close()
+
+
+@then("the client gets {count:d} whole responses with status {status:d} and the reason")
+def step_refused_body(context: Any, count: int, status: int) -> None:
+    got = [(reply.status, reply.is_complete, reply.body) for reply in context.replies]
+    assert got == [(status, True, b"body")] * count, context.replies
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -141,3 +141,8 @@
     Given a daemon whose connection to servers fails with an error that nothing expects
     When a caller sends a plain request on look
     Then explain says that the daemon failed with an error that nothing expected
+
+  Scenario: a refusal reaches a client that is still sending its body
+    Given an HTTP server that responds to everything with 200 and 4 bytes
+    When a client sends it a body far over the limit, and reads when all is sent
+    Then the client gets 1 whole responses with status 413 and the reason
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -21,13 +21,18 @@
     from loomwind.http.server import HttpServer
 
 
+# How long the rest of a request that was refused unread is discarded.
+LINGER_SECONDS = 1.0
+
+
 class ConnectionState(enum.Enum):
-    """State of a server connection."""
+    """State of a server connection; a lingering one discards the rest of a refused request."""
 
     IDLE = enum.auto()
     READING_HEAD = enum.auto()
     READING_BODY = enum.auto()
     HANDLING = enum.auto()
+    LINGERING = enum.auto()
     CLOSED = enum.auto()
 
 
@@ -140,6 +145,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed h11, and call the handler once a request is complete."""
+        if self._state is ConnectionState.LINGERING:
+            return
         if self._state is ConnectionState.IDLE:
             self._begin_request()
         self._h11.receive_data(data)
@@ -258,6 +265,9 @@
     def _finish_exchange(self) -> None:
         if self._is_closing:
             return
+        if self._is_unreadable and not self._has_client_closed:
+            self._linger()
+            return
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if not reusable or self._ends_after_response:
             self.close()
@@ -271,6 +281,20 @@
             self._state = ConnectionState.IDLE
             self._start_idle_timer()
 
+    def _linger(self) -> None:
+        """Close once the client has, or after a moment.
+
+        A close at once would reset the connection while the client still sends, and lose the
+        response.
+        """
+        assert self._transport is not None
+        self._state = ConnectionState.LINGERING
+        self._is_closing_here = True
+        self._start_timer(LINGER_SECONDS)
+        # Fails if the client has reset the connection, which then ends anyway.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
     def _begin_request(self) -> None:
         """Expect the head of a request, within the limits that are in force now."""
         if self._parser_head_bytes != self._server.limits.max_head_bytes:
@@ -335,6 +359,8 @@
     def _on_timeout(self) -> None:
         if self._state is ConnectionState.IDLE:
             self._on_idle_timeout()
+        elif self._state is ConnectionState.LINGERING:
+            self.close()
         elif self._state is not ConnectionState.HANDLING:
             self._reject(BadRequest(408, "request-too-slow", "the request did not arrive in time"))
 
