Take a peer's unexpected error for a failed attempt

A peer that failed with an unexpected error closed the connection, which counted as an attempt that may have run and could be repeated. Now that it responds, its 500 would have been final.

Change: the peer's response says 'failed', and the relaying daemon goes on as after any failed attempt. An older daemon takes it for a refusal.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -24,9 +24,10 @@
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.http.server import Exchange, Handler, HttpServer
 from loomwind.platform.dialect import PlatformDialect
+from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
-from loomwind.serving.relay_protocol import RelayMetadata
+from loomwind.serving.relay_protocol import RelayMetadata, decode_error
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.routes import RouteTable
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
@@ -533,3 +534,10 @@
 def step_refused_body(context: Any, count: int, status: int) -> None:
     got = [(reply.status, reply.is_complete, reply.body) for reply in context.replies]
     assert got == [(status, True, b"body")] * count, context.replies
+
+
+@then("the peer takes it for a failed attempt that may have run")
+def step_failed_attempt(context: Any) -> None:
+    reply: RawReply = context.reply
+    error = decode_error(HttpResponse(reply.status, tuple(reply.headers.items())), reply.body)
+    assert isinstance(error, SendFailed) and error.may_have_run, error
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -45,6 +45,7 @@
     When a peer relays a plain request on look
     Then the client gets a whole response with status <status>
     And exactly one line of its log has the cause
+    And the peer takes it for a failed attempt that may have run
 
     Examples:
       | step                       | status |
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -136,7 +136,7 @@
             )
 
     def _request_id(self, exchange: Exchange) -> str:
-        """Return the ID of a request; empty if it cannot be read."""
+        """Return the ID of a request; empty if it cannot be read, which is logged elsewhere."""
         if exchange.request is None:
             return ""
         try:
--- a/loomwind/serving/relay_protocol.py
+++ b/loomwind/serving/relay_protocol.py
@@ -10,7 +10,7 @@
 from attrs import frozen
 
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
-from loomwind.serving.errors import Refused, RelayDeclined
+from loomwind.serving.errors import Refused, RelayDeclined, SendFailed
 
 RUNS_HEADER = "loomwind-runs"
 CONFIGURATION_HEADER = "loomwind-configuration"
@@ -24,11 +24,12 @@
     """How a peer ends a relayed request without a server's response.
 
     ``declined``: the peer did nothing, and another one may be asked. ``refused``: the peer's
-    response is final.
+    response is final. ``failed``: the peer failed, and the request may have run.
     """
 
     DECLINED = "declined"
     REFUSED = "refused"
+    FAILED = "failed"
 
 
 @frozen
@@ -112,11 +113,14 @@
     return head.header(OUTCOME_HEADER) is None
 
 
-def decode_error(head: HttpResponse, body: bytes) -> Refused | RelayDeclined:
+def decode_error(head: HttpResponse, body: bytes) -> Refused | RelayDeclined | SendFailed:
     """Return the error in a response that does not come from a server."""
     reason = body.decode(errors="replace")
-    if head.header(OUTCOME_HEADER) == RelayOutcome.DECLINED.value:
+    outcome = head.header(OUTCOME_HEADER)
+    if outcome == RelayOutcome.DECLINED.value:
         return RelayDeclined(reason)
+    if outcome == RelayOutcome.FAILED.value:
+        return SendFailed(f"the peer failed: {reason}", may_have_run=True)
     return Refused(head.status, reason, _parse_seconds(head.header(RETRY_AFTER_HEADER)))
 
 
--- a/loomwind/serving/relay_service.py
+++ b/loomwind/serving/relay_service.py
@@ -99,7 +99,7 @@
 
     @staticmethod
     async def _fail(exchange: Exchange, request_id: str, error: BaseException) -> None:
-        headers = outcome_headers(RelayOutcome.REFUSED)
+        headers = outcome_headers(RelayOutcome.FAILED)
         await end_failed_request(exchange, request_id, error, headers)
 
     @staticmethod
