Respond also where a handler reports another client's disconnect

A handler that raised ClientDisconnected while its own client was still connected left it without a response and without a line. Whether the client has gone is now taken from its connection alone.

Evidence: unanswered: 'loses the connection of another client' failed before with no byte.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -20,7 +20,7 @@
 from loomwind import constants
 from loomwind.explain import LogLine, explain_request
 from loomwind.http.client import ClientConnection
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected, ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.http.server import Exchange, Handler, HttpServer
 from loomwind.platform.dialect import PlatformDialect
@@ -81,6 +81,10 @@
     raise ConnectionBroken(CAUSE)
 
 
+async def _lose_other_client(exchange: Exchange) -> None:
+    raise ClientDisconnected(CAUSE)
+
+
 async def _wait_for_cancelled(exchange: Exchange) -> None:
     cancelled = asyncio.get_running_loop().create_future()
     cancelled.cancel(CAUSE)
@@ -102,6 +106,7 @@
 FAILING_HANDLERS: dict[str, Handler] = {
     "raises an unexpected error": _raise_unexpected,
     "loses a connection to a server": _lose_server,
+    "loses the connection of another client": _lose_other_client,
     "waits for something that is cancelled": _wait_for_cancelled,
     "sends a head that HTTP does not allow": _send_invalid_head,
     "sends a head that cannot be encoded": _send_unencodable_head,
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -16,6 +16,7 @@
       | failure                                   |
       | raises an unexpected error                |
       | loses a connection to a server            |
+      | loses the connection of another client    |
       | waits for something that is cancelled     |
       | sends a head that HTTP does not allow     |
       | sends a head that cannot be encoded       |
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -246,7 +246,7 @@
 
         The connection of one that has left its response incomplete is closed afterwards.
         """
-        if self._is_closing or isinstance(error, ClientDisconnected):
+        if self._is_closing:
             return
         is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
         if not self._has_client_closed and (error is not None or not is_complete):
