Leave added headers out of the response to a request that was left

A handler that adds an invalid header to all its responses left its client without any: the 500 that stands in for them had the header as well.

Evidence: unanswered: 'adds an invalid header to all its heads' failed before with no byte.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -99,6 +99,11 @@
     await exchange.respond(200, (("x-odd", f"{CAUSE} \u2192"),), b"body")
 
 
+async def _add_invalid_header(exchange: Exchange) -> None:
+    exchange.extra_headers = (("x-odd", f"{CAUSE}\r\n"),)
+    await exchange.respond(200, (), b"body")
+
+
 async def _return(exchange: Exchange) -> None:
     return
 
@@ -110,6 +115,7 @@
     "waits for something that is cancelled": _wait_for_cancelled,
     "sends a head that HTTP does not allow": _send_invalid_head,
     "sends a head that cannot be encoded": _send_unencodable_head,
+    "adds an invalid header to all its heads": _add_invalid_header,
     "returns without a response": _return,
 }
 OTHER_CAUSES = {
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -20,6 +20,7 @@
       | waits for something that is cancelled     |
       | sends a head that HTTP does not allow     |
       | sends a head that cannot be encoded       |
+      | adds an invalid header to all its heads   |
       | returns without a response                |
 
   Scenario: whatever a handler raises, and wherever, a request ends with a response or visibly
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -253,6 +253,8 @@
             log_state("http", "handler-failed", error=repr(error), started=exchange.started)
         if not exchange.started:
             reason = b"cancelled: client closed" if self._has_client_closed else b"internal error"
+            # They may be what could not be sent.
+            exchange.extra_headers = ()
             with contextlib.suppress(ResponseError):
                 await exchange.respond(500, (), reason)
 
