--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -17,20 +17,24 @@
     running_daemon,
 )
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
+from loomwind import constants
 from loomwind.explain import LogLine, explain_request
 from loomwind.http.client import ClientConnection
-from loomwind.http.errors import ConnectionBroken
+from loomwind.http.errors import ClientDisconnected, ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.http.server import Exchange, Handler, HttpServer
 from loomwind.platform.dialect import PlatformDialect
+from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
-from loomwind.serving.relay_protocol import RelayMetadata
+from loomwind.serving.relay_protocol import RelayMetadata, decode_error
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.routes import RouteTable
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 CAUSE = "the cause of this scenario"
+LARGE_BODY_BYTES = 16 * constants.MEBIBYTE
+WRITE_BYTES = 64 * constants.KIBIBYTE
 # Fixes the examples. Without it, derandomize derives the seed from the source text of the test.
 EXAMPLES_SEED = 20_261_205
 EXAMPLES = settings(
@@ -77,6 +81,10 @@
     raise ConnectionBroken(CAUSE)
 
 
+async def _lose_other_client(exchange: Exchange) -> None:
+    raise ClientDisconnected(CAUSE)
+
+
 async def _wait_for_cancelled(exchange: Exchange) -> None:
     cancelled = asyncio.get_running_loop().create_future()
     cancelled.cancel(CAUSE)
@@ -91,6 +99,11 @@
     await exchange.respond(200, (("x-odd", f"{CAUSE} \u2192"),), b"body")
 
 
+async def _add_invalid_header(exchange: Exchange) -> None:
+    exchange.extra_headers = (("x-odd", f"{CAUSE}\r\n"),)
+    await exchange.respond(200, (), b"body")
+
+
 async def _return(exchange: Exchange) -> None:
     return
 
@@ -98,9 +111,11 @@
 FAILING_HANDLERS: dict[str, Handler] = {
     "raises an unexpected error": _raise_unexpected,
     "loses a connection to a server": _lose_server,
+    "loses the connection of another client": _lose_other_client,
     "waits for something that is cancelled": _wait_for_cancelled,
     "sends a head that HTTP does not allow": _send_invalid_head,
     "sends a head that cannot be encoded": _send_unencodable_head,
+    "adds an invalid header to all its heads": _add_invalid_header,
     "returns without a response": _return,
 }
 OTHER_CAUSES = {
@@ -503,3 +518,37 @@
         LogLine(line["timestamp"], "daemon-1", line["message_type"], line) for line in context.lines
     ]
     assert explain_request("r1", lines).cause.value == cause, context.lines
+
+
+@when("a client sends it a body far over the limit, and reads when all is sent")
+def step_send_large_body(context: Any) -> None:
+    context.replies = parse_replies(asyncio.run(_send_large_body(context.handler)), ["POST"])
+
+
+async def _send_large_body(handler: Handler) -> bytes:
+    server = HttpServer(handler)
+    await server.start(LOCALHOST, 0)
+    reader, writer = await asyncio.open_connection(LOCALHOST, server.port)
+    try:
+        lines = f"POST / HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n"
+        writer.write(lines.encode())
+        for _ in range(LARGE_BODY_BYTES // WRITE_BYTES):
+            writer.write(bytes(WRITE_BYTES))
+            await writer.drain()
+        return await reader.read()
+    finally:
+        writer.close()
+        server.close()
+
+
+@then("the client gets {count:d} whole responses with status {status:d} and the reason")
+def step_refused_body(context: Any, count: int, status: int) -> None:
+    got = [(reply.status, reply.is_complete, reply.body) for reply in context.replies]
+    assert got == [(status, True, b"body")] * count, context.replies
+
+
+@then("the peer takes it for a failed attempt that may have run")
+def step_failed_attempt(context: Any) -> None:
+    reply: RawReply = context.reply
+    error = decode_error(HttpResponse(reply.status, tuple(reply.headers.items())), reply.body)
+    assert isinstance(error, SendFailed) and error.may_have_run, error
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -16,9 +16,11 @@
       | failure                                   |
       | raises an unexpected error                |
       | loses a connection to a server            |
+      | loses the connection of another client    |
       | waits for something that is cancelled     |
       | sends a head that HTTP does not allow     |
       | sends a head that cannot be encoded       |
+      | adds an invalid header to all its heads   |
       | returns without a response                |
 
   Scenario: whatever a handler raises, and wherever, a request ends with a response or visibly
@@ -45,6 +47,7 @@
     When a peer relays a plain request on look
     Then the client gets a whole response with status <status>
     And exactly one line of its log has the cause
+    And the peer takes it for a failed attempt that may have run
 
     Examples:
       | step                       | status |
@@ -141,3 +144,8 @@
     Given a daemon whose connection to servers fails with an error that nothing expects
     When a caller sends a plain request on look
     Then explain says that the daemon failed with an error that nothing expected
+
+  Scenario: a refusal reaches a client that is still sending its body
+    Given an HTTP server that responds to everything with 200 and 4 bytes
+    When a client sends it a body far over the limit, and reads when all is sent
+    Then the client gets 1 whole responses with status 413 and the reason
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -6,9 +6,7 @@
 from typing import TYPE_CHECKING
 
 import h11
-from msgspec import Struct
 
-from loomwind import constants
 from loomwind.http.errors import (
     RESPONSE_EXCEPTIONS,
     ClientDisconnected,
@@ -23,24 +21,18 @@
     from loomwind.http.server import HttpServer
 
 
-class ServerLimits(Struct, frozen=True):
-    """Limits that each connection enforces on its requests."""
-
-    max_head_bytes: int = constants.MAX_HEAD_BYTES
-    max_body_bytes: int = constants.MAX_BODY_BYTES
-    max_header_count: int = constants.MAX_HEADER_COUNT
-    head_timeout_seconds: float = constants.HEAD_TIMEOUT_SECONDS
-    body_timeout_seconds: float = constants.BODY_TIMEOUT_SECONDS
-    idle_timeout_seconds: float = constants.IDLE_TIMEOUT_SECONDS
+# How long the rest of a request that was refused unread is discarded.
+LINGER_SECONDS = 1.0
 
 
 class ConnectionState(enum.Enum):
-    """State of a server connection."""
+    """State of a server connection; a lingering one discards the rest of a refused request."""
 
     IDLE = enum.auto()
     READING_HEAD = enum.auto()
     READING_BODY = enum.auto()
     HANDLING = enum.auto()
+    LINGERING = enum.auto()
     CLOSED = enum.auto()
 
 
@@ -153,6 +145,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed h11, and call the handler once a request is complete."""
+        if self._state is ConnectionState.LINGERING:
+            return
         if self._state is ConnectionState.IDLE:
             self._begin_request()
         self._h11.receive_data(data)
@@ -252,13 +246,15 @@
 
         The connection of one that has left its response incomplete is closed afterwards.
         """
-        if self._is_closing or isinstance(error, ClientDisconnected):
+        if self._is_closing:
             return
         is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
         if not self._has_client_closed and (error is not None or not is_complete):
             log_state("http", "handler-failed", error=repr(error), started=exchange.started)
         if not exchange.started:
             reason = b"cancelled: client closed" if self._has_client_closed else b"internal error"
+            # They may be what could not be sent.
+            exchange.extra_headers = ()
             with contextlib.suppress(ResponseError):
                 await exchange.respond(500, (), reason)
 
@@ -271,6 +267,9 @@
     def _finish_exchange(self) -> None:
         if self._is_closing:
             return
+        if self._is_unreadable and not self._has_client_closed:
+            self._linger()
+            return
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if not reusable or self._ends_after_response:
             self.close()
@@ -284,6 +283,20 @@
             self._state = ConnectionState.IDLE
             self._start_idle_timer()
 
+    def _linger(self) -> None:
+        """Close once the client has, or after a moment.
+
+        A close at once would reset the connection while the client still sends, and lose the
+        response.
+        """
+        assert self._transport is not None
+        self._state = ConnectionState.LINGERING
+        self._is_closing_here = True
+        self._start_timer(LINGER_SECONDS)
+        # Fails if the client has reset the connection, which then ends anyway.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
     def _begin_request(self) -> None:
         """Expect the head of a request, within the limits that are in force now."""
         if self._parser_head_bytes != self._server.limits.max_head_bytes:
@@ -348,6 +361,8 @@
     def _on_timeout(self) -> None:
         if self._state is ConnectionState.IDLE:
             self._on_idle_timeout()
+        elif self._state is ConnectionState.LINGERING:
+            self.close()
         elif self._state is not ConnectionState.HANDLING:
             self._reject(BadRequest(408, "request-too-slow", "the request did not arrive in time"))
 
