Replicate the origins of streams in quiet times as well

Cause: while one version counts, origins stay in the memory of the daemon that relayed the first event, and a daemon that stands still cannot be asked.

Change: in quiet times, too, a daemon sends its new origins to three random peers, one message each half second (longer in a large fleet) that had resumable streams, 8 bytes a stream; no call of the store. The scenario "a daemon stands still from before a second version was listed, and a peer knows its origins" failed before. The line that nothing is replicated in quiet times is gone from the scenario on origins from before a second version.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -209,12 +209,21 @@
     And daemon-1 does not answer its peers
     Then daemon-2 continues that stream at v2, without a call to the store
 
+  Scenario: a daemon stands still from before a second version was listed, and a peer knows its origins
+    Given the versions v1 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v1
+    And daemon-1 replicates origins for 1.0 s
+    And daemon-1 is out of step
+    And daemon-1 does not answer its peers
+    And servers of tutor run v1 and v2
+    Then daemon-2 continues that stream at v1, without a call to the store
+
   Scenario: origins from before a second version was listed are replicated as well
     Given the versions v1 of tutor are registered
     And the daemons ask each other
     When daemon-1 relays the first event of a stream from v1
-    Then nothing is replicated by daemon-1
-    When servers of tutor run v1 and v2
+    And servers of tutor run v1 and v2
     And the store is unavailable
     And daemon-1 replicates origins for 0.1 s
     And daemon-1 does not answer its peers
--- a/loomwind/serving/origin_log.py
+++ b/loomwind/serving/origin_log.py
@@ -35,7 +35,10 @@
 
 
 class OriginLog:
-    """The origins of this daemon's streams, and those that other daemons have stored."""
+    """The origins of this daemon's streams, and those that other daemons have stored.
+
+    :ivar replication_due: set when there are origins of mixed services to replicate.
+    """
 
     def __init__(
         self, store: Store, table: str, name: str, registry: VersionRegistry, peers: PeerTable
@@ -60,7 +63,7 @@
         self._replicas = OriginTable()
         self._mixed = frozenset(self._mixed_services())
         self._unreplicated: dict[int, StreamOrigin] = {}
-        self.has_unreplicated = asyncio.Event()
+        self.replication_due = asyncio.Event()
         registry.on_new_version = self._on_new_version
 
     def record(self, request_id: str, origin: StreamOrigin, lifetime_ms: float) -> None:
@@ -73,8 +76,9 @@
         request_hash = hash_request_id(request_id)
         self._own.record(request_hash, origin, expires_at_ms)
         self._recorded.set()
+        self._unreplicated[request_hash] = origin
         if origin.service in self._mixed:
-            self._replicate({request_hash: origin})
+            self.replication_due.set()
 
     def record_replicas(self, origins: dict[int, StreamOrigin]) -> None:
         """Record origins of a peer's streams, for when it cannot be asked any more."""
@@ -84,15 +88,11 @@
             self._replicas.record(request_hash, origin, now_ms + INHERITED_LIFETIME_MS)
 
     def take_unreplicated(self) -> dict[int, StreamOrigin]:
-        """Return the origins of mixed services that were recorded since the last call."""
+        """Return the origins that were recorded since the last call, or became needed."""
         taken, self._unreplicated = self._unreplicated, {}
-        self.has_unreplicated.clear()
+        self.replication_due.clear()
         return taken
 
-    def _replicate(self, origins: dict[int, StreamOrigin]) -> None:
-        self._unreplicated |= origins
-        self.has_unreplicated.set()
-
     def _on_new_version(self) -> None:
         self._update_mixed()
         self._recorded.set()
@@ -101,7 +101,8 @@
         """Find the mixed services; all origins of those that are new are replicated."""
         mixed = frozenset(self._mixed_services())
         if origins := self._own.newest(mixed - self._mixed):
-            self._replicate(origins)
+            self._unreplicated |= origins
+            self.replication_due.set()
         self._mixed = mixed
 
     def find(self, request_id: str) -> StreamOrigin | None:
--- a/loomwind/serving/peer_origins.py
+++ b/loomwind/serving/peer_origins.py
@@ -1,9 +1,9 @@
 """Shares with the peers at which software versions streams began, without the store.
 
 The daemon that relayed the first event of a stream knows its origin, also while the store does not
-answer or the origin is not stored yet. Look-ups of a moment share one question to all peers. While
-several versions count, each daemon also sends its new origins to a few peers, which know them
-when it dies before it has stored them.
+answer or the origin is not stored yet. Look-ups of a moment share one question to all peers. Each
+daemon also sends its new origins to a few peers, which know them when it dies or stands still: at
+once while several versions count, otherwise now and then.
 """
 
 import asyncio
@@ -27,6 +27,7 @@
 
 BATCH_MS = 15.0
 REPLICAS = 3
+QUIET_INTERVAL_SECONDS = 0.5
 # A peer answers from memory; one that is busy, or stands still, is not waited for.
 ANSWER_TIMEOUT_SECONDS = 0.15
 
@@ -99,10 +100,18 @@
     async def run(self) -> None:
         """Replicate new origins until cancelled."""
         while True:
-            await self._origins.has_unreplicated.wait()
-            self._send(self._origins.take_unreplicated())
+            await self._wait_until_due()
+            if origins := self._origins.take_unreplicated():
+                self._send(origins)
             await self._clock.sleep_ms(self._peers.scale_interval(BATCH_MS))
 
+    async def _wait_until_due(self) -> None:
+        try:
+            async with asyncio.timeout(self._peers.scale_interval(QUIET_INTERVAL_SECONDS)):
+                await self._origins.replication_due.wait()
+        except TimeoutError:
+            return
+
     def _send(self, origins: dict[int, StreamOrigin]) -> None:
         notice = OriginNotice(group_origins(origins))
         others = self._peers.others()
