Test the gaps of a daemon's server list

Two scenarios: a version that came and went before it was registered, passed on with a peer's list, and the removal of an entry that a daemon never saw. Each fails without the rule that it covers.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -164,6 +164,22 @@
     And daemon-2 is in step again
     Then daemon-2 continues that stream at v2
 
+  Scenario: a version that came and went before it was registered is passed on with a peer's list
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And a server of v2 joins
+    And the server of v2 leaves
+    And daemon-2 takes the list of daemon-1
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario: an entry that a daemon never saw is removed, so it reads the registry again
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And a server of v2 joins
+    And daemon-1 keeps the registry for 4 s
+    And daemon-2 learns only that the server of v2 has left
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
   Scenario: streams begin at once at versions that were open before a daemon restarted
     Given the versions v1 of tutor are registered
     When servers of tutor run v1 and v2
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -5,7 +5,16 @@
 
 from behave import given, then, when
 
-from features.steps.resumption_steps import SERVICE, Daemon, list_servers, run, run_for
+from features.steps.resumption_steps import (
+    SERVICE,
+    Daemon,
+    list_servers,
+    run,
+    run_for,
+    server_rows,
+)
+from loomwind.serving.ports import Snapshot, StoredRow
+from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.views import CallerRequest
 
 
@@ -72,3 +81,45 @@
 @when("{name:S} replicates origins for {seconds:f} s")
 def step_replicate(context: Any, name: str, seconds: float) -> None:
     run(context, run_for(context.daemons[name].peer_origins.run(), seconds))
+
+
+async def _apply_feed(context: Any, names: list[str], version: str, is_removed: bool) -> None:
+    """Give a change of the server list to some daemons."""
+    rows = server_rows(context.list_version, [version]).rows
+    if is_removed:
+        rows = tuple(StoredRow(row.key, context.list_version, deleted=True) for row in rows)
+    for name in names:
+        state = context.daemons[name].state
+        state.on_server_rows(Snapshot(rows, context.list_version), is_full=False)
+        state.servers_fresh_at = asyncio.get_running_loop().time()
+
+
+@when("a server of {version:w} joins")
+def step_joins(context: Any, version: str) -> None:
+    context.list_version += 1
+    in_step = [name for name in context.daemons if name not in context.out_of_step]
+    run(context, _apply_feed(context, in_step, version, is_removed=False))
+
+
+@when("the server of {version:w} leaves")
+def step_leaves(context: Any, version: str) -> None:
+    context.list_version += 1
+    in_step = [name for name in context.daemons if name not in context.out_of_step]
+    run(context, _apply_feed(context, in_step, version, is_removed=True))
+
+
+@when("{name:S} learns only that the server of {version:w} has left")
+def step_learns_departure(context: Any, name: str, version: str) -> None:
+    context.list_version += 1
+    run(context, _apply_feed(context, [name], version, is_removed=True))
+
+
+@when("{name:S} takes the list of {sender:S}")
+def step_takes_list(context: Any, name: str, sender: str) -> None:
+    async def take() -> None:
+        state: ReplicatedState = context.daemons[name].state
+        copy = context.daemons[sender].state.directory_changes(state.server_version)
+        state.on_directory_copy(copy, sender)
+        state.servers_fresh_at = asyncio.get_running_loop().time()
+
+    run(context, take())
