--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -164,6 +164,22 @@
     And daemon-2 is in step again
     Then daemon-2 continues that stream at v2
 
+  Scenario: a version that came and went before it was registered is passed on with a peer's list
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And a server of v2 joins
+    And the server of v2 leaves
+    And daemon-2 takes the list of daemon-1
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario: an entry that a daemon never saw is removed, so it reads the registry again
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And a server of v2 joins
+    And daemon-1 keeps the registry for 4 s
+    And daemon-2 learns only that the server of v2 has left
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
   Scenario: streams begin at once at versions that were open before a daemon restarted
     Given the versions v1 of tutor are registered
     When servers of tutor run v1 and v2
@@ -209,12 +225,21 @@
     And daemon-1 does not answer its peers
     Then daemon-2 continues that stream at v2, without a call to the store
 
+  Scenario: a daemon stands still from before a second version was listed, and a peer knows its origins
+    Given the versions v1 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v1
+    And daemon-1 replicates origins for 1.0 s
+    And daemon-1 is out of step
+    And daemon-1 does not answer its peers
+    And servers of tutor run v1 and v2
+    Then daemon-2 continues that stream at v1, without a call to the store
+
   Scenario: origins from before a second version was listed are replicated as well
     Given the versions v1 of tutor are registered
     And the daemons ask each other
     When daemon-1 relays the first event of a stream from v1
-    Then nothing is replicated by daemon-1
-    When servers of tutor run v1 and v2
+    And servers of tutor run v1 and v2
     And the store is unavailable
     And daemon-1 replicates origins for 0.1 s
     And daemon-1 does not answer its peers
