--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -90,11 +90,12 @@
         began_ms = self._clock.now_ms()
         after = max(self._read_version, self._registry.row_version)
         is_full = not self._registry.is_known or not after
-        try:
-            read = self._store.changes(self._table, after, 0.0) if not is_full else None
-            snapshot = await (read or self._store.read(self._table))
-        except HistoryLost:
-            is_full = True
+        if not is_full:
+            try:
+                snapshot = await self._store.changes(self._table, after, 0.0)
+            except HistoryLost:
+                is_full = True
+        if is_full:
             snapshot = await self._store.read(self._table)
         if snapshot.version < after:
             raise StoreUnavailable("the response is older than what is known")
