Bound the number of informational responses before a response

A server that sends informational responses (103 Early Hints) without end kept its caller waiting until the deadline, and its daemon busy with parsing them: read_head skipped any number. Each is a complete head, so the limit on the size of a head never applied.

Change: the connection fails after 64 of them, as with any violation of the protocol.

Failed before: endless_answers "a response with early hints that never ends fails" (131025 bytes accepted, the test's end). It passes now, as do the rest of the feature and truncated_heads.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -12,6 +12,7 @@
       | a chunk-size line  |
       | a chunk extension  |
       | a trailer          |
+      | early hints        |
 
   Scenario: a stream with an event that never ends fails
     When a server sends an event without end, in writes of random sizes, in 20 runs
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -31,6 +31,8 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED_HEAD = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n"
+
 
 @frozen
 class UnterminatedPart:
@@ -47,6 +49,7 @@
     "a chunk-size line": UnterminatedPart(CHUNKED_HEAD, b"0"),
     "a chunk extension": UnterminatedPart(CHUNKED_HEAD + b"5;", b"e"),
     "a trailer": UnterminatedPart(CHUNKED_HEAD + b"0\r\nx-late: ", b"y"),
+    "early hints": UnterminatedPart(EARLY_HINTS, EARLY_HINTS),
 }
 
 
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -27,6 +27,8 @@
 
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
+# Ends a server's repetitions of them; one that reports progress sends one every few seconds.
+MAX_INFORMATIONAL_RESPONSES = 64
 
 
 def parse_keep_alive_timeout(head: HttpResponse) -> float | None:
@@ -182,14 +184,19 @@
         """Return the response's status and headers, without its body.
 
         :raises ResponseMissing: the server closed the connection without a response.
-        :raises ConnectionBroken: the connection ended inside the head, or the head is invalid.
+        :raises ConnectionBroken: the connection ended inside the head, the head is invalid, or too
+            many informational responses came before it.
         :raises ExchangeTimeout: the read was aborted.
         """
-        event: object = None
+        event = await self._next_event()
+        informational_count = 0
         while not isinstance(event, h11.Response):
-            event = await self._next_event()
             if isinstance(event, h11.ConnectionClosed):
                 raise ResponseMissing("the server closed the connection without a response")
+            informational_count += 1
+            if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                raise ConnectionBroken("too many informational responses")
+            event = await self._next_event()
         headers: Headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers
         )
