Bound the size of a model server's report

A leader whose server sends a report without end read up to 64 MiB of it at each poll: with one such server it had 105 MB resident, with 50 it would be killed for its memory, and the daemons would be without a leader.

Cause: reports and the responses to orders were read with the default limit of HttpClient, which suits the store's objects.

Change: 256 KiB, for reports and for responses to orders. A report that exceeds it counts as not received, as one that times out does.

The stand-in server has the fault endless_report.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -66,3 +66,10 @@
       | endless | look  |
       | missing | book  |
       | cut     | book  |
+
+  Scenario: reports that never end leave the leader its memory
+    Given a model server one that holds m1
+    And 1 pool daemons
+    When server one has faults endless_report=true
+    And server one has sent 3 endless reports
+    Then the daemon never used more than 64 MB
--- a/features/steps/endless_line_steps.py
+++ b/features/steps/endless_line_steps.py
@@ -32,6 +32,14 @@
     replies_of(context)
 
 
+@when("server {name:w} has sent {count:d} endless reports")
+def step_endless_reports(context: Any, name: str, count: int) -> None:
+    server = pool(context).servers[name]
+    wait_until(
+        lambda: bool(server.state()["endless_reports"] > count), f"{count} reports have ended"
+    )
+
+
 @then("every reply is a truncated success with complete events only")
 def step_truncated(context: Any) -> None:
     bad = [
--- a/loomwind/platform/engine.py
+++ b/loomwind/platform/engine.py
@@ -3,6 +3,7 @@
 import msgspec
 from msgspec import Struct
 
+from loomwind import constants
 from loomwind.decoding import DecodeError, decode_json
 from loomwind.http.client import HttpClient
 from loomwind.http.errors import ConnectFailed, HttpError
@@ -19,6 +20,9 @@
     ServerReport,
 )
 
+# Room for the names of some thousand models and adapters. A leader reads the reports of 50 servers
+# at the same time, of which each may be without end.
+MAX_REPORT_BYTES = 256 * constants.KIBIBYTE
 ORDER_ANSWER_BY_STATUS = {
     200: OrderAnswer.ALREADY,
     202: OrderAnswer.ACCEPTED,
@@ -72,7 +76,7 @@
         headers = ((EXPECT_INSTANCE, entry.name),)
         try:
             response = await self._http.request(
-                entry.address, HttpRequest("GET", "/report", headers), timeout
+                entry.address, HttpRequest("GET", "/report", headers), timeout, MAX_REPORT_BYTES
             )
             if response.status != 200 or _is_other_server(response, entry):
                 return None
@@ -98,7 +102,7 @@
         headers = ((EXPECT_INSTANCE, entry.name), ("content-type", "application/json"))
         request = HttpRequest("POST", "/order", headers, msgspec.json.encode(body))
         try:
-            response = await self._http.request(entry.address, request, timeout)
+            response = await self._http.request(entry.address, request, timeout, MAX_REPORT_BYTES)
         except ConnectFailed:
             return OrderAnswer.REJECTED
         except HttpError:
--- a/standins/pool/faults.py
+++ b/standins/pool/faults.py
@@ -20,6 +20,7 @@
     :param has_no_events: a stream ends, by its connection, after its head.
     :param endless_line: the body of a plain response, or the event after the first one of a stream,
         is a line that never ends.
+    :param endless_report: reports are a line that never ends.
     :param unframed: responses are close-delimited: neither Content-Length nor chunked encoding.
     :param http_version: HTTP version in the head of close-delimited responses.
     :param late_order_seconds: orders get no response and are executed after this delay.
@@ -38,6 +39,7 @@
     head_share: float = 1.0
     has_no_events: bool = False
     endless_line: bool = False
+    endless_report: bool = False
     unframed: bool = False
     http_version: str = "1.1"
     late_order_seconds: float = 0.0
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -52,6 +52,7 @@
         self.runs: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
         self.orders: list[OrderBody] = []
+        self.endless_reports = 0
         self.server = HttpServer(self._serve)
         self._store = store
         self._client = HttpClient(Connector())
@@ -120,7 +121,7 @@
             headers = (("x-instance-id", self.instance),)
             await exchange.respond(421, headers, b"")
         elif request.path == "/report":
-            await self._respond_json(exchange, 200, self._report())
+            await self._send_report(exchange)
         elif request.path == "/order":
             await self._handle_order(exchange, request)
         else:
@@ -138,6 +139,7 @@
             "runs": self.runs,
             "cancelled": self.cancelled,
             "orders": self.orders,
+            "endless_reports": self.endless_reports,
             "violations": holdings.violations if holdings else [],
             "held": holdings.held if holdings else {},
             "store_loads": holdings.store_loads if holdings else 0,
@@ -145,6 +147,13 @@
             "crash_part_times_s": self.crash_part_times_s,
         }
 
+    async def _send_report(self, exchange: Exchange) -> None:
+        if self.faults.endless_report:
+            self.endless_reports += 1
+            await exchange.start(200, ())
+            await send_endless_line(exchange, interval_seconds=0.0)
+        await self._respond_json(exchange, 200, self._report())
+
     def _report(self) -> dict[str, object]:
         models = self._models()
         holdings = self.holdings
