Test that a close-delimited response which ends with a reset is not complete

Whole responses and streams without a length or chunks, with heads of HTTP/1.0 and 1.1, whose last byte is followed by a reset in place of a close; a stream that is reset, resumed and reset again; one that another server completes. No fault was found: all 4 scenarios pass on the code as it was (3 runs). With a client that takes a reset for a close, 3 of them fail.

--- a/features/pool_promises.feature
+++ b/features/pool_promises.feature
@@ -101,6 +101,40 @@
     Then the last reply has status 200
     And the last reply's body is "POST /book/item hello"
 
+  Scenario Outline: a close-delimited response of HTTP <version> that ends with a reset is not complete
+    Given a model server one that holds m1
+    And a plain server shop
+    And 1 pool daemons
+    And server one has faults unframed=true, resets_at_end=true, http_version=<version>
+    And server shop has faults unframed=true, resets_at_end=true, http_version=<version>
+    When a stream on draft for m1 with 6 events begins
+    Then the last reply is truncated after a complete event
+    When a plain request on book is sent
+    Then the last reply has status 502
+    And the last request ran 1 times
+
+    Examples:
+      | version |
+      | 1.0     |
+      | 1.1     |
+
+  Scenario: a close-delimited stream that ends with a reset also when it is resumed is not complete
+    Given a model server one that holds m1
+    And a model server two that holds m1
+    And 1 pool daemons
+    And server one has faults unframed=true, resets_at_end=true
+    And server two has faults unframed=true, resets_at_end=true, cut_after_events=3
+    When a stream on drill for m1 with 6 events begins
+    Then the last reply is truncated after 6 events in order
+
+  Scenario: a close-delimited stream that ends with a reset is completed by another server
+    Given a model server one that holds m1
+    And a model server two that holds m1
+    And 1 pool daemons
+    And server one has faults unframed=true, resets_at_end=true, cut_after_events=2
+    When a stream on drill for m1 with 6 events begins
+    Then the last reply is complete with 6 events in order
+
   Scenario: the execution of a request is cancelled when its caller disconnects
     Given a model server one that holds m1
     And 1 pool daemons
--- a/features/steps/pool_steps.py
+++ b/features/steps/pool_steps.py
@@ -154,6 +154,11 @@
     wait_until(other_leads, "another pool daemon becomes the leader")
 
 
+def event_ids(reply: Reply) -> list[int]:
+    """Return the ids of the events in a reply, in their order."""
+    return [int(line[4:]) for line in reply.body.split(b"\n") if line.startswith(b"id: ")]
+
+
 @then("the last reply has status {status:d}")
 def step_status(context: Any, status: int) -> None:
     reply = replies_of(context)[-1]
@@ -163,7 +168,7 @@
 @then("the last reply is complete with {count:d} events in order")
 def step_events(context: Any, count: int) -> None:
     reply = replies_of(context)[-1]
-    ids = [int(line[4:]) for line in reply.body.split(b"\n") if line.startswith(b"id: ")]
+    ids = event_ids(reply)
     assert reply.status == 200 and reply.is_complete, (
         reply.status,
         reply.is_complete,
@@ -172,6 +177,13 @@
     assert ids == list(range(1, count + 1)), ids
 
 
+@then("the last reply is truncated after {count:d} events in order")
+def step_truncated_after(context: Any, count: int) -> None:
+    reply = replies_of(context)[-1]
+    assert reply.status == 200 and not reply.is_complete, (reply.status, reply.is_complete)
+    assert event_ids(reply) == list(range(1, count + 1)), reply.body
+
+
 @then("the last reply is truncated after a complete event")
 def step_truncated(context: Any) -> None:
     reply = replies_of(context)[-1]
--- a/standins/close_delimited.py
+++ b/standins/close_delimited.py
@@ -1,5 +1,8 @@
 """Close-delimited responses (RFC 9112, section 6.3): the connection's end ends the body."""
 
+import socket
+import struct
+
 from loomwind.http.messages import Headers
 from loomwind.http.server import Exchange
 
@@ -11,3 +14,14 @@
     """
     lines = [f"HTTP/{version} 200 OK", *(f"{name}: {value}" for name, value in headers)]
     exchange.send_raw("\r\n".join([*lines, "", ""]).encode("latin-1"))
+
+
+def end_close_delimited(exchange: Exchange, resets: bool) -> None:
+    """End a response by closing its connection, or by resetting it, which breaks it off."""
+    transport = exchange._connection._transport
+    if resets and transport is not None:
+        linger = struct.pack("ii", 1, 0)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        transport.abort()
+    else:
+        exchange.abort()
--- a/standins/pool/faults.py
+++ b/standins/pool/faults.py
@@ -22,6 +22,7 @@
         is a line that never ends.
     :param endless_report: reports are a line that never ends.
     :param unframed: responses are close-delimited: neither Content-Length nor chunked encoding.
+    :param resets_at_end: close-delimited responses end with a reset after their last byte.
     :param http_version: HTTP version in the head of close-delimited responses.
     :param late_order_seconds: orders get no response and are executed after this delay.
     :param event_seconds: time before each event of a stream, and each piece of an endless line.
@@ -41,6 +42,7 @@
     endless_line: bool = False
     endless_report: bool = False
     unframed: bool = False
+    resets_at_end: bool = False
     http_version: str = "1.1"
     late_order_seconds: float = 0.0
     event_seconds: float = EVENT_INTERVAL_SECONDS
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -19,7 +19,7 @@
 from loomwind.http.errors import HttpError
 from loomwind.http.messages import Headers, HttpRequest
 from loomwind.http.server import Exchange, HttpServer
-from standins.close_delimited import start_close_delimited
+from standins.close_delimited import end_close_delimited, start_close_delimited
 from standins.endless import send_endless_line
 from standins.faults import json_response
 from standins.pool.faults import ServerFaults
@@ -247,7 +247,7 @@
             if self.faults.unframed:
                 start_close_delimited(exchange, headers, self.faults.http_version)
                 exchange.send_raw(body)
-                exchange.abort()
+                await self._end_close_delimited(exchange)
             else:
                 await exchange.respond(200, headers, body)
         if self.faults.surplus:
@@ -328,7 +328,13 @@
                 exchange.send_raw(event[: len(event) // 2])
                 break
             exchange.send_raw(event)
-        exchange.abort()
+        await self._end_close_delimited(exchange)
+
+    async def _end_close_delimited(self, exchange: Exchange) -> None:
+        """End a response some time after its last byte, so that it arrives before a reset does."""
+        if self.faults.resets_at_end:
+            await asyncio.sleep(self.faults.event_seconds)
+        end_close_delimited(exchange, self.faults.resets_at_end)
 
     def _event(self, number: int) -> bytes:
         return f"id: {number}\ndata: token-{number} {self.software_version}\n\n".encode()
