Test that a caller of HTTP 1.0 can tell a truncated stream; known red

A stream to a caller of HTTP/1.0 has neither a length nor chunks, so the end of the connection ends it. When it is cut off, the daemon closes the connection as after a complete response, and the caller takes what it got for the whole.

Cause: Exchange.abort closes in both cases; where nothing but the end of the connection ends the response, it has to be reset once the written events have been sent. Whole responses have a length and aren't affected.

--- a/features/pool_promises.feature
+++ b/features/pool_promises.feature
@@ -68,6 +68,13 @@
     Then the last reply is truncated after a complete event
     And the last request ran 1 times
 
+  Scenario: truncation of a stream is visible to a caller of HTTP 1.0
+    Given a model server one that holds m1
+    And 1 pool daemons
+    And server one has faults cut_after_events=2
+    When a caller of HTTP 1.0 reads a stream on draft for m1 with 6 events
+    Then it got 2 events, and its connection did not end as after a complete response
+
   Scenario: a close-delimited stream truncated inside an event is resumed at another server
     Given a model server one that holds m1
     And a model server two that holds m1
