Bound the bytes of a response to another request that are skipped

A server that sends a response to an earlier request without end, where that to the current one is due, kept its caller waiting until the deadline: the stale response was to be read to its end.

Change: after 1 MiB, the limit of bodies, the connection fails.

Failed before: endless_answers "a response to another request that never ends is not skipped without end" (2097138 bytes accepted, the test's end). It passes now.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -14,6 +14,10 @@
       | a trailer          |
       | early hints        |
 
+  Scenario: a response to another request that never ends is not skipped without end
+    When a server sends a response to another request without end, in writes of random sizes, in 20 runs
+    Then the connection has failed before the daemon has read more than the body limit and one write
+
   Scenario: a stream with an event that never ends fails
     When a server sends an event without end, in writes of random sizes, in 20 runs
     Then the stream has failed before the daemon has buffered over its share of 64 MB for 50 servers
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -100,6 +100,8 @@
     def run(write_bytes: int) -> None:
         if part == "an event":
             context.buffered_bytes.append(_feed_event(write_bytes))
+        elif part == "a response to another request":
+            context.buffered_bytes.append(asyncio.run(_feed_stale_response(write_bytes)))
         else:
             context.buffered_bytes.append(
                 asyncio.run(_feed_response(PARTS[part], write_bytes)) - write_bytes
@@ -126,6 +128,23 @@
     return accepted
 
 
+async def _feed_stale_response(write_bytes: int) -> int:
+    """Return the bytes accepted before the response was no longer skipped, less the last write."""
+    connection = ClientConnection("a:1")
+    connection.connection_made(DiscardingTransport())
+    request = HttpRequest("GET", "/")
+    connection.send_request(request)
+    connection.data_received(HEAD + b"\r\n")
+    await connection.read_head()
+    skip_task = asyncio.ensure_future(connection.skip_answer(request))
+    accepted = 0
+    while not await _has_failed(skip_task) and accepted < 2 * constants.MAX_BODY_BYTES:
+        connection.data_received(b"d" * write_bytes)
+        accepted += write_bytes
+    skip_task.cancel()
+    return accepted - write_bytes
+
+
 async def _has_failed(read_task: "asyncio.Future[None]") -> bool:
     for _ in range(MAX_LOOP_ITERATIONS):
         if read_task.done():
@@ -163,3 +182,8 @@
 @then("the stream has failed before the daemon has buffered over its share of 64 MB for 50 servers")
 def step_event_bound(context: Any) -> None:
     assert max(context.buffered_bytes) <= MAX_EVENT_BYTES, max(context.buffered_bytes)
+
+
+@then("the connection has failed before the daemon has read more than the body limit and one write")
+def step_stale_bound(context: Any) -> None:
+    assert max(context.buffered_bytes) <= constants.MAX_BODY_BYTES, max(context.buffered_bytes)
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -208,10 +208,14 @@
         A new h11 parser is put into the state after sending ``request``, and takes over the bytes
         that have arrived already.
 
-        :raises ConnectionBroken: the response was not complete.
+        :raises ConnectionBroken: the response was not complete, or is longer than a new connection
+            is worth.
         """
+        skipped_bytes = 0
         while not self._body_complete:
-            await self.read_body()
+            skipped_bytes += len(await self.read_body())
+            if skipped_bytes > constants.MAX_BODY_BYTES:
+                raise ConnectionBroken("the response to another request is too large")
         self._body_complete = False
         trailing_data, closed = self._h11.trailing_data
         self._h11 = _new_parser()
