Reset the connection of a truncated stream that only its end delimits

Callers of HTTP 1.0 took a stream that was cut off for a whole one: it has neither a length nor chunks, and its connection ended in order. Exchange.abort now resets such a connection; others still close. The stand-in for close-delimited responses uses the same reset.

--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from loomwind import constants
-from loomwind.http.client import ClientConnection
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import HttpError
 from loomwind.http.event_stream import EventStreamBuffer
 from loomwind.http.messages import HttpRequest
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -10,7 +10,7 @@
 
 from features.support.virtual_time import run_in_virtual_time
 from loomwind.clock import MS_PER_SECOND
-from loomwind.http.client import ClientConnection
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.messages import HttpResponse
 from loomwind.serving.breaker import ServerHealth
 from loomwind.serving.errors import SendFailed
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from loomwind.http.client import ClientConnection
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.metrics import Metrics
--- a/features/steps/relay_version_steps.py
+++ b/features/steps/relay_version_steps.py
@@ -5,7 +5,8 @@
 
 from behave import given, then, when
 
-from loomwind.http.client import ClientConnection, Connector, HttpClient
+from loomwind.http.client import Connector, HttpClient
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.metrics import Metrics
 from loomwind.platform.dialect import PlatformDialect
--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -19,7 +19,7 @@
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
 from loomwind import constants
 from loomwind.explain import LogLine, explain_request
-from loomwind.http.client import ClientConnection
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ClientDisconnected, ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.http.server import Exchange, Handler, HttpServer
--- /dev/null
+++ b/loomwind/http/client_connection.py
@@ -0,0 +1,294 @@
+"""HTTP/1.1 client connections, each with one exchange at a time.
+
+A connection whose exchange did not complete is closed and never reused, so that no caller can
+receive the response to another caller's request.
+"""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import h11
+
+from loomwind import constants
+from loomwind.http.errors import (
+    PROTOCOL_EXCEPTIONS,
+    REQUEST_EXCEPTIONS,
+    BodyTruncated,
+    ConnectionBroken,
+    ExchangeTimeout,
+    ResponseMissing,
+    map_exceptions,
+)
+from loomwind.http.messages import Headers, HttpRequest, HttpResponse
+from loomwind.http.sockets import enable_dead_peer_detection
+
+KEEP_ALIVE_MARGIN_SECONDS = 0.5
+KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
+# Ends a server's repetitions of them; one that reports progress sends one every few seconds.
+MAX_INFORMATIONAL_RESPONSES = 64
+
+
+def parse_keep_alive_timeout(head: HttpResponse) -> float | None:
+    """Return the ``timeout`` of a response's ``Keep-Alive`` header, or None."""
+    for item in (head.header("keep-alive") or "").split(","):
+        text = item.strip().removeprefix(KEEP_ALIVE_TIMEOUT_PREFIX)
+        if text.isascii() and text.isdigit():
+            return float(text)
+    return None
+
+
+class ClientState(enum.Enum):
+    """State of a client connection; it is active from sending a request to the response's end."""
+
+    IDLE = enum.auto()
+    ACTIVE = enum.auto()
+    CLOSED = enum.auto()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server.
+
+    :ivar expires_at: loop time from which the connection is not reused, since the server may close
+        it; None if the server has announced no keep-alive timeout.
+    :ivar on_idle_connection_error: see :class:`HttpClient`.
+    """
+
+    def __init__(self, address: str, user_timeout_ms: float | None = None) -> None:
+        self.address = address
+        self.state = ClientState.IDLE
+        self.expires_at: float | None = None
+        self.on_idle_connection_error: Callable[[str], None] | None = None
+        self._user_timeout_ms = user_timeout_ms
+        self._h11 = _new_parser()
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._buffered_bytes = 0
+        self._disconnected = False
+        self._reset = False
+        self._body_complete = False
+        self._read_aborted = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and enable dead peer detection if it is configured."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if self._user_timeout_ms is not None:
+            enable_dead_peer_detection(transport, self._user_timeout_ms)
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Return the transport; None before the connection is made."""
+        return self._transport
+
+    def data_received(self, data: bytes) -> None:
+        """Feed h11 and wake the reader; pause reading above the high-water mark.
+
+        Bytes that arrive while no response is due belong to no request: the connection is closed.
+        """
+        if self.state is ClientState.IDLE:
+            self.close()
+            return
+        self._h11.receive_data(data)
+        self._buffered_bytes += len(data)
+        if self._buffered_bytes > constants.READ_BUFFER_HIGH_WATER_BYTES and self._transport:
+            self._transport.pause_reading()
+        self._wake()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Signal the end of the stream to h11, and wake the reader."""
+        idle = self.state is ClientState.IDLE
+        if not self._disconnected:
+            self._disconnected = True
+            self._reset = exc is not None
+            if not self._reset:
+                self._h11.receive_data(b"")
+        if idle:
+            self.state = ClientState.CLOSED
+            if self._reset and self.on_idle_connection_error is not None:
+                self.on_idle_connection_error(self.address)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def send_request(self, request: HttpRequest) -> None:
+        """Write a complete request in a single write.
+
+        :raises UnsendableRequest: the request is invalid; the connection can still be used.
+        :raises ConnectionBroken: the connection is closed.
+        """
+        if self._transport is None or self._disconnected or self._transport.is_closing():
+            self.close()
+            raise ConnectionBroken("the connection has ended")
+        with map_exceptions(REQUEST_EXCEPTIONS):
+            head = _head_event(request, self.address)
+        self.state = ClientState.ACTIVE
+        with map_exceptions(PROTOCOL_EXCEPTIONS):
+            parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
+            parts.append(self._h11.send(h11.EndOfMessage()))
+        self._transport.write(b"".join(part for part in parts if part))
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._head_error(error) from error
+            if event is not h11.NEED_DATA:
+                return event
+            await self._wait_for_data()
+
+    def _head_error(self, error: h11.RemoteProtocolError) -> ConnectionBroken:
+        """Return the error of a response without a valid head."""
+        if self._h11.trailing_data == (b"", True):
+            return ResponseMissing("the server closed the connection without a response")
+        return ConnectionBroken(str(error))
+
+    async def _wait_for_data(self) -> None:
+        if self._reset:
+            raise ConnectionBroken("the connection was reset")
+        self._buffered_bytes = 0
+        if (
+            self._transport is not None
+            and not self._transport.is_reading()
+            and not self._disconnected
+        ):
+            self._transport.resume_reading()
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+        if self._read_aborted:
+            raise ExchangeTimeout("nothing came for too long")
+        if self._reset and not self._h11.trailing_data[0]:
+            raise ConnectionBroken("the connection was reset")
+
+    def note_keep_alive(self, head: HttpResponse) -> None:
+        """Set the expiry from the keep-alive timeout in a response, if it has one."""
+        seconds = parse_keep_alive_timeout(head)
+        if seconds is not None:
+            now = asyncio.get_running_loop().time()
+            self.expires_at = now + seconds - KEEP_ALIVE_MARGIN_SECONDS
+
+    def abort_reading(self) -> None:
+        """Make reads that wait for data fail with :class:`ExchangeTimeout`."""
+        self._read_aborted = True
+        self._wake()
+
+    async def read_head(self) -> HttpResponse:
+        """Return the response's status and headers, without its body.
+
+        :raises ResponseMissing: the server closed the connection without a response.
+        :raises ConnectionBroken: the connection ended inside the head, the head is invalid, or too
+            many informational responses came before it.
+        :raises ExchangeTimeout: the read was aborted.
+        """
+        event = await self._next_event()
+        informational_count = 0
+        while not isinstance(event, h11.Response):
+            if isinstance(event, h11.ConnectionClosed):
+                raise ResponseMissing("the server closed the connection without a response")
+            informational_count += 1
+            if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                raise ConnectionBroken("too many informational responses")
+            event = await self._next_event()
+        headers: Headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers
+        )
+        return HttpResponse(event.status_code, headers)
+
+    async def skip_answer(self, request: HttpRequest) -> None:
+        """Discard the rest of a response to another request; the next response can then be read.
+
+        A new h11 parser is put into the state after sending ``request``, and takes over the bytes
+        that have arrived already.
+
+        :raises ConnectionBroken: the response was not complete, or is longer than a new connection
+            is worth.
+        """
+        skipped_bytes = 0
+        while not self._body_complete:
+            skipped_bytes += len(await self.read_body())
+            if skipped_bytes > constants.MAX_BODY_BYTES:
+                raise ConnectionBroken("the response to another request is too large")
+        self._body_complete = False
+        trailing_data, closed = self._h11.trailing_data
+        self._h11 = _new_parser()
+        with map_exceptions(PROTOCOL_EXCEPTIONS):
+            self._h11.send(_head_event(request, self.address))
+            self._h11.send(h11.Data(data=request.body))
+            self._h11.send(h11.EndOfMessage())
+        if trailing_data:
+            self._h11.receive_data(trailing_data)
+        if closed and not self._reset:
+            self._h11.receive_data(b"")
+
+    async def read_body(self) -> bytes:
+        """Return the part of the body that has arrived; empty at the end of the body.
+
+        :raises BodyTruncated: the connection ended before the end of the body.
+        :raises ExchangeTimeout: the read was aborted.
+        """
+        if self._body_complete:
+            self._finish_exchange()
+            return b""
+        chunks: list[bytes] = []
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.ProtocolError as error:
+                if chunks:
+                    return b"".join(chunks)
+                raise BodyTruncated(str(error)) from error
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._body_complete = True
+                if chunks:
+                    return b"".join(chunks)
+                self._finish_exchange()
+                return b""
+            elif event is h11.NEED_DATA:
+                if chunks:
+                    return b"".join(chunks)
+                try:
+                    await self._wait_for_data()
+                except ConnectionBroken as error:
+                    raise BodyTruncated(str(error)) from error
+            else:
+                raise BodyTruncated("closed before the body's end")
+
+    def _finish_exchange(self) -> None:
+        self._body_complete = False
+        reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if reusable and not self._disconnected and not self._h11.trailing_data[0]:
+            self._h11.start_next_cycle()
+            self.state = ClientState.IDLE
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close immediately, without sending buffered data."""
+        self.state = ClientState.CLOSED
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _new_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
+
+
+def _head_event(request: HttpRequest, address: str) -> h11.Request:
+    """Return the head of a request; a ``host`` header of its own overrides the address."""
+    headers = list(request.headers)
+    if request.header("host") is None:
+        headers.insert(0, ("host", address))
+    headers.append(("content-length", str(len(request.body))))
+    return h11.Request(
+        method=request.method,
+        target=request.target,
+        headers=[(name.encode(), value.encode("latin-1")) for name, value in headers],
+    )
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -30,6 +30,10 @@
         This still holds after this side has closed the connection.
         """
 
+    @property
+    def allows_chunks(self) -> bool:
+        """Return whether the client's version of HTTP has chunked bodies."""
+
     @property
     def closes_after_response(self) -> bool:
         """Return whether responses tell the client that the connection closes after them."""
@@ -46,6 +50,9 @@
     def close(self) -> None:
         """Close once written data has been sent."""
 
+    def reset(self) -> None:
+        """Close with a reset, once written data was passed to the kernel."""
+
 
 class Exchange:
     """One request and the methods that send its response.
@@ -69,6 +76,7 @@
         self._connection = connection
         self._method = method
         self._allows_body = True
+        self._ends_with_connection = False
         self.request = request
         self.bad_request = bad_request
         self.started = False
@@ -106,6 +114,8 @@
         self._connection.send_event(head)
         self.started = True
         self._allows_body = status not in BODILESS_STATUSES and self._method != "HEAD"
+        has_length = any(name.lower() == "content-length" for name, _ in headers)
+        self._ends_with_connection = not has_length and not self._connection.allows_chunks
         await self._connection.drain()
 
     async def send(self, data: bytes) -> None:
@@ -127,5 +137,15 @@
         self._connection.write_raw(data)
 
     def abort(self) -> None:
-        """Close the connection early, so that the client detects an incomplete response."""
-        self._connection.close()
+        """Close the connection early, so that the client detects an incomplete response.
+
+        Where only the connection's end ends the response, it has to be a reset.
+        """
+        if self._ends_with_connection:
+            self._connection.reset()
+        else:
+            self._connection.close()
+
+    def reset(self) -> None:
+        """Reset the connection; simulated servers use it to break off a response."""
+        self._connection.reset()
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -15,6 +15,7 @@
 )
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import HttpRequest
+from loomwind.http.sockets import reset_on_close
 from loomwind.logs import log_state
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 
 # How long the rest of a request that was refused unread is discarded.
 LINGER_SECONDS = 1.0
+HTTP_1_0 = b"1.0"
 
 
 class ConnectionState(enum.Enum):
@@ -60,6 +62,11 @@
         self._parser_head_bytes = self._server.limits.max_head_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._parser_head_bytes)
 
+    @property
+    def allows_chunks(self) -> bool:
+        """Return whether the client's version of HTTP has chunked bodies."""
+        return self._h11.their_http_version != HTTP_1_0
+
     @property
     def closes_after_response(self) -> bool:
         """Return whether responses tell the client that the connection closes after them.
@@ -349,6 +356,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def reset(self) -> None:
+        """Close with a reset, once written data was passed to the kernel."""
+        if self._transport is not None:
+            reset_on_close(self._transport)
+        self.close()
+
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(seconds, self._on_timeout)
--- a/loomwind/http/sockets.py
+++ b/loomwind/http/sockets.py
@@ -1,7 +1,8 @@
-"""TCP socket options that detect a dead peer: one that vanished without closing."""
+"""TCP socket options: detect a peer that vanished without closing, and reset a connection."""
 
 import asyncio
 import socket
+import struct
 
 from loomwind.clock import MS_PER_SECOND
 
@@ -28,3 +29,10 @@
 def keepalive_probe_count(user_timeout_ms: float) -> int:
     """Return the number of unanswered keepalive probes after which the peer counts as dead."""
     return max(1, int(user_timeout_ms / (KEEPALIVE_INTERVAL_SECONDS * MS_PER_SECOND)))
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Have the connection reset when it is closed, instead of ended in order."""
+    raw = transport.get_extra_info("socket")
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/loomwind/pipeline/forward.py
+++ b/loomwind/pipeline/forward.py
@@ -16,7 +16,8 @@
     RESUME_HEADER,
     STATE_HEADER,
 )
-from loomwind.http.client import ClientConnection, HttpClient
+from loomwind.http.client import HttpClient
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ConnectFailed, HttpError
 from loomwind.http.messages import (
     Headers,
--- a/loomwind/pipeline/types.py
+++ b/loomwind/pipeline/types.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from loomwind.http.client import ClientConnection
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.messages import Headers, HttpRequest
 from loomwind.schema import Artifact
 
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -8,7 +8,8 @@
 
 from loomwind import constants
 from loomwind.clock import MS_PER_SECOND, Clock
-from loomwind.http.client import ClientConnection, HttpClient
+from loomwind.http.client import HttpClient
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ConnectFailed, HttpError, UnsendableRequest
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.serving.connectivity import ServiceConnectivity
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -10,7 +10,8 @@
 from attrs import evolve
 
 from loomwind.clock import Clock
-from loomwind.http.client import ClientConnection, HttpClient
+from loomwind.http.client import HttpClient
+from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ConnectFailed, HttpError
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.metrics import Metrics
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from loomwind.http.client import ClientConnection
+from loomwind.http.client_connection import ClientConnection
 from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS, ServerHealth
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
 from loomwind.serving.views import ServerEntry
--- a/standins/close_delimited.py
+++ b/standins/close_delimited.py
@@ -1,8 +1,5 @@
 """Close-delimited responses (RFC 9112, section 6.3): the connection's end ends the body."""
 
-import socket
-import struct
-
 from loomwind.http.messages import Headers
 from loomwind.http.server import Exchange
 
@@ -18,10 +15,7 @@
 
 def end_close_delimited(exchange: Exchange, resets: bool) -> None:
     """End a response by closing its connection, or by resetting it, which breaks it off."""
-    transport = exchange._connection._transport
-    if resets and transport is not None:
-        linger = struct.pack("ii", 1, 0)
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        transport.abort()
+    if resets:
+        exchange.reset()
     else:
         exchange.abort()
