Do not end a request with the connection to a peer that is given up

Callers of a daemon without a store: a request whose key was being claimed from a peer got neither an answer nor a refusal when the membership took that peer for dead while a connection to it was being made.

Cause: to disconnect a peer cancels the connecting, and asyncio passes that cancellation on to whoever waits for it; nothing on the way expected it, and it looked like the caller's leaving.

Change: the wait ends with PeerUnreachable, so the claim goes on with the other voters. A cancellation of something that a request waits for gets internal-error, outcome unknown, from the pipeline as well.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -19,10 +19,14 @@
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
 from loomwind import constants
 from loomwind.explain import LogLine, explain_request
-from loomwind.http.client import ClientConnection
+from loomwind.http.client import ClientConnection, Connector
 from loomwind.http.errors import ClientDisconnected, ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.http.server import Exchange, Handler, HttpServer
+from loomwind.messages import AnyMessage, LeaderQuestion
+from loomwind.metrics import Metrics
+from loomwind.peering.errors import PeerUnreachable
+from loomwind.peering.transport import PeerTransport
 from loomwind.platform.dialect import PlatformDialect
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder
@@ -552,3 +556,32 @@
     reply: RawReply = context.reply
     error = decode_error(HttpResponse(reply.status, tuple(reply.headers.items())), reply.body)
     assert isinstance(error, SendFailed) and error.may_have_run, error
+
+
+@when("a peer is disconnected while a call waits for a connection to it")
+def step_disconnect(context: Any) -> None:
+    context.error = asyncio.run(_disconnect_during_connect())
+
+
+async def _disconnect_during_connect() -> BaseException:
+    """Return how a call ends whose connection is given up while it is being made."""
+    server = await asyncio.start_server(lambda reader, writer: None, LOCALHOST, 0)
+    address = f"{LOCALHOST}:{server.sockets[0].getsockname()[1]}"
+
+    async def ignore(message: AnyMessage) -> None:
+        """Answer nothing."""
+
+    transport = PeerTransport(ignore, Connector(), Metrics())
+    call = asyncio.ensure_future(transport.call(address, LeaderQuestion()))
+    while transport._client(address)._connecting is None:
+        await asyncio.sleep(0)
+    transport.disconnect(address)
+    (end,) = await asyncio.gather(call, return_exceptions=True)
+    server.close()
+    assert isinstance(end, BaseException), end
+    return end
+
+
+@then("the call fails as one to an unreachable peer")
+def step_unreachable(context: Any) -> None:
+    assert isinstance(context.error, PeerUnreachable), repr(context.error)
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -149,3 +149,7 @@
     Given an HTTP server that responds to everything with 200 and 4 bytes
     When a client sends it a body far over the limit, and reads when all is sent
     Then the client gets 1 whole responses with status 413 and the reason
+
+  Scenario: a request does not end with the connection to a peer that it waits for
+    When a peer is disconnected while a call waits for a connection to it
+    Then the call fails as one to an unreachable peer
--- a/loomwind/peering/transport.py
+++ b/loomwind/peering/transport.py
@@ -117,7 +117,15 @@
             return connection
         if self._connecting is None or self._connecting.done():
             self._connecting = asyncio.get_running_loop().create_task(self._connect())
-        return await asyncio.shield(self._connecting)
+        connecting = self._connecting
+        task = asyncio.current_task()
+        try:
+            return await asyncio.shield(connecting)
+        except asyncio.CancelledError:
+            # close() has cancelled the connection, not the tasks that wait for it.
+            if connecting.cancelled() and task is not None and not task.cancelling():
+                raise PeerUnreachable(f"{self._address}: disconnected") from None
+            raise
 
     async def _connect(self) -> _OutgoingConnection:
         host, port = self._peer_transport.connector.resolve(self._address)
--- a/loomwind/pipeline/handler.py
+++ b/loomwind/pipeline/handler.py
@@ -106,7 +106,13 @@
         except RequestRefused as refusal:
             self._count_refusal(refusal)
             await self._refuse(exchange, refusal, request_id)
-        except (ClientDisconnected, asyncio.CancelledError):
+        except ClientDisconnected:
+            self._metrics.cancelled.inc()
+            raise
+        except asyncio.CancelledError as error:
+            if exchange.is_connected:
+                await self._fail(exchange, error, request_id)
+                return
             self._metrics.cancelled.inc()
             raise
         except UnsendableResponse as error:
@@ -115,13 +121,17 @@
             self._count_refusal(unsendable)
             await self._refuse(exchange, unsendable, request_id)
         except Exception as error:
-            log_state("request", "internal-error", error=repr(error))
-            internal = RequestRefused(Problem.INTERNAL_ERROR, "see the log", Outcome.UNKNOWN)
-            self._count_refusal(internal)
-            await self._refuse(exchange, internal, request_id)
+            await self._fail(exchange, error, request_id)
         finally:
             self._metrics.waiting.dec()
 
+    async def _fail(self, exchange: Exchange, error: BaseException, request_id: str) -> None:
+        """Refuse a request after an error that nothing expected; it may have run."""
+        log_state("request", "internal-error", error=repr(error))
+        internal = RequestRefused(Problem.INTERNAL_ERROR, "see the log", Outcome.UNKNOWN)
+        self._count_refusal(internal)
+        await self._refuse(exchange, internal, request_id)
+
     def _count_refusal(self, refusal: RequestRefused) -> None:
         self._metrics.refused.labels(refusal.problem.slug, refusal.outcome.value).inc()
 
