Rely on a server that has not answered only after a silence longer than a pause

Callers could see: a stream whose sound server pauses for a second or more is still cut. After 0.8 s it was sent to another server, and 250 ms later moved there although that server had not answered; when it then refused, with the retry spent, nothing was left. A draining server, and one whose entry had lapsed, was left that way too.

Cause: a move without an answer was allowed as soon as any other server had been heard since, or the silent one was not listed.

Change: a server counts as silent after 1.3 s: longer than a pause of a second or so, and early enough for callers that stay for 2 s without an event. Before that a request moves only on an answer, which a plain request may do after twice its objective. That a server is not listed says nothing any more.

The scenario that relied on a server because the silent one was not listed was wrong: such a server may be finishing its streams. It asks for the opposite of relying now, for silences shorter than a pause. The other scenarios keep their outcomes; their times follow the new threshold, so that a pause is still longer than it.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -9,17 +9,18 @@
 
     Examples: events
       | silent                | other                                     | outcome                                  |
-      | goes on after 900 ms  | has sent data and responds after 400 ms   | the silent server goes on                |
-      | goes on after 900 ms  | has sent data and responds after 30 ms    | the other server goes on                 |
+      | goes on after 1200 ms | has sent data and responds after 30 ms    | the silent server goes on                |
+      | goes on after 1400 ms | has sent data and responds after 400 ms   | the silent server goes on                |
+      | goes on after 1400 ms | has sent data and responds after 30 ms    | the other server goes on                 |
       | goes on after 3000 ms | has sent data and responds after 2000 ms  | the other server goes on                 |
       | never goes on         | has sent data and responds after 100 ms   | the other server goes on                 |
       | goes on after 3000 ms | is idle and responds after 100 ms         | the other server goes on                 |
       | goes on after 3000 ms | is idle and responds after 2000 ms        | the silent server goes on                |
       | goes on after 3000 ms | has sent data and refuses after 20 ms     | the silent server goes on                |
       | goes on after 3000 ms | has sent data and accepts no connection   | the silent server goes on                |
-      | breaks after 900 ms   | has sent data and responds after 400 ms   | the other server goes on                 |
-      | breaks after 900 ms   | is idle and responds after 400 ms         | the other server goes on                 |
-      | breaks after 900 ms   | has sent data and refuses after 20 ms     | the stream fails                         |
+      | breaks after 1400 ms  | has sent data and responds after 400 ms   | the other server goes on                 |
+      | breaks after 1400 ms  | is idle and responds after 400 ms         | the other server goes on                 |
+      | breaks after 1400 ms  | has sent data and refuses after 20 ms     | the stream fails                         |
       | goes on after 3000 ms | may not be asked                          | the silent server goes on                |
 
   Scenario: a retry whose request was not sent costs nothing
@@ -32,14 +33,14 @@
   Scenario: a caller who leaves during a hand-over ends both attempts
     Given a stream whose server never goes on
     And another server that is idle and responds after 2000 ms
-    When the stream is read, and its caller leaves after 950 ms
+    When the stream is read, and its caller leaves after 1450 ms
     Then neither server has the request
 
   Scenario: a stream moves long before its caller gives up, after 2 s without an event
     Given a stream whose server never goes on
     And another server that has sent data and responds after 2000 ms
     When the stream is read
-    Then the silent server was left 800 to 1200 ms after its last event
+    Then the silent server was left 1300 to 1700 ms after its last event
 
   Scenario: the decision about a silence is logged once, however often it is taken
     Given a stream whose server goes on after 3000 ms
@@ -63,7 +64,7 @@
     Then it is not relied on while no server was heard since 1000 ms
     And it is relied on when another server was heard at 1100 ms
     But it is not relied on when the silent server was heard as well
-    And it is relied on when the silent server is not listed any more
+    And it is not relied on 1299 ms after the silent server's last data
 
   Scenario: a server of the only other software version takes no stream over
     Given a silent server of version v1, and servers of versions v2 and v2 that were heard since
--- a/features/silent_requests.feature
+++ b/features/silent_requests.feature
@@ -16,7 +16,7 @@
   Scenario: a stream that another server refuses goes on at its server after a pause
     Given 3 pool daemons
     And every event of a stream takes 0.02 s
-    When streams run at server one, server two refuses more, and server one is suspended for 1.2 s
+    When streams run at server one, server two refuses more, and server one is suspended for 1.7 s
     Then every stream that ran there is complete, and ran once
 
   Scenario: streams of a server that hangs are completed by another one while it still hangs
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -7,11 +7,11 @@
 from loomwind.clock import MS_PER_SECOND
 from loomwind.serving.views import RequestKind, RouteRule
 
-MIN_STREAM_TIMEOUT_MS = 1200.0
+# A sound server may pause for a second or so. Callers stay for at least 2 s without an event, and
+# another server needs the rest of that to go on.
+LONGEST_PAUSE_MS = 1300.0
 TIMEOUT_PER_OBJECTIVE = 2.0
 MIN_TIMEOUT_MS = 250.0
-# Callers stay for at least 2 s without an event; another server needs the rest of that to go on.
-EVENT_SILENCE_MS = 800.0
 
 
 def start_silence_ms(route: RouteRule) -> float | None:
@@ -23,7 +23,7 @@
         return None
     timeout_ms = TIMEOUT_PER_OBJECTIVE * route.objective_seconds * MS_PER_SECOND
     if route.kind is RequestKind.STREAMING:
-        return max(timeout_ms, MIN_STREAM_TIMEOUT_MS)
+        return max(timeout_ms, LONGEST_PAUSE_MS)
     return max(timeout_ms, MIN_TIMEOUT_MS)
 
 
@@ -32,7 +32,7 @@
 
     :param events: the number of events so far, of all attempts.
     """
-    return EVENT_SILENCE_MS if route.repeatable and events else start_silence_ms(route)
+    return LONGEST_PAUSE_MS if route.repeatable and events else start_silence_ms(route)
 
 
 @frozen
@@ -55,13 +55,11 @@
 
     :ivar since_ms: when it last sent data of the request.
     :ivar is_heard: whether it has sent data of other requests since.
-    :ivar is_listed: whether the server is still listed as one that takes requests.
     :ivar has_begun: whether the caller has got the head of a response.
     """
 
     since_ms: float
     is_heard: bool = False
-    is_listed: bool = True
     has_begun: bool = False
 
     def may_be_taken_over(self, other: Liveness) -> bool:
@@ -72,16 +70,15 @@
         """
         return not other.is_doubted and (self._has_answered(other) or other.in_flight == 0)
 
-    def is_certain(self, other: Liveness, others: Iterable[Liveness]) -> bool:
+    def is_certain(self, other: Liveness, others: Iterable[Liveness], now_ms: float) -> bool:
         """Whether the other server may be relied on before it has responded.
 
-        A server that is heard works on other requests first; the other one may do the same.
+        Not as long as the silent one may only pause. One that is heard works on other requests
+        first; the other one may do the same.
 
         :param others: all servers but the silent one.
         """
-        if not self.is_listed:
-            return True
-        if self.is_heard:
+        if self.is_heard or now_ms - self.since_ms < LONGEST_PAUSE_MS:
             return False
         return self._has_answered(other) or any(self._has_answered(each) for each in others)
 
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -111,7 +111,7 @@
             return Silence(since_ms, has_begun=has_begun)
         pool = self._handler.pool
         is_heard = pool.health(silent).last_received_at * MS_PER_SECOND > since_ms
-        return Silence(since_ms, is_heard, pool.accepts_requests(silent), has_begun)
+        return Silence(since_ms, is_heard, has_begun)
 
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -85,7 +85,9 @@
         chosen = self._lowest_cost(entries, now)
         if chosen is None:
             return None
-        is_certain = silence.is_certain(others[chosen.instance], others.values())
+        is_certain = silence.is_certain(
+            others[chosen.instance], others.values(), now * MS_PER_SECOND
+        )
         return Replacement(chosen, is_certain)
 
     def _liveness(self, entry: ServerEntry, now: float) -> Liveness:
