Close the connection of an attempt that ends as its stream begins

Servers went on working for callers who had left, and daemons kept connections that nobody read: when the head of a stream and the end of its caller came in the same moment, the attempt had ended before anybody read the response, and only attempts that were cancelled earlier closed theirs.

Change: an attempt that is stopped closes its connection unless somebody reads the response.

Evidence: hand_over 'an attempt that ends as its stream begins leaves no connection open' failed before.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -81,3 +81,7 @@
     Then the server is suspect at 10.5 s, and not at 11.0 s
     When the server sends data at 10.2 s
     Then the server is not suspect at 10.3 s
+
+  Scenario: an attempt that ends as its stream begins leaves no connection open
+    When an attempt ends in the moment in which its stream begins
+    Then its connection is closed
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -306,6 +306,7 @@
             self._exchange.extra_headers = with_software_version(
                 self._exchange.extra_headers, entry.software_version
             )
+        attempt.is_read = True
         await self._stream.relay(entry, answer.response, attempt.health)
         self._handler.prompts.record_answered(self._caller)
         self._handler.forwarder.release(answer.response.connection)
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -33,6 +33,7 @@
 
     :ivar events_before: the number of events that the request's stream had before.
     :ivar answering: brings the beginning of the response; None before the request is sent.
+    :ivar is_read: whether somebody reads the rest of the response, and closes the connection.
     """
 
     def __init__(self, entry: ServerEntry, health: ServerHealth, events_before: int) -> None:
@@ -40,6 +41,7 @@
         self.health = health
         self.events_before = events_before
         self.answering: asyncio.Task[Answer] | None = None
+        self.is_read = False
 
     @abstractmethod
     async def connect(self) -> None:
@@ -59,7 +61,7 @@
 
     @abstractmethod
     def stop(self) -> None:
-        """End the attempt; if the response has not begun, its connection is closed."""
+        """End the attempt; unless somebody reads its response, the connection is closed."""
 
     @abstractmethod
     def abandon(self) -> None:
@@ -110,10 +112,10 @@
         return self.answering
 
     def stop(self) -> None:
-        """End the attempt; if the response has not begun, its connection is closed."""
+        """End the attempt; unless somebody reads its response, the connection is closed."""
         if self.answering is not None:
             self.answering.cancel()
-            self.answering.add_done_callback(self._close_if_cancelled)
+            self.answering.add_done_callback(self._close_unread)
         self._count_end()
 
     def abandon(self) -> None:
@@ -123,16 +125,16 @@
             return
         if self.answering is None:
             self._handler.forwarder.release(self._connection)
-        elif _has_unread_body(self.answering):
-            self._connection.close()
 
-    def _close_if_cancelled(self, answering: asyncio.Task[Answer]) -> None:
-        """Close the connection, also if the task was cancelled before its first step."""
-        if answering.cancelled():
-            assert self._connection is not None
+    def _close_unread(self, answering: asyncio.Task[Answer]) -> None:
+        """Close the connection if the response, or the rest of it, has no reader.
+
+        The task may have been cancelled before its first step, or have ended unnoticed by a caller
+        that was cancelled in the same moment.
+        """
+        assert self._connection is not None
+        if answering.cancelled() or (_has_unread_body(answering) and not self.is_read):
             self._connection.close()
-        else:
-            answering.exception()
 
     async def _exchange(self, connection: ClientConnection, last_event_id: str | None) -> Answer:
         forwarder = self._handler.forwarder
