Let a peer move the stream that it relays first; keep a server whose replacement fails unexpectedly

Found by reading. A stream that a peer relays was handed over twice for one silence: by the peer, and in the same moment by the daemon that had asked it, so three servers could have it at once. The daemon now waits 400 ms longer than the peer.

An unexpected error of the replacement ended the whole request, and closed the sound server's connection; it is a failed attempt now. The head of a plain response counts as data from its server.

Evidence: two new examples of hand_over; 'fails unexpectedly' failed before with the ValueError.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -21,6 +21,7 @@
       | breaks after 1400 ms  | has sent data and responds after 400 ms   | the other server goes on                 |
       | breaks after 1400 ms  | is idle and responds after 400 ms         | the other server goes on                 |
       | breaks after 1400 ms  | has sent data and refuses after 20 ms     | the stream fails                         |
+      | goes on after 3000 ms | has sent data and fails unexpectedly      | the silent server goes on                |
       | goes on after 3000 ms | may not be asked                          | the silent server goes on                |
 
   Scenario: a retry whose request was not sent costs nothing
@@ -85,3 +86,6 @@
   Scenario: an attempt that ends as its stream begins leaves no connection open
     When an attempt ends in the moment in which its stream begins
     Then its connection is closed
+
+  Scenario: a peer moves a stream that it relays before the daemon that asked it does
+    Then a stream counts as silent at a peer at least 400 ms later than at a server
--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -11,6 +11,7 @@
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.serving.forwarder import EVENT_STREAM, OpenResponse, OutgoingRequest
 from loomwind.serving.handler import RequestHandler
+from loomwind.serving.inactivity import event_silence_ms
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.server_attempt import ServerAttempt
 from loomwind.serving.views import (
@@ -25,7 +26,14 @@
 
 ENTRY = ServerEntry("one", "tutor", "one:1", "zone-a", 8, ServerState.READY)
 ROUTE = RouteRule(
-    "drill", "h", "/", RequestKind.STREAMING, (WeightedService("tutor", 1),), 10.0, 0.6
+    "drill",
+    "h",
+    "/",
+    RequestKind.STREAMING,
+    (WeightedService("tutor", 1),),
+    10.0,
+    0.6,
+    resumable=True,
 )
 
 
@@ -90,3 +98,10 @@
 @then("its connection is closed")
 def step_closed(context: Any) -> None:
     assert context.connection.is_closed
+
+
+@then("a stream counts as silent at a peer at least {later_ms:d} ms later than at a server")
+def step_peer_later(context: Any, later_ms: int) -> None:
+    at_server_ms = event_silence_ms(ROUTE, 1, is_peer=False)
+    at_peer_ms = event_silence_ms(ROUTE, 1, is_peer=True)
+    assert at_server_ms and at_peer_ms and at_peer_ms >= at_server_ms + later_ms
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -62,6 +62,8 @@
     async def connect(self) -> None:
         """Connect, unless the server accepts no connection."""
         await asyncio.sleep(0.001)
+        if "fails unexpectedly" in self._behaviour:
+            raise ValueError("not a port")
         if "accepts no connection" in self._behaviour:
             raise SendFailed("refused", may_have_run=False, unreachable=True)
 
--- a/loomwind/serving/hand_over.py
+++ b/loomwind/serving/hand_over.py
@@ -270,15 +270,14 @@
 def _failure_of(future: asyncio.Future[T]) -> SendFailed | None:
     """Return the failure with which an attempt's step has ended; None if it has not.
 
-    :raises BaseException: it ended with an error of another kind.
+    An error of any other kind is one of this attempt, too; the silent server keeps the request.
     """
-    if not future.done():
+    if not future.done() or future.cancelled():
         return None
-    try:
-        future.result()
-    except SendFailed as failure:
-        return failure
-    return None
+    error = future.exception()
+    if error is None or isinstance(error, SendFailed):
+        return error
+    return SendFailed(repr(error), may_have_run=True)
 
 
 def _discard(future: asyncio.Future[T]) -> None:
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -10,6 +10,8 @@
 # A sound server may pause for a second or so. Callers stay for at least 2 s without an event, and
 # another server needs the rest of that to go on.
 LONGEST_PAUSE_MS = 1300.0
+# A peer moves the streams that it relays by itself first, with what that takes.
+PEER_SILENCE_MS = LONGEST_PAUSE_MS + 400.0
 TIMEOUT_PER_OBJECTIVE = 2.0
 MIN_TIMEOUT_MS = 250.0
 
@@ -27,12 +29,15 @@
     return max(timeout_ms, MIN_TIMEOUT_MS)
 
 
-def event_silence_ms(route: RouteRule, events: int) -> float | None:
+def event_silence_ms(route: RouteRule, events: int, is_peer: bool) -> float | None:
     """Return how long a stream may bring no data until its server counts as silent.
 
     :param events: the number of events so far, of all attempts.
+    :param is_peer: whether a peer relays the stream.
     """
-    return LONGEST_PAUSE_MS if route.repeatable and events else start_silence_ms(route)
+    if not route.repeatable or not events:
+        return start_silence_ms(route)
+    return PEER_SILENCE_MS if is_peer else LONGEST_PAUSE_MS
 
 
 @frozen
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -89,6 +89,10 @@
             events=self._stream.events,
         )
 
+    def is_at_peer(self, entry: ServerEntry) -> bool:
+        """Whether an entry stands for a peer that relays the request, not for a server."""
+        return entry.instance not in self._servers
+
     # Moves away from a silent server.
 
     def decide(self, silent: ServerEntry, silent_since_ms: float) -> MoveDecision:
@@ -107,7 +111,7 @@
 
     def _silence(self, silent: ServerEntry, since_ms: float) -> Silence:
         has_begun = self._exchange.started
-        if silent.instance not in self._servers:
+        if self.is_at_peer(silent):
             return Silence(since_ms, has_begun=has_begun)
         pool = self._handler.pool
         is_heard = pool.health(silent).last_received_at * MS_PER_SECOND > since_ms
@@ -135,7 +139,7 @@
 
     def record_moved(self, silent: ServerEntry) -> None:
         """Record that the request was taken over from a silent server."""
-        if silent.instance in self._servers:
+        if not self.is_at_peer(silent):
             self._handler.pool.health(silent).record_left(self._handler.now())
         self._record_left(silent)
         self._progress.outcome_pending = True
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -316,7 +316,9 @@
 
         :raises Moved: the server was silent, and another one has taken the stream over.
         """
-        timeout_ms = event_silence_ms(self._route, self._stream.events)
+        timeout_ms = event_silence_ms(
+            self._route, self._stream.events, self._attempts.is_at_peer(entry)
+        )
         return await self._hand_over.read(entry, read, timeout_ms)
 
     async def _send_full_response(self, entry: ServerEntry, answer: Answer, body: bytes) -> None:
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -142,6 +142,7 @@
             response = await forwarder.send(
                 connection, self._outgoing, self.entry, self._handler.now(), last_event_id
             )
+        self.health.record_received(self._handler.now())
         body = None if response.streamed else await forwarder.read_full_body(response)
         self.health.record_received(self._handler.now())
         return Answer(response, body)
