--- a/features/steps/silent_request_steps.py
+++ b/features/steps/silent_request_steps.py
@@ -7,10 +7,10 @@
 from behave import given, then, when
 
 from features.steps.pool_steps import pool, replies_of
-from features.steps.software_version_steps import Stream
 from features.support.caller import Reply
 from features.support.pool_site import MODEL_SERVICE, PoolServerProcess
 from features.support.processes import wait_until
+from features.support.streams import Stream
 
 ROUTE = "drill"
 REQUESTS_PER_DAEMON = 4
