Explain: a store that has come back is no cause of a wait for a model

'explain' named no_leader for a request whose model was not loaded, when any daemon had lost the store within 30 s before and had long had it back.

Evidence: 'a request waited for a model in vain while the store was regained last' failed before.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -108,6 +108,15 @@
     Then the last reply has status 503
     And explain reports the cause told_to_return
 
+  Scenario Outline: a request waited for a model in vain while the store was <last> last
+    Given log lines of a request that waited for its model, and of a store that was <states>
+    Then its lines tell the cause <cause>
+
+    Examples:
+      | states           | last     | cause            |
+      | lost             | lost     | no_leader        |
+      | lost and regained | regained | model_not_loaded |
+
   Scenario: failed and late requests are counted by route and reason
     Given log lines of a request that was told to retry, and of one that was late at its server
     Then the reasons are "told to come back, model" on r-1 and "late at its server" on no known route
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -11,7 +11,7 @@
 from bench.promises import PromiseAccount, promise_account
 from features.steps.pool_steps import pool, replies_of
 from features.support.processes import wait_until
-from loomwind.explain import REQUEST_TYPE, LogLine
+from loomwind.explain import REQUEST_TYPE, Cause, LogLine, explain_request
 
 
 @given("models with a load time of {seconds:f} s")
@@ -78,6 +78,22 @@
     context.lines = [LogLine(1.0, "d", REQUEST_TYPE, fields) for fields in (retry, ended, late)]
 
 
+@given("log lines of a request that waited for its model, and of a store that was {states}")
+def step_store_lines(context: Any, states: str) -> None:
+    lines = [LogLine(1.0, "d", "loomwind:election", {"state": "leader"})]
+    names = ["lost", "answers"] if "regained" in states else ["lost"]
+    lines += [
+        LogLine(2.0 + n, "d", "loomwind:store", {"state": name}) for n, name in enumerate(names)
+    ]
+    ended = {"decision": "out-of-time", "request_id": "a", "target": "m1", "waiting": True}
+    context.lines = [*lines, LogLine(5.0, "d", REQUEST_TYPE, ended)]
+
+
+@then("its lines tell the cause {cause}")
+def step_told_cause(context: Any, cause: str) -> None:
+    assert explain_request("a", context.lines).cause is Cause[cause.upper()]
+
+
 @then('the reasons are "{first}" on {route} and "{second}" on no known route')
 def step_reasons(context: Any, first: str, route: str, second: str) -> None:
     expected = {Reason(route, first): 1, Reason("", second): 1}
--- a/loomwind/explain.py
+++ b/loomwind/explain.py
@@ -179,21 +179,27 @@
     return Cause.UNKNOWN
 
 
+def _newest(lines: Sequence[LogLine], kind: str, **meanings: bool) -> dict[str, bool]:
+    """Return by daemon what its newest line of a kind means.
+
+    :param meanings: the meaning of each state; lines with other states do not count.
+    """
+    return {
+        line.daemon: meanings[str(line.get("state"))]
+        for line in lines
+        if line.kind == kind and line.get("state") in meanings
+    }
+
+
 def _find_wait_cause(
     own: Sequence[LogLine], orders: Sequence[LogLine], recent_lines: Sequence[LogLine]
 ) -> Cause:
     """Return why a request that was waiting for its model was not served."""
     if any(line.get("state") == "unknown" for line in orders):
         return Cause.ORDERS_UNANSWERED
-    election_lines = [line for line in recent_lines if line.kind == "loomwind:election"]
-    is_leader: dict[str, bool] = {}
-    for line in election_lines:
-        if line.get("state") in ("leader", "follower"):
-            is_leader[line.daemon] = line.get("state") == "leader"
-    store_lost = any(
-        line.kind == "loomwind:store" and line.get("state") == "lost" for line in recent_lines
-    )
-    if not orders and (not any(is_leader.values()) or store_lost):
+    is_leader = _newest(recent_lines, "loomwind:election", leader=True, follower=False)
+    is_store_lost = _newest(recent_lines, "loomwind:store", lost=True, answers=False)
+    if not orders and (not any(is_leader.values()) or any(is_store_lost.values())):
         return Cause.NO_LEADER
     decision = next((line for line in own if line.get("decision") in WAIT_CAUSES), None)
     if decision is not None and decision.get("ready_in_ms") is not None:
