A confirmed registry alone no longer proves that a service has one version

A caller could see: a stream that began at v2 goes on at v1.

Cause: streams begin at a version whose row cannot be written once it has been waited for, but `is_current` accepted a new read of the registry with a server list of any age. With v2 listed and then the store away, streams begin at v2 unregistered. A daemon that stood still since before v2 and wakes as the store returns may read the registry before v2 is written to it: {v1}.

Change: a copy is current if the server list is within the lease, and the copy is complete or the registry was confirmed within the lease. If nothing decides, the caller gets a time to retry.

No earlier scenario was changed.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -180,6 +180,35 @@
     And daemon-2 learns only that the server of v2 has left
     Then daemon-2 rejects an unknown stream, without a time to retry
 
+  Scenario: streams began at an unregistered version, and a daemon with an old list reads the registry first
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 keeps the registry for 2 s
+    Then streams may begin at v1 and at v2
+    When daemon-1 relays the first event of a stream from v2
+    And the store is available again
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: a peer knows a stream that began at an unregistered version
+    Given the versions v1 of tutor are registered
+    And the daemons ask each other
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 keeps the registry for 2 s
+    And daemon-1 relays the first event of a stream from v2
+    And the store is available again
+    Then daemon-2 continues that stream at v2, when it is in step again after 0.2 s
+
+  Scenario: a daemon with an old list waits for a newer one, which has one version only
+    Given the versions v1 of tutor are registered
+    When daemon-1 relays the first event of a stream from v1
+    And daemon-2 is out of step
+    And 2 s pass
+    Then daemon-2 continues that stream at v1, when it is in step again after 0.2 s
+
   Scenario: streams begin at once at versions that were open before a daemon restarted
     Given the versions v1 of tutor are registered
     When servers of tutor run v1 and v2
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -234,6 +234,11 @@
     context.store.is_available = False
 
 
+@when("the store is available again")
+def step_available(context: Any) -> None:
+    context.store.is_available = True
+
+
 @when("the store delays writes")
 def step_delay(context: Any) -> None:
     context.store.delays_writes = True
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -1,9 +1,9 @@
 """Finds the software version at which a stream that its caller resumes must go on.
 
 An origin that anyone knows is the answer, however old that knowledge is. That streams can have
-begun at one version only is an answer while the copy of the registry is young enough, or after a
-new read of it. Otherwise the stored origins and the peers are asked, whichever answers first; a
-stream whose origin is unknown is not continued.
+begun at one version only is an answer while the server list is young enough, and the registry was
+read since servers may have been missed. Otherwise the stored origins and the peers are asked,
+whichever answers first; a stream whose origin is unknown is not continued.
 """
 
 import asyncio
@@ -108,12 +108,17 @@
 
     async def _wait_for_list(self, service: str, version: str) -> None:
         """Wait briefly for a newer server list if an outdated one has no server of the version."""
+        await self._poll_list(
+            lambda: (
+                self._registry.is_listed(service, version)
+                or self._registry.is_recent(self._list_age_ms())
+            )
+        )
+
+    async def _poll_list(self, is_sufficient: Callable[[], bool]) -> None:
+        """Wait briefly until the server list suffices."""
         deadline_ms = self._clock.now_ms() + LIST_WAIT_MS
-        while not (
-            self._registry.is_listed(service, version)
-            or self._registry.is_recent(self._list_age_ms())
-            or self._clock.now_ms() >= deadline_ms
-        ):
+        while not (is_sufficient() or self._clock.now_ms() >= deadline_ms):
             await self._clock.sleep_ms(LIST_POLL_MS)
 
     async def _search(self, origin_id: str | None, service: str) -> Clue:
@@ -130,7 +135,7 @@
                 search.cancel()
 
     async def _confirm(self, service: str) -> Clue:
-        """Read the registry; its only version at the time of the read is the answer."""
+        """Read the registry; its only version is the answer if a recent server list agrees."""
         deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
         while len(self._registry.possible(service)) < 2:
             try:
@@ -143,6 +148,11 @@
                     detail = f"the registered software versions cannot be read: {error}"
                     return Clue("registry", None, True, detail)
             await self._clock.sleep_ms(CONFIRM_RETRY_MS)
+        await self._poll_list(
+            lambda: self._is_current() or self._registry.sole_version(service) is None
+        )
+        if self._registry.sole_version(service) is not None and not self._is_current():
+            return Clue("registry", None, True, "the server list is too old to tell the version")
         return self._sole_version(service) or Clue("registry")
 
     async def _look_up(self, origin_id: str) -> Clue:
--- a/loomwind/serving/version_registry.py
+++ b/loomwind/serving/version_registry.py
@@ -7,7 +7,8 @@
 
 That a service has one version only is believed for the belief lease after the copy was taken. A
 further version is registered as opening: its first streams wait until all beliefs without it have
-expired. Then a second write opens it, so that daemons that start later need not wait.
+expired. Then a second write opens it, so that daemons that start later need not wait. A version
+that cannot be registered is waited for as long; only a server list within the lease tells of it.
 """
 
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -224,12 +225,12 @@
     def is_current(self, list_age_ms: float, now_ms: float) -> bool:
         """Whether no stream can have begun at a version that this copy lacks.
 
+        The registry alone does not tell: streams also begin at a version that cannot be registered.
+
         :param list_age_ms: the time since the server list matched the store.
         """
-        age_ms = now_ms - self._confirmed_at_ms
-        if self.is_complete:
-            age_ms = min(age_ms, list_age_ms)
-        return self.is_recent(age_ms)
+        is_confirmed = self.is_recent(now_ms - self._confirmed_at_ms)
+        return self.is_recent(list_age_ms) and (self.is_complete or is_confirmed)
 
     def is_recent(self, age_ms: float) -> bool:
         """Whether a copy of an age is within the belief lease."""
