A version that returns after it was retired is waited for again

A caller could see: a stream that began at v1 goes on at v2, or the reverse, where a retired version returns while its row cannot be written: its streams begin at once, while other daemons still take the other version for the only one.

Cause: the time since which a version is known was never dropped, so the wait looked over.

Change: it is dropped when a version leaves the registry or the row is gone; a version that is still listed counts as newly listed from then.

Failed before: "a version that returns after it was retired is waited for again" and "a listed version that another writer removed from the registry is waited for again".

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -230,6 +230,28 @@
     And daemon-1 keeps the registry for 1 s
     Then streams may begin at v1 but not at v2
 
+  Scenario: a version that returns after it was retired is waited for again
+    Given the versions v1 and v2 of tutor are registered
+    When servers of tutor run v2
+    And daemon-1 keeps the registry for 130 s
+    Then the registered versions of tutor are v2
+    When the store is unavailable
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v2 but not at v1
+    When daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 and at v2
+
+  Scenario: a listed version that another writer removed from the registry is waited for again
+    Given the versions v1 and v2 of tutor are registered
+    When 10 s pass
+    And another writer leaves only v1 in the registry, which daemon-1 reads
+    And the store is unavailable
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+    When daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 and at v2
+
   Scenario: the daemon that relayed a stream is asked while the store is unavailable
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -264,6 +264,18 @@
     run(context, context.store.write(ORIGIN_TABLE, Write("a-writer", b"\x91" * 100_000)))
 
 
+@when("another writer leaves only {versions} in the registry, which {name:S} reads")
+def step_overwrite(context: Any, versions: str, name: str) -> None:
+    registered = (ServiceVersions(SERVICE, tuple(_split(versions))),)
+    daemon: Daemon = context.daemons[name]
+    row_version = daemon.state.pool.versions.row_version
+    run(
+        context,
+        context.store.write(PEER_TABLE, Write(ROW_KEY, encode_versions(registered), row_version)),
+    )
+    run(context, daemon.registrar.confirm())
+
+
 def _required(context: Any, name: str, request_id: str) -> str | None:
     caller = CallerRequest("retry", "h", 10.0, last_event_id="3", origin_id=request_id)
     required = context.daemons[name].resumption.required_version(caller, SERVICE)
--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -175,7 +175,7 @@
         except WriteConflict as conflict:
             row = next(iter(conflict.rows), None)
             if row is None:
-                self._registry.reset()
+                self._registry.reset(self._clock.now_ms())
             else:
                 self._apply(row.value, row.version)
             return
--- a/loomwind/serving/version_registry.py
+++ b/loomwind/serving/version_registry.py
@@ -84,14 +84,24 @@
         for pair in self._pairs() - before:
             self._known_since_ms[pair] = now_ms
         self._unregistered -= self._pairs()
+        self._forget(before - self._pairs(), now_ms)
         if self._pairs() - before:
             self.on_new_version()
 
-    def reset(self) -> None:
+    def reset(self, now_ms: float) -> None:
         """Record that the row does not exist."""
+        before = self._pairs()
         self._registered = {}
         self._opening = frozenset()
         self.row_version = 0
+        self._forget(before, now_ms)
+
+    def _forget(self, pairs: Iterable[ServiceVersion], now_ms: float) -> None:
+        """Let versions that have left the registry be waited for when they return."""
+        for service, version in pairs:
+            self._known_since_ms.pop((service, version), None)
+            if version in self._listed(service):
+                self.record_listed(service, version, now_ms)
 
     def adopt_from_peer(
         self,
