The last of several changes of the registry counts, not the first

A caller could see: a stream goes on at a version that did not begin it, at a daemon that reads more than one change of the registry in one response, as after it stood still.

Cause: the feed of the stand-in store has each change of a row. The first one was applied, and the read went on after the last one and counted as a confirmation, so the later ones were never seen.

Change: the change with the highest version is applied.

Failed before: "the last of several changes of the registry counts" (went on at v1, while v1 and v2 were registered). Found while unreadable rows were tested.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -252,6 +252,13 @@
     When daemon-1 keeps the registry for 1 s
     Then streams may begin at v1 and at v2
 
+  Scenario: the last of several changes of the registry counts
+    Given the versions v1 and v2 of tutor are registered
+    When servers of tutor run v1
+    And another writer leaves only v1 in the registry, which daemon-1 reads
+    And another writer leaves only v1 and v2 in the registry, which daemon-2 reads
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
   Scenario: the daemon that relayed a stream is asked while the store is unavailable
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -267,13 +267,15 @@
 @when("another writer leaves only {versions} in the registry, which {name:S} reads")
 def step_overwrite(context: Any, versions: str, name: str) -> None:
     registered = (ServiceVersions(SERVICE, tuple(_split(versions))),)
-    daemon: Daemon = context.daemons[name]
-    row_version = daemon.state.pool.versions.row_version
-    run(
-        context,
-        context.store.write(PEER_TABLE, Write(ROW_KEY, encode_versions(registered), row_version)),
-    )
-    run(context, daemon.registrar.confirm())
+    run(context, _write_registry(context, encode_versions(registered)))
+    run(context, context.daemons[name].registrar.confirm())
+
+
+async def _write_registry(context: Any, value: bytes) -> None:
+    """Write the row of the registry as another writer that has read it."""
+    rows = (await context.store.read(PEER_TABLE)).rows
+    row_version = next(row.version for row in rows if row.key == ROW_KEY)
+    await context.store.write(PEER_TABLE, Write(ROW_KEY, value, row_version))
 
 
 def _required(context: Any, name: str, request_id: str) -> str | None:
--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -63,8 +63,12 @@
         self.confirm = CoalescedCall(self._read)
 
     def on_rows(self, snapshot: Snapshot, is_full: bool) -> None:
-        """Apply the row of the registry, if it is among the changed rows or ``is_full``."""
-        row = next((row for row in snapshot.rows if row.key == ROW_KEY), None)
+        """Apply the row of the registry, if it is among the changed rows or ``is_full``.
+
+        The feed has each change of a row; the last one counts.
+        """
+        changes = (row for row in snapshot.rows if row.key == ROW_KEY)
+        row = max(changes, key=lambda row: row.version, default=None)
         if row is not None and not row.deleted:
             self._apply(row.value, row.version)
         elif row is not None or is_full:
