A row of the registry that cannot be read leaves the last copy in force

A caller could see: a stream goes on at a version that did not begin it, after the row of the registry was damaged.

Cause: an unreadable row was taken for an empty registry, so all services looked unregistered, and a first registration opens its versions without a wait.

Change: the last copy stays, and is written over the row, by the leader first. Until then reading the row confirms nothing: a resumed stream that only the registry could decide gets a time to retry.

Failed before: both examples of "a row of the registry that cannot be read leaves the last copy in force", "a daemon that has only seen an odd row knows no registry" and "an odd row does not confirm an old copy". Open: if no daemon has a copy, the row stays unreadable until someone removes it; a daemon with an old copy that writes before the others drops versions that only they have and that no server has any more.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -259,6 +259,40 @@
     And another writer leaves only v1 and v2 in the registry, which daemon-2 reads
     Then daemon-2 rejects an unknown stream, without a time to retry
 
+  Scenario Outline: a row of the registry that cannot be read leaves the last copy in force, <how>
+    Given the versions v1 of tutor are registered
+    When another writer leaves an odd row as the registry, which daemon-1 <reads>
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+    And the registered versions of tutor are v1 and v2
+    When daemon-1 keeps the registry for 2 s
+    Then streams may begin at v1 and at v2
+
+    Examples:
+      | how              | reads                |
+      | when it is read  | reads                |
+      | after a conflict | finds when it writes |
+
+  Scenario: a daemon that has only seen an odd row knows no registry
+    Given the versions v1 of tutor are registered
+    When another writer leaves an odd row as the registry, which daemon-1 reads
+    And daemon-1 restarts, and cannot read the registry
+    Then daemon-1 rejects an unknown stream, with a time to retry
+
+  Scenario: an odd row does not confirm an old copy, and is replaced by a daemon that has a newer one
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And servers of tutor run v1
+    And another writer leaves an odd row as the registry, which daemon-1 reads
+    And daemon-2 is in step again
+    Then daemon-2 rejects an unknown stream, with a time to retry
+    When daemon-1 keeps the registry for 1 s
+    Then the registered versions of tutor are v1 and v2
+    And daemon-2 rejects an unknown stream, without a time to retry
+
   Scenario: the daemon that relayed a stream is asked while the store is unavailable
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -23,7 +23,7 @@
 from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import Snapshot, StoredRow, Write
+from loomwind.serving.ports import Snapshot, StoredRow, StoreUnavailable, Write
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.resumption import Resumption
 from loomwind.serving.stream_origins import StreamOrigin
@@ -114,6 +114,13 @@
 
 async def _start(context: Any, name: str) -> Daemon:
     """Return a daemon that has read the registry and the list of servers."""
+    daemon = await _create(context, name)
+    await daemon.registrar.confirm()
+    return daemon
+
+
+async def _create(context: Any, name: str) -> Daemon:
+    """Return a daemon that has read the list of servers."""
     store, peers = context.store, cast(PeerTable, LeadingPeers(name, context.known_peers))
     health = StoreHealth()
     pool = ServerPool(BoundSettings())
@@ -123,7 +130,6 @@
     await follower.poll_once(0.0)
     context.list_version += 1
     _list(state, context)
-    await registrar.confirm()
     origins = OriginLog(store, ORIGIN_TABLE, name, pool.versions, peers)
     peer_origins = PeerOrigins(cast(PeerTransport, context.transport), peers, origins)
     resumption = Resumption(
@@ -228,6 +234,16 @@
     context.daemons[name] = run(context, _start(context, name))
 
 
+@when("{name:S} restarts, and cannot read the registry")
+def step_restart_unread(context: Any, name: str) -> None:
+    context.daemons[name] = run(context, _create(context, name))
+    try:
+        run(context, context.daemons[name].registrar.confirm())
+    except StoreUnavailable:
+        return
+    raise AssertionError("the registry was read")
+
+
 @given("the store is unavailable")
 @when("the store is unavailable")
 def step_unavailable(context: Any) -> None:
@@ -278,6 +294,15 @@
     await context.store.write(PEER_TABLE, Write(ROW_KEY, value, row_version))
 
 
+@when("another writer leaves an odd row as the registry, which {name:S} {how}")
+def step_odd_registry(context: Any, name: str, how: str) -> None:
+    daemon: Daemon = context.daemons[name]
+    run(context, _write_registry(context, b"{odd"))
+    if how == "reads":
+        with contextlib.suppress(StoreUnavailable):
+            run(context, daemon.registrar.confirm())
+
+
 def _required(context: Any, name: str, request_id: str) -> str | None:
     caller = CallerRequest("retry", "h", 10.0, last_event_id="3", origin_id=request_id)
     required = context.daemons[name].resumption.required_version(caller, SERVICE)
--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -60,6 +60,7 @@
         self._clock = Clock()
         self._unlisted_since_ms: dict[tuple[str, str], float] = {}
         self._read_version = 0
+        self._unreadable_version = -1
         self.confirm = CoalescedCall(self._read)
 
     def on_rows(self, snapshot: Snapshot, is_full: bool) -> None:
@@ -76,12 +77,18 @@
             self._registry.replace((), row_version, self._clock.now_ms())
 
     def _apply(self, value: bytes, row_version: int) -> None:
-        """Adopt a row, and let requests that wait for its versions go on."""
+        """Adopt a row, and let requests that wait for its versions go on.
+
+        A row that is unreadable leaves the last copy in force; the next write replaces the row.
+        """
         try:
             services = decode_versions(value)
         except MalformedVersions as error:
             log_state("software-versions", "unreadable", version=row_version, error=str(error))
-            services = ()
+            self._unreadable_version = max(self._unreadable_version, row_version)
+            if not self._registry.is_known:
+                return
+            services = self._registry.services()
         self._registry.replace(services, row_version, self._clock.now_ms())
         self._registry.is_writable = True
         self._replicated_state.pool.demand.wake()
@@ -89,7 +96,7 @@
     async def _read(self) -> None:
         """Read what has changed of the row, so that this copy is as of now.
 
-        :raises StoreUnavailable: the store did not respond.
+        :raises StoreUnavailable: the store did not respond, or the row is unreadable.
         """
         began_ms = self._clock.now_ms()
         after = max(self._read_version, self._registry.row_version)
@@ -105,6 +112,8 @@
             raise StoreUnavailable("the response is older than what is known")
         self.on_rows(snapshot, is_full)
         self._read_version = snapshot.version
+        if not self._is_readable:
+            raise StoreUnavailable("the row of the registry is unreadable")
         self._registry.confirm(began_ms)
 
     async def run(self) -> None:
@@ -121,7 +130,7 @@
             return
         if not self._registry.is_complete and self._health.available_since is not None:
             await self._close_gap()
-        if self._registry.has_unregistered:
+        if self._must_register:
             await self._register()
         elif self._registry.waited(self._clock.now_ms()):
             self._replicated_state.pool.demand.wake()
@@ -136,9 +145,18 @@
         except StoreUnavailable as error:
             log_state("software-versions", "not-read", error=str(error))
 
+    @property
+    def _is_readable(self) -> bool:
+        """Whether this copy is newer than the last row that could not be read."""
+        return self._registry.row_version > self._unreadable_version
+
+    @property
+    def _must_register(self) -> bool:
+        return self._registry.has_unregistered or not self._is_readable
+
     async def _register(self) -> None:
         await self._leave_to_leader()
-        if self._registry.has_unregistered:
+        if self._must_register:
             await self._write(self._registry.with_listed())
 
     async def _open(self) -> None:
