An unexpected error of one search no longer ends or holds a resumed request

A caller could see: no answer until the deadline of the request, when a question to one peer failed unexpectedly while streams were looked up; or a failed request, when a look-up in the store did, although a peer knew the stream.

Cause: the first error of a question ended the batch and left the look-ups that shared it without a finding; an error of a search was raised from the first search that was done.

Change: each look-up of a batch gets a finding, and a peer whose question failed counts as silent. A search that fails becomes a clue that the origin may be known later. Both are logged.

Failed before: "a question to a peer fails unexpectedly" (no answer within 10 s of virtual time), "a look-up in the store fails unexpectedly, and a peer knows the origin" and both examples of "a search in the store fails unexpectedly" (the error reached the caller). "a question to one peer fails unexpectedly, and another peer knows the origin" passed before too. The steps that resume a stream now also fail if there is no answer within 10 s of virtual time.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -343,6 +343,38 @@
     When daemon-1 does not answer its peers
     Then daemon-2 rejects an unknown stream, with a time to retry
 
+  Scenario: a question to a peer fails unexpectedly, so there is a time to retry
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When questions to daemon-1 fail unexpectedly
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: a question to one peer fails unexpectedly, and another peer knows the origin
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When questions to daemon-0 fail unexpectedly
+    And daemon-1 relays the first event of a stream from v2
+    And the store is unavailable
+    Then daemon-2 continues that stream at v2
+
+  Scenario: a look-up in the store fails unexpectedly, and a peer knows the origin
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v2
+    And calls to the store fail unexpectedly
+    Then daemon-2 continues that stream at v2
+
+  Scenario Outline: a search in the store fails unexpectedly, so there is a time to retry, <versions>
+    Given the versions <versions> of tutor are registered
+    When 2 s pass
+    And calls to the store fail unexpectedly
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+    Examples:
+      | versions  |
+      | v1        |
+      | v1 and v2 |
+
   Scenario: no peer knows the origin, so it is rejected for good
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -44,6 +44,12 @@
     context.silent.add(name)
 
 
+@when("questions to {name:S} fail unexpectedly")
+def step_broken(context: Any, name: str) -> None:
+    context.known_peers.add(name)
+    context.transport.broken.add(name)
+
+
 @then("{name:S} continues that stream at {version:w}, when it is in step again after {seconds:f} s")
 def step_continues_with_list(context: Any, name: str, version: str, seconds: float) -> None:
     daemon: Daemon = context.daemons[name]
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -37,6 +37,8 @@
 ORIGIN_TABLE = "origins"
 LIFETIME_MS = 20_000.0
 WRITE_DELAY_SECONDS = 0.05
+# In virtual time; longer than all searches with their waits.
+SEARCH_SECONDS = 10.0
 
 
 class LeadingPeers:
@@ -64,12 +66,14 @@
     """Calls peers in memory.
 
     :param silent: the names of the daemons that do not answer.
+    :ivar broken: the names of the daemons to which calls fail with an error that no caller knows.
     :ivar calls: the number of calls.
     """
 
     def __init__(self, daemons: dict[str, "Daemon"], silent: set[str]) -> None:
         self._daemons = daemons
         self._silent = silent
+        self.broken: set[str] = set()
         self.calls = 0
 
     def send(self, address: str, message: OriginNotice) -> None:
@@ -80,6 +84,8 @@
     async def call(self, address: str, message: OriginQuestion, timeout: float) -> OriginAnswer:
         """Return the answer of a peer."""
         self.calls += 1
+        if address in self.broken:
+            raise ValueError("an odd answer")
         if address in self._silent:
             await asyncio.sleep(timeout)
             raise PeerUnreachable("no answer")
@@ -255,6 +261,11 @@
     context.store.is_available = True
 
 
+@when("calls to the store fail unexpectedly")
+def step_store_broken(context: Any) -> None:
+    context.store.fails_unexpectedly = True
+
+
 @when("the store delays writes")
 def step_delay(context: Any) -> None:
     context.store.delays_writes = True
@@ -305,8 +316,13 @@
 
 def _required(context: Any, name: str, request_id: str) -> str | None:
     caller = CallerRequest("retry", "h", 10.0, last_event_id="3", origin_id=request_id)
-    required = context.daemons[name].resumption.required_version(caller, SERVICE)
-    version: str | None = run(context, required)
+    resumption: Resumption = context.daemons[name].resumption
+
+    async def find() -> str | None:
+        async with asyncio.timeout(SEARCH_SECONDS):
+            return await resumption.required_version(caller, SERVICE)
+
+    version: str | None = run(context, find())
     return version
 
 
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -20,6 +20,7 @@
     """Tables in memory.
 
     :ivar is_available: whether calls are answered.
+    :ivar fails_unexpectedly: whether calls end with an error that no caller knows.
     :ivar delays_writes: whether writes get no answer and wait for :meth:`apply_delayed`.
     :ivar loses_every_second_write: whether every second write of all callers is not
         carried out and gets no answer.
@@ -33,6 +34,7 @@
     def __init__(self) -> None:
         self.rows = RowStore()
         self.is_available = True
+        self.fails_unexpectedly = False
         self.delays_writes = False
         self.loses_every_second_write = False
         self._writes = 0
@@ -84,6 +86,8 @@
 
     def _record_call(self) -> None:
         self.calls += 1
+        if self.fails_unexpectedly:
+            raise ValueError("an odd response")
         if not self.is_available:
             raise StoreUnavailable("no response")
 
--- a/loomwind/serving/peer_origins.py
+++ b/loomwind/serving/peer_origins.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from loomwind.clock import Clock
+from loomwind.logs import log_state
 from loomwind.messages.serving import OriginAnswer, OriginNotice, OriginQuestion
 from loomwind.peering.errors import PeerUnreachable
 from loomwind.peering.transport import PeerTransport
@@ -119,15 +120,31 @@
             self._transport.send(peer.address, notice)
 
     async def _ask_all(self, batch: _Batch) -> None:
-        await self._clock.sleep_ms(self._peers.scale_interval(BATCH_MS))
-        self._batch = None
+        """Ask all peers; each look-up of the batch gets a finding, whatever happens."""
+        silent = 1
+        try:
+            await self._clock.sleep_ms(self._peers.scale_interval(BATCH_MS))
+            self._batch = None
+            silent = await self._count_silent(batch)
+        except Exception as error:
+            log_state("peer-origins", "failed", error=repr(error))
+        finally:
+            if self._batch is batch:
+                self._batch = None
+            for request_hash in batch.findings:
+                batch.resolve(request_hash, PeerFinding(None, silent))
+
+    async def _count_silent(self, batch: _Batch) -> int:
+        """Ask all peers; returns how many of them did not answer."""
         hashes = b"".join(each.to_bytes(HASH_BYTES, "big") for each in batch.findings)
         question = OriginQuestion(hashes)
         addresses = [peer.address for peer in self._peers.others()]
-        answered = await asyncio.gather(*(self._ask(each, question, batch) for each in addresses))
-        finding = PeerFinding(None, answered.count(False))
-        for request_hash in batch.findings:
-            batch.resolve(request_hash, finding)
+        questions = (self._ask(each, question, batch) for each in addresses)
+        answered = await asyncio.gather(*questions, return_exceptions=True)
+        for address, answer in zip(addresses, answered, strict=True):
+            if isinstance(answer, BaseException):
+                log_state("peer-origins", "failed", peer=address, error=repr(answer))
+        return sum(answer is not True for answer in answered)
 
     async def _ask(self, address: str, question: OriginQuestion, batch: _Batch) -> bool:
         """Ask one peer; returns whether it answered."""
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 from loomwind.clock import MS_PER_SECOND, Clock
-from loomwind.logs import log_decision
+from loomwind.logs import log_decision, log_state
 from loomwind.serving.errors import RETRY_SOON_SECONDS, OriginUnknown
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_origins import PeerOrigins
@@ -123,12 +123,13 @@
 
     async def _search(self, origin_id: str | None, service: str) -> Clue:
         """Ask the registry, and if that does not decide it, the stored origins and the peers."""
-        searches = [asyncio.create_task(self._confirm(service))]
+        searches = [asyncio.create_task(_attempt("registry", self._confirm, service))]
         try:
             await asyncio.wait(searches, timeout=STORE_HEAD_START_MS / MS_PER_SECOND)
             if origin_id and not (searches[0].done() and searches[0].result().origin):
-                searches.append(asyncio.create_task(self._look_up(origin_id)))
-                searches.append(asyncio.create_task(self._ask_peers(origin_id)))
+                look_up = _attempt("origin-looked-up", self._look_up, origin_id)
+                ask_peers = _attempt("origin-asked", self._ask_peers, origin_id)
+                searches.extend(asyncio.create_task(each) for each in (look_up, ask_peers))
             return await _first_to_know(searches)
         finally:
             for search in searches:
@@ -195,6 +196,15 @@
         )
 
 
+async def _attempt(source: str, search: Callable[[str], Awaitable[Clue]], subject: str) -> Clue:
+    """Return the clue of a search; one that fails unexpectedly leaves the others to decide."""
+    try:
+        return await search(subject)
+    except Exception as error:
+        log_state("resumption", "failed", source=source, sought=subject, error=repr(error))
+        return Clue(source, None, True, "the search for where the stream began failed")
+
+
 async def _first_to_know(searches: Iterable[asyncio.Task[Clue]]) -> Clue:
     """Return the first clue with an origin; otherwise one that says whether to ask again."""
     pending = set(searches)
