--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -180,6 +180,35 @@
     And daemon-2 learns only that the server of v2 has left
     Then daemon-2 rejects an unknown stream, without a time to retry
 
+  Scenario: streams began at an unregistered version, and a daemon with an old list reads the registry first
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 keeps the registry for 2 s
+    Then streams may begin at v1 and at v2
+    When daemon-1 relays the first event of a stream from v2
+    And the store is available again
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: a peer knows a stream that began at an unregistered version
+    Given the versions v1 of tutor are registered
+    And the daemons ask each other
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And the store is unavailable
+    And daemon-1 keeps the registry for 2 s
+    And daemon-1 relays the first event of a stream from v2
+    And the store is available again
+    Then daemon-2 continues that stream at v2, when it is in step again after 0.2 s
+
+  Scenario: a daemon with an old list waits for a newer one, which has one version only
+    Given the versions v1 of tutor are registered
+    When daemon-1 relays the first event of a stream from v1
+    And daemon-2 is out of step
+    And 2 s pass
+    Then daemon-2 continues that stream at v1, when it is in step again after 0.2 s
+
   Scenario: streams begin at once at versions that were open before a daemon restarted
     Given the versions v1 of tutor are registered
     When servers of tutor run v1 and v2
@@ -201,6 +230,69 @@
     And daemon-1 keeps the registry for 1 s
     Then streams may begin at v1 but not at v2
 
+  Scenario: a version that returns after it was retired is waited for again
+    Given the versions v1 and v2 of tutor are registered
+    When servers of tutor run v2
+    And daemon-1 keeps the registry for 130 s
+    Then the registered versions of tutor are v2
+    When the store is unavailable
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v2 but not at v1
+    When daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 and at v2
+
+  Scenario: a listed version that another writer removed from the registry is waited for again
+    Given the versions v1 and v2 of tutor are registered
+    When 10 s pass
+    And another writer leaves only v1 in the registry, which daemon-1 reads
+    And the store is unavailable
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+    When daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 and at v2
+
+  Scenario: the last of several changes of the registry counts
+    Given the versions v1 and v2 of tutor are registered
+    When servers of tutor run v1
+    And another writer leaves only v1 in the registry, which daemon-1 reads
+    And another writer leaves only v1 and v2 in the registry, which daemon-2 reads
+    Then daemon-2 rejects an unknown stream, without a time to retry
+
+  Scenario Outline: a row of the registry that cannot be read leaves the last copy in force, <how>
+    Given the versions v1 of tutor are registered
+    When another writer leaves an odd row as the registry, which daemon-1 <reads>
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 1 s
+    Then streams may begin at v1 but not at v2
+    And the registered versions of tutor are v1 and v2
+    When daemon-1 keeps the registry for 2 s
+    Then streams may begin at v1 and at v2
+
+    Examples:
+      | how              | reads                |
+      | when it is read  | reads                |
+      | after a conflict | finds when it writes |
+
+  Scenario: a daemon that has only seen an odd row knows no registry
+    Given the versions v1 of tutor are registered
+    When another writer leaves an odd row as the registry, which daemon-1 reads
+    And daemon-1 restarts, and cannot read the registry
+    Then daemon-1 rejects an unknown stream, with a time to retry
+
+  Scenario: an odd row does not confirm an old copy, and is replaced by a daemon that has a newer one
+    Given the versions v1 of tutor are registered
+    When daemon-2 is out of step
+    And servers of tutor run v1 and v2
+    And daemon-1 keeps the registry for 4 s
+    And servers of tutor run v1
+    And another writer leaves an odd row as the registry, which daemon-1 reads
+    And daemon-2 is in step again
+    Then daemon-2 rejects an unknown stream, with a time to retry
+    When daemon-1 keeps the registry for 1 s
+    Then the registered versions of tutor are v1 and v2
+    And daemon-2 rejects an unknown stream, without a time to retry
+
   Scenario: the daemon that relayed a stream is asked while the store is unavailable
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
@@ -251,6 +343,38 @@
     When daemon-1 does not answer its peers
     Then daemon-2 rejects an unknown stream, with a time to retry
 
+  Scenario: a question to a peer fails unexpectedly, so there is a time to retry
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When questions to daemon-1 fail unexpectedly
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+  Scenario: a question to one peer fails unexpectedly, and another peer knows the origin
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When questions to daemon-0 fail unexpectedly
+    And daemon-1 relays the first event of a stream from v2
+    And the store is unavailable
+    Then daemon-2 continues that stream at v2
+
+  Scenario: a look-up in the store fails unexpectedly, and a peer knows the origin
+    Given the versions v1 and v2 of tutor are registered
+    And the daemons ask each other
+    When daemon-1 relays the first event of a stream from v2
+    And calls to the store fail unexpectedly
+    Then daemon-2 continues that stream at v2
+
+  Scenario Outline: a search in the store fails unexpectedly, so there is a time to retry, <versions>
+    Given the versions <versions> of tutor are registered
+    When 2 s pass
+    And calls to the store fail unexpectedly
+    Then daemon-2 rejects an unknown stream, with a time to retry
+
+    Examples:
+      | versions  |
+      | v1        |
+      | v1 and v2 |
+
   Scenario: no peer knows the origin, so it is rejected for good
     Given the versions v1 and v2 of tutor are registered
     And the daemons ask each other
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -23,7 +23,7 @@
 from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import Snapshot, StoredRow, Write
+from loomwind.serving.ports import Snapshot, StoredRow, StoreUnavailable, Write
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.resumption import Resumption
 from loomwind.serving.stream_origins import StreamOrigin
@@ -37,6 +37,8 @@
 ORIGIN_TABLE = "origins"
 LIFETIME_MS = 20_000.0
 WRITE_DELAY_SECONDS = 0.05
+# In virtual time; longer than all searches with their waits.
+SEARCH_SECONDS = 10.0
 
 
 class LeadingPeers:
@@ -64,12 +66,14 @@
     """Calls peers in memory.
 
     :param silent: the names of the daemons that do not answer.
+    :ivar broken: the names of the daemons to which calls fail with an error that no caller knows.
     :ivar calls: the number of calls.
     """
 
     def __init__(self, daemons: dict[str, "Daemon"], silent: set[str]) -> None:
         self._daemons = daemons
         self._silent = silent
+        self.broken: set[str] = set()
         self.calls = 0
 
     def send(self, address: str, message: OriginNotice) -> None:
@@ -80,6 +84,8 @@
     async def call(self, address: str, message: OriginQuestion, timeout: float) -> OriginAnswer:
         """Return the answer of a peer."""
         self.calls += 1
+        if address in self.broken:
+            raise ValueError("an odd answer")
         if address in self._silent:
             await asyncio.sleep(timeout)
             raise PeerUnreachable("no answer")
@@ -114,6 +120,13 @@
 
 async def _start(context: Any, name: str) -> Daemon:
     """Return a daemon that has read the registry and the list of servers."""
+    daemon = await _create(context, name)
+    await daemon.registrar.confirm()
+    return daemon
+
+
+async def _create(context: Any, name: str) -> Daemon:
+    """Return a daemon that has read the list of servers."""
     store, peers = context.store, cast(PeerTable, LeadingPeers(name, context.known_peers))
     health = StoreHealth()
     pool = ServerPool(BoundSettings())
@@ -123,7 +136,6 @@
     await follower.poll_once(0.0)
     context.list_version += 1
     _list(state, context)
-    await registrar.confirm()
     origins = OriginLog(store, ORIGIN_TABLE, name, pool.versions, peers)
     peer_origins = PeerOrigins(cast(PeerTransport, context.transport), peers, origins)
     resumption = Resumption(
@@ -228,12 +240,32 @@
     context.daemons[name] = run(context, _start(context, name))
 
 
+@when("{name:S} restarts, and cannot read the registry")
+def step_restart_unread(context: Any, name: str) -> None:
+    context.daemons[name] = run(context, _create(context, name))
+    try:
+        run(context, context.daemons[name].registrar.confirm())
+    except StoreUnavailable:
+        return
+    raise AssertionError("the registry was read")
+
+
 @given("the store is unavailable")
 @when("the store is unavailable")
 def step_unavailable(context: Any) -> None:
     context.store.is_available = False
 
 
+@when("the store is available again")
+def step_available(context: Any) -> None:
+    context.store.is_available = True
+
+
+@when("calls to the store fail unexpectedly")
+def step_store_broken(context: Any) -> None:
+    context.store.fails_unexpectedly = True
+
+
 @when("the store delays writes")
 def step_delay(context: Any) -> None:
     context.store.delays_writes = True
@@ -259,10 +291,38 @@
     run(context, context.store.write(ORIGIN_TABLE, Write("a-writer", b"\x91" * 100_000)))
 
 
+@when("another writer leaves only {versions} in the registry, which {name:S} reads")
+def step_overwrite(context: Any, versions: str, name: str) -> None:
+    registered = (ServiceVersions(SERVICE, tuple(_split(versions))),)
+    run(context, _write_registry(context, encode_versions(registered)))
+    run(context, context.daemons[name].registrar.confirm())
+
+
+async def _write_registry(context: Any, value: bytes) -> None:
+    """Write the row of the registry as another writer that has read it."""
+    rows = (await context.store.read(PEER_TABLE)).rows
+    row_version = next(row.version for row in rows if row.key == ROW_KEY)
+    await context.store.write(PEER_TABLE, Write(ROW_KEY, value, row_version))
+
+
+@when("another writer leaves an odd row as the registry, which {name:S} {how}")
+def step_odd_registry(context: Any, name: str, how: str) -> None:
+    daemon: Daemon = context.daemons[name]
+    run(context, _write_registry(context, b"{odd"))
+    if how == "reads":
+        with contextlib.suppress(StoreUnavailable):
+            run(context, daemon.registrar.confirm())
+
+
 def _required(context: Any, name: str, request_id: str) -> str | None:
     caller = CallerRequest("retry", "h", 10.0, last_event_id="3", origin_id=request_id)
-    required = context.daemons[name].resumption.required_version(caller, SERVICE)
-    version: str | None = run(context, required)
+    resumption: Resumption = context.daemons[name].resumption
+
+    async def find() -> str | None:
+        async with asyncio.timeout(SEARCH_SECONDS):
+            return await resumption.required_version(caller, SERVICE)
+
+    version: str | None = run(context, find())
     return version
 
 
--- a/loomwind/serving/resumption.py
+++ b/loomwind/serving/resumption.py
@@ -1,9 +1,9 @@
 """Finds the software version at which a stream that its caller resumes must go on.
 
 An origin that anyone knows is the answer, however old that knowledge is. That streams can have
-begun at one version only is an answer while the copy of the registry is young enough, or after a
-new read of it. Otherwise the stored origins and the peers are asked, whichever answers first; a
-stream whose origin is unknown is not continued.
+begun at one version only is an answer while the server list is young enough, and the registry was
+read since servers may have been missed. Otherwise the stored origins and the peers are asked,
+whichever answers first; a stream whose origin is unknown is not continued.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 from loomwind.clock import MS_PER_SECOND, Clock
-from loomwind.logs import log_decision
+from loomwind.logs import log_decision, log_state
 from loomwind.serving.errors import RETRY_SOON_SECONDS, OriginUnknown
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_origins import PeerOrigins
@@ -108,29 +108,35 @@
 
     async def _wait_for_list(self, service: str, version: str) -> None:
         """Wait briefly for a newer server list if an outdated one has no server of the version."""
+        await self._poll_list(
+            lambda: (
+                self._registry.is_listed(service, version)
+                or self._registry.is_recent(self._list_age_ms())
+            )
+        )
+
+    async def _poll_list(self, is_sufficient: Callable[[], bool]) -> None:
+        """Wait briefly until the server list suffices."""
         deadline_ms = self._clock.now_ms() + LIST_WAIT_MS
-        while not (
-            self._registry.is_listed(service, version)
-            or self._registry.is_recent(self._list_age_ms())
-            or self._clock.now_ms() >= deadline_ms
-        ):
+        while not (is_sufficient() or self._clock.now_ms() >= deadline_ms):
             await self._clock.sleep_ms(LIST_POLL_MS)
 
     async def _search(self, origin_id: str | None, service: str) -> Clue:
         """Ask the registry, and if that does not decide it, the stored origins and the peers."""
-        searches = [asyncio.create_task(self._confirm(service))]
+        searches = [asyncio.create_task(_attempt("registry", self._confirm, service))]
         try:
             await asyncio.wait(searches, timeout=STORE_HEAD_START_MS / MS_PER_SECOND)
             if origin_id and not (searches[0].done() and searches[0].result().origin):
-                searches.append(asyncio.create_task(self._look_up(origin_id)))
-                searches.append(asyncio.create_task(self._ask_peers(origin_id)))
+                look_up = _attempt("origin-looked-up", self._look_up, origin_id)
+                ask_peers = _attempt("origin-asked", self._ask_peers, origin_id)
+                searches.extend(asyncio.create_task(each) for each in (look_up, ask_peers))
             return await _first_to_know(searches)
         finally:
             for search in searches:
                 search.cancel()
 
     async def _confirm(self, service: str) -> Clue:
-        """Read the registry; its only version at the time of the read is the answer."""
+        """Read the registry; its only version is the answer if a recent server list agrees."""
         deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
         while len(self._registry.possible(service)) < 2:
             try:
@@ -143,6 +149,11 @@
                     detail = f"the registered software versions cannot be read: {error}"
                     return Clue("registry", None, True, detail)
             await self._clock.sleep_ms(CONFIRM_RETRY_MS)
+        await self._poll_list(
+            lambda: self._is_current() or self._registry.sole_version(service) is None
+        )
+        if self._registry.sole_version(service) is not None and not self._is_current():
+            return Clue("registry", None, True, "the server list is too old to tell the version")
         return self._sole_version(service) or Clue("registry")
 
     async def _look_up(self, origin_id: str) -> Clue:
@@ -185,6 +196,15 @@
         )
 
 
+async def _attempt(source: str, search: Callable[[str], Awaitable[Clue]], subject: str) -> Clue:
+    """Return the clue of a search; one that fails unexpectedly leaves the others to decide."""
+    try:
+        return await search(subject)
+    except Exception as error:
+        log_state("resumption", "failed", source=source, sought=subject, error=repr(error))
+        return Clue(source, None, True, "the search for where the stream began failed")
+
+
 async def _first_to_know(searches: Iterable[asyncio.Task[Clue]]) -> Clue:
     """Return the first clue with an origin; otherwise one that says whether to ask again."""
     pending = set(searches)
--- a/loomwind/serving/version_registrar.py
+++ b/loomwind/serving/version_registrar.py
@@ -60,11 +60,16 @@
         self._clock = Clock()
         self._unlisted_since_ms: dict[tuple[str, str], float] = {}
         self._read_version = 0
+        self._unreadable_version = -1
         self.confirm = CoalescedCall(self._read)
 
     def on_rows(self, snapshot: Snapshot, is_full: bool) -> None:
-        """Apply the row of the registry, if it is among the changed rows or ``is_full``."""
-        row = next((row for row in snapshot.rows if row.key == ROW_KEY), None)
+        """Apply the row of the registry, if it is among the changed rows or ``is_full``.
+
+        The feed has each change of a row; the last one counts.
+        """
+        changes = (row for row in snapshot.rows if row.key == ROW_KEY)
+        row = max(changes, key=lambda row: row.version, default=None)
         if row is not None and not row.deleted:
             self._apply(row.value, row.version)
         elif row is not None or is_full:
@@ -72,12 +77,18 @@
             self._registry.replace((), row_version, self._clock.now_ms())
 
     def _apply(self, value: bytes, row_version: int) -> None:
-        """Adopt a row, and let requests that wait for its versions go on."""
+        """Adopt a row, and let requests that wait for its versions go on.
+
+        A row that is unreadable leaves the last copy in force; the next write replaces the row.
+        """
         try:
             services = decode_versions(value)
         except MalformedVersions as error:
             log_state("software-versions", "unreadable", version=row_version, error=str(error))
-            services = ()
+            self._unreadable_version = max(self._unreadable_version, row_version)
+            if not self._registry.is_known:
+                return
+            services = self._registry.services()
         self._registry.replace(services, row_version, self._clock.now_ms())
         self._registry.is_writable = True
         self._replicated_state.pool.demand.wake()
@@ -85,7 +96,7 @@
     async def _read(self) -> None:
         """Read what has changed of the row, so that this copy is as of now.
 
-        :raises StoreUnavailable: the store did not respond.
+        :raises StoreUnavailable: the store did not respond, or the row is unreadable.
         """
         began_ms = self._clock.now_ms()
         after = max(self._read_version, self._registry.row_version)
@@ -101,6 +112,8 @@
             raise StoreUnavailable("the response is older than what is known")
         self.on_rows(snapshot, is_full)
         self._read_version = snapshot.version
+        if not self._is_readable:
+            raise StoreUnavailable("the row of the registry is unreadable")
         self._registry.confirm(began_ms)
 
     async def run(self) -> None:
@@ -117,7 +130,7 @@
             return
         if not self._registry.is_complete and self._health.available_since is not None:
             await self._close_gap()
-        if self._registry.has_unregistered:
+        if self._must_register:
             await self._register()
         elif self._registry.waited(self._clock.now_ms()):
             self._replicated_state.pool.demand.wake()
@@ -132,9 +145,18 @@
         except StoreUnavailable as error:
             log_state("software-versions", "not-read", error=str(error))
 
+    @property
+    def _is_readable(self) -> bool:
+        """Whether this copy is newer than the last row that could not be read."""
+        return self._registry.row_version > self._unreadable_version
+
+    @property
+    def _must_register(self) -> bool:
+        return self._registry.has_unregistered or not self._is_readable
+
     async def _register(self) -> None:
         await self._leave_to_leader()
-        if self._registry.has_unregistered:
+        if self._must_register:
             await self._write(self._registry.with_listed())
 
     async def _open(self) -> None:
@@ -175,7 +197,7 @@
         except WriteConflict as conflict:
             row = next(iter(conflict.rows), None)
             if row is None:
-                self._registry.reset()
+                self._registry.reset(self._clock.now_ms())
             else:
                 self._apply(row.value, row.version)
             return
