Wait until streams may begin at the new version in the scenarios of a daemon out of step

Both scenarios begin streams until enough have begun at v2, and give up after 48. They now wait until v2 is open, require that enough streams have begun at each version and that some that began at v2 were resumed. What was asked of rejections holds for each resumption that is not complete; that some are rejected is not asked any more, since a daemon may learn all origins from its peers.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -91,11 +91,13 @@
     When daemon-1 is suspended
     Given a model server two of version v2 with m1
     And every event of a stream takes 0.05 s
-    When streams begin at daemon-2 and daemon-3 only, until 6 have begun at each of v1 and v2
+    When streams may begin at v2
+    And streams begin at daemon-2 and daemon-3 only, until 6 have begun at each of v1 and v2
     And daemon-2 is killed
     And daemon-3 is killed
     And the callers resume their streams at daemon-1, which then continues
-    Then no stream has events of two software versions
+    Then streams that began at v2 were resumed
+    And no stream has events of two software versions
     And at least 0.5 of the resumed streams are complete
 
   Scenario: a daemon that stood still and was cut off during a release does not join two versions
@@ -106,9 +108,11 @@
     And daemon-1 is suspended
     Given a model server two of version v2 with m1
     And every event of a stream takes 0.05 s
-    When streams begin at daemon-2 and daemon-3 only, until 6 have begun at each of v1 and v2
+    When streams may begin at v2
+    And streams begin at daemon-2 and daemon-3 only, until 6 have begun at each of v1 and v2
     And daemon-2 is killed
     And daemon-3 is killed
     And the callers resume their streams at daemon-1, which then continues
-    Then no stream has events of two software versions
-    And every rejected resumption has status 503 and came before half of its caller's time
+    Then streams that began at v2 were resumed
+    And no stream has events of two software versions
+    And every resumption is complete, or rejected with status 503 before half of its caller's time
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -76,6 +76,24 @@
     _begin_streams(context, daemons, count, versions)
 
 
+@when("streams may begin at {version:w}")
+def step_opened(context: Any, version: str) -> None:
+    daemons = pool(context).daemons.values()
+    opened = f"streams may begin at {version}"
+    wait_until(lambda: any(_has_opened(daemon, version) for daemon in daemons), opened)
+
+
+def _has_opened(daemon: PoolDaemonProcess, version: str) -> bool:
+    """Whether a daemon has written that a version is registered and not opening any more."""
+    written = [
+        registered
+        for line in daemon.log_lines()
+        if line["message_type"] == "loomwind:software-versions" and line["state"] == "written"
+        for registered in line["services"]
+    ]
+    return any(version in versions and version not in opening for _, versions, opening in written)
+
+
 def _begin_streams(
     context: Any, at_daemons: list[PoolDaemonProcess], count: int, versions: str
 ) -> None:
@@ -90,6 +108,8 @@
         site.callers.begin([_stream_request(site, next(daemons))])
         context.stream_futures.append(site.callers.pending.pop())
         wait_until(lambda: _all_begun(context), "the stream begins")
+    begun = _begun(context)
+    assert all(begun[version] >= count for version in wanted), begun
     wait_until(lambda: _origins_recorded(at_daemons), "the daemons have relayed the first events")
 
 
@@ -221,6 +241,21 @@
         assert reply.seconds < reply.timeout_seconds / 2, (reply.seconds, reply.body)
 
 
+@then("every resumption is complete, or rejected with status 503 before half of its caller's time")
+def step_complete_or_rejected(context: Any) -> None:
+    replies = [reply for stream in context.resumed for reply in stream.replies[1:]]
+    assert replies, "no stream was resumed"
+    for reply in replies:
+        if not (reply.status == 200 and reply.is_complete):
+            assert reply.status == 503, (reply.status, reply.body)
+            assert reply.seconds < reply.timeout_seconds / 2, (reply.seconds, reply.body)
+
+
+@then("streams that began at {version:w} were resumed")
+def step_were_resumed(context: Any, version: str) -> None:
+    assert any(version in stream.versions() for stream in context.resumed)
+
+
 @then("every reply that is not complete is truncated after a complete event")
 def step_truncated(context: Any) -> None:
     truncated = [reply for reply in replies_of(context) if not reply.is_complete]
