Reset the connection of any cut response that only its end delimits

A client of HTTP 1.0 could take a cut stream for a whole one: such a stream has neither a length nor chunks, and its connection ended in order where the handler was cancelled, raised or returned in mid-stream, and where the server closed or aborted it. A client that closes its sending side in mid-stream has its handler cancelled, and saw just that. Only handlers that called Exchange.abort themselves got the reset.

Exchange.ensure_end, which was ServerConnection._ensure_response, aborts a response that was started and not finished. A connection that is closed or aborted while it has such a response is reset, so Exchange.abort is no more than a close.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -1,7 +1,9 @@
 """Steps for requests that were read whole, in this process and over real connections."""
 
 import asyncio
+import inspect
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from behave import given, then, when
@@ -38,6 +40,7 @@
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 CAUSE = "the cause of this scenario"
+PART = b"part"
 LARGE_BODY_BYTES = 16 * constants.MEBIBYTE
 WRITE_BYTES = 64 * constants.KIBIBYTE
 # Fixes the examples. Without it, derandomize derives the seed from the source text of the test.
@@ -410,6 +413,58 @@
     context.reply = parse_replies(received, ["POST"])[0]
 
 
+@given("an HTTP server that sends a part of a response without a length")
+def step_part(context: Any) -> None:
+    """Leave the rest to the steps that cut it."""
+
+
+@when("{cause} after a client of HTTP 1.0 has received the part")
+def step_cut(context: Any, cause: str) -> None:
+    context.has_reset = asyncio.run(_is_reset_when_cut(cause))
+
+
+async def _is_reset_when_cut(cause: str) -> bool:
+    """Return whether the connection of a client is reset when its response is cut."""
+    end = asyncio.Event()
+
+    async def handle(exchange: Exchange) -> None:
+        await exchange.start(200, ())
+        await exchange.send(PART)
+        await end.wait()
+        if cause == "the handler raises an error":
+            raise KeyError(CAUSE)
+
+    server = HttpServer(handle)
+    await server.start(LOCALHOST, 0)
+    reader, writer = await asyncio.open_connection(LOCALHOST, server.port)
+    cuts: dict[str, Callable[[], object]] = {
+        "the client closes its sending side": writer.write_eof,
+        "the handler raises an error": end.set,
+        "the handler returns": end.set,
+        "the server ends its exchanges": partial(server.end_exchanges, 1.0),
+        "the server closes": server.close,
+        "the server aborts": server.abort,
+    }
+    writer.write(b"GET / HTTP/1.0\r\n\r\n")
+    try:
+        await reader.readuntil(PART)
+        result = cuts[cause]()
+        if inspect.isawaitable(result):
+            await result
+        await reader.read()
+    except ConnectionResetError:
+        return True
+    finally:
+        writer.close()
+        server.close()
+    return False
+
+
+@then("the connection of the client was reset")
+def step_reset(context: Any) -> None:
+    assert context.has_reset
+
+
 @given("a daemon whose server works without end")
 def step_endless(context: Any) -> None:
     context.cause = "caller-left"
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -81,6 +81,20 @@
     When a client sends it a whole request and closes its sending side
     Then the client gets a whole response with status 200
 
+  Scenario Outline: a stream to a client of HTTP 1.0 that is cut as <cause> does not end in order
+    Given an HTTP server that sends a part of a response without a length
+    When <cause> after a client of HTTP 1.0 has received the part
+    Then the connection of the client was reset
+
+    Examples:
+      | cause                              |
+      | the client closes its sending side |
+      | the handler raises an error        |
+      | the handler returns                |
+      | the server ends its exchanges      |
+      | the server closes                  |
+      | the server aborts                  |
+
   Scenario: a caller that closes its sending side gets a response, and no server goes on
     Given a daemon whose server works without end
     When a caller sends a plain request on look and closes its sending side
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -1,12 +1,14 @@
 """One request of a client, and the methods that send its response."""
 
+import contextlib
 from typing import Protocol
 
 import h11
 from msgspec import Struct
 
-from loomwind.http.errors import RESPONSE_EXCEPTIONS, map_exceptions
+from loomwind.http.errors import RESPONSE_EXCEPTIONS, ResponseError, map_exceptions
 from loomwind.http.messages import Headers, HttpRequest
+from loomwind.logs import log_state
 
 # Responses that end with their head (RFC 9112, section 6.3), as do those to HEAD.
 BODILESS_STATUSES = frozenset({204, 304})
@@ -77,6 +79,7 @@
         self._method = method
         self._allows_body = True
         self._ends_with_connection = False
+        self._is_finished = False
         self.request = request
         self.bad_request = bad_request
         self.started = False
@@ -130,21 +133,40 @@
     async def finish(self) -> None:
         """Send the end of the body."""
         self._connection.send_event(h11.EndOfMessage())
+        self._is_finished = True
         await self._connection.drain()
 
     def send_raw(self, data: bytes) -> None:
         """Write bytes outside of any response; simulated servers use it to violate the protocol."""
         self._connection.write_raw(data)
 
+    @property
+    def ends_with_reset(self) -> bool:
+        """Return whether the response is incomplete, and an end in order would make it complete."""
+        return self.started and self._ends_with_connection and not self._is_finished
+
+    async def ensure_end(self, error: BaseException | None) -> None:
+        """Respond if the handler has left the request without a response, and break off a part.
+
+        :param error: how the handler ended; None if it returned.
+        """
+        if self.is_connected and (error is not None or not self._is_finished):
+            log_state("http", "handler-failed", error=repr(error), started=self.started)
+        if not self.started:
+            reason = b"internal error" if self.is_connected else b"cancelled: client closed"
+            # They may be what could not be sent.
+            self.extra_headers = ()
+            with contextlib.suppress(ResponseError):
+                await self.respond(500, (), reason)
+        elif not self._is_finished:
+            self.abort()
+
     def abort(self) -> None:
         """Close the connection early, so that the client detects an incomplete response.
 
-        Where only the connection's end ends the response, it has to be a reset.
+        Where only the connection's end ends the response, it is a reset.
         """
-        if self._ends_with_connection:
-            self._connection.reset()
-        else:
-            self._connection.close()
+        self._connection.close()
 
     def reset(self) -> None:
         """Reset the connection; simulated servers use it to break off a response."""
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -10,13 +10,11 @@
 from loomwind.http.errors import (
     RESPONSE_EXCEPTIONS,
     ClientDisconnected,
-    ResponseError,
     map_exceptions,
 )
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import HttpRequest
 from loomwind.http.sockets import reset_on_close
-from loomwind.logs import log_state
 
 if TYPE_CHECKING:
     from loomwind.http.server import HttpServer
@@ -50,6 +48,7 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
+        self._exchange: Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._has_client_closed = False
@@ -233,6 +232,7 @@
     def _handle(self, exchange: Exchange) -> None:
         self._state = ConnectionState.HANDLING
         self._cancel_timer()
+        self._exchange = exchange
         self._task = asyncio.get_running_loop().create_task(self._run(exchange))
 
     async def _run(self, exchange: Exchange) -> None:
@@ -243,28 +243,12 @@
         except (Exception, asyncio.CancelledError) as caught:
             error = caught
         try:
-            await self._ensure_response(exchange, error)
+            if not self._is_closing:
+                await exchange.ensure_end(error)
         finally:
-            self._task = None
+            self._task = self._exchange = None
             self._finish_exchange()
 
-    async def _ensure_response(self, exchange: Exchange, error: BaseException | None) -> None:
-        """Respond to a request that its handler has left without a response.
-
-        The connection of one that has left its response incomplete is closed afterwards.
-        """
-        if self._is_closing:
-            return
-        is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        if not self._has_client_closed and (error is not None or not is_complete):
-            log_state("http", "handler-failed", error=repr(error), started=exchange.started)
-        if not exchange.started:
-            reason = b"cancelled: client closed" if self._has_client_closed else b"internal error"
-            # They may be what could not be sent.
-            exchange.extra_headers = ()
-            with contextlib.suppress(ResponseError):
-                await exchange.respond(500, (), reason)
-
     @property
     def _is_closing(self) -> bool:
         """Return whether the connection is closed, or will be once written data has been sent."""
@@ -344,17 +328,24 @@
 
     def abort(self) -> None:
         """Close immediately; written data may be lost."""
-        self._is_closing_here = True
-        self._cancel_timer()
-        if self._transport is not None:
-            self._transport.abort()
+        transport = self._prepare_close()
+        if transport is not None:
+            transport.abort()
 
     def close(self) -> None:
         """Close once written data has been sent."""
+        transport = self._prepare_close()
+        if transport is not None:
+            transport.close()
+
+    def _prepare_close(self) -> asyncio.Transport | None:
+        """Have the connection reset if an end in order would make its response look complete."""
         self._is_closing_here = True
         self._cancel_timer()
-        if self._transport is not None:
-            self._transport.close()
+        cuts_response = self._exchange is not None and self._exchange.ends_with_reset
+        if self._transport is not None and cuts_response:
+            reset_on_close(self._transport)
+        return self._transport
 
     def reset(self) -> None:
         """Close with a reset, once written data was passed to the kernel."""
