Bound what is buffered of requests that wait for the current one

A caller could have a daemon buffer without limit what it sent on while its request was handled: all 16 MB of a scenario were in memory beside one open request.

Above READ_BUFFER_HIGH_WATER_BYTES a connection now stops reading while it handles a request, and reads on as the waiting requests are handled. One that is to be closed while reading is paused discards the rest for a moment first, as after a refusal, since a close at once would reset it and lose the response.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -26,6 +26,7 @@
 from loomwind.http.errors import ClientDisconnected, ConnectionBroken
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.http.server import Exchange, Handler, HttpServer
+from loomwind.http.server_connection import ServerConnection
 from loomwind.messages import AnyMessage, LeaderQuestion
 from loomwind.metrics import Metrics
 from loomwind.peering.errors import PeerUnreachable
@@ -607,6 +608,81 @@
     assert got == [(status, True, b"body")] * count, context.replies
 
 
+# Clients that send while a request of theirs is handled.
+
+# The most that one read adds to what is buffered already.
+READ_BYTES = 256 * constants.KIBIBYTE
+
+
+@given("an HTTP server that is still handling a request")
+def step_still_handling(context: Any) -> None:
+    """Start it with the data that its client sends."""
+
+
+@when("its client sends {count:d} further requests with bodies of {size:d} bytes")
+def step_send_further(context: Any, count: int, size: int) -> None:
+    further = post_request(size) * (count - 1) + whole_request("/")
+    asyncio.run(_send_while_handling(context, post_request(2), further))
+
+
+@when("its client sends {size:d} bytes after a request that closes the connection")
+def step_send_after(context: Any, size: int) -> None:
+    asyncio.run(_send_while_handling(context, whole_request("/"), bytes(size)))
+
+
+def post_request(body_bytes: int) -> bytes:
+    """Return a request after whose response the connection stays open."""
+    head = f"POST / HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {body_bytes}\r\n\r\n"
+    return head.encode() + bytes(body_bytes)
+
+
+async def _send_while_handling(context: Any, first: bytes, further: bytes) -> None:
+    """Send all at once, and have the first request handled when the server reads no more."""
+    is_read = asyncio.Event()
+
+    async def handle(exchange: Exchange) -> None:
+        await is_read.wait()
+        await exchange.respond(200, (), b"body")
+
+    server = HttpServer(handle)
+    await server.start(LOCALHOST, 0)
+    reader, writer = await asyncio.open_connection(LOCALHOST, server.port)
+    writer.write(first + further)
+    while not server.open_exchanges:
+        await asyncio.sleep(0.001)
+    (connection,) = server.connections
+    transport = connection._transport
+    assert transport is not None
+    # Ends when the server stops reading, or when it has read everything.
+    while transport.is_reading() and len(_unread(connection)) < len(further):
+        await asyncio.sleep(0.001)
+    context.buffered_bytes = len(_unread(connection))
+    is_read.set()
+    context.received = await reader.read()
+    writer.close()
+    server.close()
+
+
+def _unread(connection: ServerConnection) -> bytes:
+    """Return what a connection has buffered of further requests."""
+    return connection._h11.trailing_data[0]
+
+
+@then("the server stops reading within its limit on buffered data")
+def step_stops_reading(context: Any) -> None:
+    limit = constants.READ_BUFFER_HIGH_WATER_BYTES + READ_BYTES
+    assert context.buffered_bytes <= limit, context.buffered_bytes
+
+
+@then(
+    "all {count:d} requests get a whole response with status {status:d} once the first is handled"
+)
+def step_all_responses(context: Any, count: int, status: int) -> None:
+    replies = parse_replies(context.received, ["POST"] * count)
+    got = [(reply.status, reply.is_complete) for reply in replies]
+    assert got == [(status, True)] * count, got
+
+
 @then("the peer takes it for a failed attempt that may have run")
 def step_failed_attempt(context: Any) -> None:
     reply: RawReply = context.reply
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -164,6 +164,18 @@
     When a client sends it a body far over the limit, and reads when all is sent
     Then the client gets 1 whole responses with status 413 and the reason
 
+  Scenario: what a client sends while a request is handled is not buffered without limit, nor lost
+    Given an HTTP server that is still handling a request
+    When its client sends 16 further requests with bodies of 1000000 bytes
+    Then the server stops reading within its limit on buffered data
+    And all 17 requests get a whole response with status 200 once the first is handled
+
+  Scenario: a client that sends far more than its request gets the response
+    Given an HTTP server that is still handling a request
+    When its client sends 16000000 bytes after a request that closes the connection
+    Then the server stops reading within its limit on buffered data
+    And all 1 requests get a whole response with status 200 once the first is handled
+
   Scenario: a request does not end with the connection to a peer that it waits for
     When a peer is disconnected while a call waits for a connection to it
     Then the call fails as one to an unreachable peer
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -7,11 +7,8 @@
 
 import h11
 
-from loomwind.http.errors import (
-    RESPONSE_EXCEPTIONS,
-    ClientDisconnected,
-    map_exceptions,
-)
+from loomwind import constants
+from loomwind.http.errors import RESPONSE_EXCEPTIONS, ClientDisconnected, map_exceptions
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import HttpRequest
 from loomwind.http.sockets import reset_on_close
@@ -54,6 +51,8 @@
         self._has_client_closed = False
         self._is_closing_here = False
         self._is_unreadable = False
+        self._waiting_bytes = 0
+        self._is_paused = False
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -156,9 +155,23 @@
         if self._state is ConnectionState.IDLE:
             self._begin_request()
         self._h11.receive_data(data)
-        if self._state is not ConnectionState.HANDLING:
+        if self._state is ConnectionState.HANDLING:
+            self._waiting_bytes += len(data)
+            self._limit_reading()
+        else:
             self._read_events()
 
+    def _limit_reading(self) -> None:
+        """Read on, unless much has been read that waits until the current request is handled.
+
+        While nothing is read, a client that leaves is only noticed when it is written to.
+        """
+        is_paused = self._waiting_bytes > constants.READ_BUFFER_HIGH_WATER_BYTES
+        if self._transport is None or is_paused is self._is_paused:
+            return
+        self._is_paused = is_paused
+        (self._transport.pause_reading if is_paused else self._transport.resume_reading)()
+
     def _read_events(self) -> None:
         try:
             while self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
@@ -181,23 +194,8 @@
     def _on_head(self, head: h11.Request) -> None:
         self._head = head
         limits = self._server.limits
-        names = [name for name, _ in head.headers]
-        head_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
-        if head_bytes > limits.max_head_bytes:
-            detail = f"the head is larger than {limits.max_head_bytes} bytes"
-            self._reject(BadRequest(431, "head-too-large", detail))
-            return
-        if len(names) > limits.max_header_count:
-            detail = f"more than {limits.max_header_count} header fields"
-            self._reject(BadRequest(431, "too-many-headers", detail))
-            return
-        if b"transfer-encoding" in names and b"content-length" in names:
-            detail = "both transfer-encoding and content-length are given"
-            self._reject(BadRequest(400, "ambiguous-length", detail))
-            return
-        content_length = next((v for n, v in head.headers if n == b"content-length"), b"0")
-        if int(content_length) > limits.max_body_bytes:
-            self._reject_large_body()
+        if bad_request := limits.refuse_head(head):
+            self._reject(bad_request)
             return
         self._body = bytearray()
         self._state = ConnectionState.READING_BODY
@@ -207,12 +205,8 @@
 
     def _on_body(self, data: bytes) -> None:
         self._body += data
-        if len(self._body) > self._server.limits.max_body_bytes:
-            self._reject_large_body()
-
-    def _reject_large_body(self) -> None:
-        detail = f"the body is larger than {self._server.limits.max_body_bytes} bytes"
-        self._reject(BadRequest(413, "body-too-large", detail))
+        if bad_request := self._server.limits.refuse_body(len(self._body)):
+            self._reject(bad_request)
 
     def _on_end(self) -> None:
         head = self._head
@@ -233,6 +227,7 @@
         self._state = ConnectionState.HANDLING
         self._cancel_timer()
         self._exchange = exchange
+        self._waiting_bytes = len(self._h11.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._run(exchange))
 
     async def _run(self, exchange: Exchange) -> None:
@@ -258,12 +253,14 @@
     def _finish_exchange(self) -> None:
         if self._is_closing:
             return
-        if self._is_unreadable and not self._has_client_closed:
-            self._linger()
-            return
+        has_unread_data = self._is_unreadable or self._is_paused
+        self._waiting_bytes = 0
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if not reusable or self._ends_after_response:
-            self.close()
+            if has_unread_data and not self._has_client_closed:
+                self._linger()
+            else:
+                self.close()
             return
         self._h11.start_next_cycle()
         self._head = None
@@ -273,6 +270,7 @@
         else:
             self._state = ConnectionState.IDLE
             self._start_idle_timer()
+        self._limit_reading()
 
     def _linger(self) -> None:
         """Close once the client has, or after a moment.
@@ -282,6 +280,7 @@
         """
         assert self._transport is not None
         self._state = ConnectionState.LINGERING
+        self._limit_reading()
         self._is_closing_here = True
         self._start_timer(LINGER_SECONDS)
         # Fails if the client has reset the connection, which then ends anyway.
