--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -81,6 +81,20 @@
     When a client sends it a whole request and closes its sending side
     Then the client gets a whole response with status 200
 
+  Scenario Outline: a stream to a client of HTTP 1.0 that is cut as <cause> does not end in order
+    Given an HTTP server that sends a part of a response without a length
+    When <cause> after a client of HTTP 1.0 has received the part
+    Then the connection of the client was reset
+
+    Examples:
+      | cause                              |
+      | the client closes its sending side |
+      | the handler raises an error        |
+      | the handler returns                |
+      | the server ends its exchanges      |
+      | the server closes                  |
+      | the server aborts                  |
+
   Scenario: a caller that closes its sending side gets a response, and no server goes on
     Given a daemon whose server works without end
     When a caller sends a plain request on look and closes its sending side
@@ -150,6 +164,18 @@
     When a client sends it a body far over the limit, and reads when all is sent
     Then the client gets 1 whole responses with status 413 and the reason
 
+  Scenario: what a client sends while a request is handled is not buffered without limit, nor lost
+    Given an HTTP server that is still handling a request
+    When its client sends 16 further requests with bodies of 1000000 bytes
+    Then the server stops reading within its limit on buffered data
+    And all 17 requests get a whole response with status 200 once the first is handled
+
+  Scenario: a client that sends far more than its request gets the response
+    Given an HTTP server that is still handling a request
+    When its client sends 16000000 bytes after a request that closes the connection
+    Then the server stops reading within its limit on buffered data
+    And all 1 requests get a whole response with status 200 once the first is handled
+
   Scenario: a request does not end with the connection to a peer that it waits for
     When a peer is disconnected while a call waits for a connection to it
     Then the call fails as one to an unreachable peer
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -7,16 +7,11 @@
 
 import h11
 
-from loomwind.http.errors import (
-    RESPONSE_EXCEPTIONS,
-    ClientDisconnected,
-    ResponseError,
-    map_exceptions,
-)
+from loomwind import constants
+from loomwind.http.errors import RESPONSE_EXCEPTIONS, ClientDisconnected, map_exceptions
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import HttpRequest
 from loomwind.http.sockets import reset_on_close
-from loomwind.logs import log_state
 
 if TYPE_CHECKING:
     from loomwind.http.server import HttpServer
@@ -50,11 +45,14 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
+        self._exchange: Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._has_client_closed = False
         self._is_closing_here = False
         self._is_unreadable = False
+        self._waiting_bytes = 0
+        self._is_paused = False
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -157,9 +155,23 @@
         if self._state is ConnectionState.IDLE:
             self._begin_request()
         self._h11.receive_data(data)
-        if self._state is not ConnectionState.HANDLING:
+        if self._state is ConnectionState.HANDLING:
+            self._waiting_bytes += len(data)
+            self._limit_reading()
+        else:
             self._read_events()
 
+    def _limit_reading(self) -> None:
+        """Read on, unless much has been read that waits until the current request is handled.
+
+        While nothing is read, a client that leaves is only noticed when it is written to.
+        """
+        is_paused = self._waiting_bytes > constants.READ_BUFFER_HIGH_WATER_BYTES
+        if self._transport is None or is_paused is self._is_paused:
+            return
+        self._is_paused = is_paused
+        (self._transport.pause_reading if is_paused else self._transport.resume_reading)()
+
     def _read_events(self) -> None:
         try:
             while self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
@@ -182,23 +194,8 @@
     def _on_head(self, head: h11.Request) -> None:
         self._head = head
         limits = self._server.limits
-        names = [name for name, _ in head.headers]
-        head_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
-        if head_bytes > limits.max_head_bytes:
-            detail = f"the head is larger than {limits.max_head_bytes} bytes"
-            self._reject(BadRequest(431, "head-too-large", detail))
-            return
-        if len(names) > limits.max_header_count:
-            detail = f"more than {limits.max_header_count} header fields"
-            self._reject(BadRequest(431, "too-many-headers", detail))
-            return
-        if b"transfer-encoding" in names and b"content-length" in names:
-            detail = "both transfer-encoding and content-length are given"
-            self._reject(BadRequest(400, "ambiguous-length", detail))
-            return
-        content_length = next((v for n, v in head.headers if n == b"content-length"), b"0")
-        if int(content_length) > limits.max_body_bytes:
-            self._reject_large_body()
+        if bad_request := limits.refuse_head(head):
+            self._reject(bad_request)
             return
         self._body = bytearray()
         self._state = ConnectionState.READING_BODY
@@ -208,12 +205,8 @@
 
     def _on_body(self, data: bytes) -> None:
         self._body += data
-        if len(self._body) > self._server.limits.max_body_bytes:
-            self._reject_large_body()
-
-    def _reject_large_body(self) -> None:
-        detail = f"the body is larger than {self._server.limits.max_body_bytes} bytes"
-        self._reject(BadRequest(413, "body-too-large", detail))
+        if bad_request := self._server.limits.refuse_body(len(self._body)):
+            self._reject(bad_request)
 
     def _on_end(self) -> None:
         head = self._head
@@ -233,6 +226,8 @@
     def _handle(self, exchange: Exchange) -> None:
         self._state = ConnectionState.HANDLING
         self._cancel_timer()
+        self._exchange = exchange
+        self._waiting_bytes = len(self._h11.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._run(exchange))
 
     async def _run(self, exchange: Exchange) -> None:
@@ -243,28 +238,12 @@
         except (Exception, asyncio.CancelledError) as caught:
             error = caught
         try:
-            await self._ensure_response(exchange, error)
+            if not self._is_closing:
+                await exchange.ensure_end(error)
         finally:
-            self._task = None
+            self._task = self._exchange = None
             self._finish_exchange()
 
-    async def _ensure_response(self, exchange: Exchange, error: BaseException | None) -> None:
-        """Respond to a request that its handler has left without a response.
-
-        The connection of one that has left its response incomplete is closed afterwards.
-        """
-        if self._is_closing:
-            return
-        is_complete = self._h11.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        if not self._has_client_closed and (error is not None or not is_complete):
-            log_state("http", "handler-failed", error=repr(error), started=exchange.started)
-        if not exchange.started:
-            reason = b"cancelled: client closed" if self._has_client_closed else b"internal error"
-            # They may be what could not be sent.
-            exchange.extra_headers = ()
-            with contextlib.suppress(ResponseError):
-                await exchange.respond(500, (), reason)
-
     @property
     def _is_closing(self) -> bool:
         """Return whether the connection is closed, or will be once written data has been sent."""
@@ -274,12 +253,14 @@
     def _finish_exchange(self) -> None:
         if self._is_closing:
             return
-        if self._is_unreadable and not self._has_client_closed:
-            self._linger()
-            return
+        has_unread_data = self._is_unreadable or self._is_paused
+        self._waiting_bytes = 0
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if not reusable or self._ends_after_response:
-            self.close()
+            if has_unread_data and not self._has_client_closed:
+                self._linger()
+            else:
+                self.close()
             return
         self._h11.start_next_cycle()
         self._head = None
@@ -289,6 +270,7 @@
         else:
             self._state = ConnectionState.IDLE
             self._start_idle_timer()
+        self._limit_reading()
 
     def _linger(self) -> None:
         """Close once the client has, or after a moment.
@@ -298,6 +280,7 @@
         """
         assert self._transport is not None
         self._state = ConnectionState.LINGERING
+        self._limit_reading()
         self._is_closing_here = True
         self._start_timer(LINGER_SECONDS)
         # Fails if the client has reset the connection, which then ends anyway.
@@ -344,17 +327,24 @@
 
     def abort(self) -> None:
         """Close immediately; written data may be lost."""
-        self._is_closing_here = True
-        self._cancel_timer()
-        if self._transport is not None:
-            self._transport.abort()
+        transport = self._prepare_close()
+        if transport is not None:
+            transport.abort()
 
     def close(self) -> None:
         """Close once written data has been sent."""
+        transport = self._prepare_close()
+        if transport is not None:
+            transport.close()
+
+    def _prepare_close(self) -> asyncio.Transport | None:
+        """Have the connection reset if an end in order would make its response look complete."""
         self._is_closing_here = True
         self._cancel_timer()
-        if self._transport is not None:
-            self._transport.close()
+        cuts_response = self._exchange is not None and self._exchange.ends_with_reset
+        if self._transport is not None and cuts_response:
+            reset_on_close(self._transport)
+        return self._transport
 
     def reset(self) -> None:
         """Close with a reset, once written data was passed to the kernel."""
