Take a response from a peer's HTTP layer for a failed relay

A caller whose request was relayed could get a bare 500 with 'internal error' as if a server had sent it: when the peer fails outside of what RelayService handles, its HTTP layer responds, without the extra headers, which may be what could not be sent. Such a response has no outcome header, so the requesting side passed it on as a server's.

RelayService adds the configuration header to every response of its own, a server's included. A response without it is now a failed attempt that may have run, as RelayOutcome.FAILED.

The step 'the peer takes it for a failed attempt that may have run' is stricter: it only called decode_error, which comes after is_server_response, and now checks both.

Evidence: unanswered 'a failure that only a peer's HTTP layer responds to is not taken for a server's response' failed before.

--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -35,7 +35,7 @@
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.handler import RequestHandler
-from loomwind.serving.relay_protocol import RelayMetadata, decode_error
+from loomwind.serving.relay_protocol import RelayMetadata, decode_error, is_server_response
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.routes import RouteTable
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
@@ -292,6 +292,10 @@
         raise LookupError(CAUSE)
 
 
+def _fail_on_version() -> int:
+    raise LookupError(CAUSE)
+
+
 def _break_step(handler: RequestHandler, step: str) -> None:
     if step == "decoding of requests":
         handler.dialect = UnreadableDialect()
@@ -299,6 +303,8 @@
         state = handler._replicated_state
         assert state.configuration is not None
         state.routes = BrokenRoutes(state.configuration)
+    elif step == "configuration":
+        handler.configuration_version = _fail_on_version  # type: ignore[method-assign]
     elif step == "connection to servers":
         handler.forwarder = BreakingForwarder()
     elif step == "wait for a server":
@@ -686,7 +692,9 @@
 @then("the peer takes it for a failed attempt that may have run")
 def step_failed_attempt(context: Any) -> None:
     reply: RawReply = context.reply
-    error = decode_error(HttpResponse(reply.status, tuple(reply.headers.items())), reply.body)
+    head = HttpResponse(reply.status, tuple(reply.headers.items()))
+    assert not is_server_response(head), reply
+    error = decode_error(head, reply.body)
     assert isinstance(error, SendFailed) and error.may_have_run, error
 
 
--- a/features/unanswered.feature
+++ b/features/unanswered.feature
@@ -57,6 +57,13 @@
       | wait for a server          | 500    |
       | passing on of responses    | 502    |
 
+  Scenario: a failure that only a peer's HTTP layer responds to is not taken for a server's response
+    Given a daemon whose configuration fails with an error that nothing expects
+    When a peer relays a plain request on look
+    Then the client gets a whole response with status 500
+    And exactly one line of its log has the cause
+    And the peer takes it for a failed attempt that may have run
+
   Scenario Outline: a <status> response to <method> whose handler adds a body is whole, without it
     Given an HTTP server that responds to everything with <status> and 4 bytes
     When a client sends it <method> twice on one connection
--- a/loomwind/serving/relay_protocol.py
+++ b/loomwind/serving/relay_protocol.py
@@ -109,8 +109,12 @@
 
 
 def is_server_response(head: HttpResponse) -> bool:
-    """Whether the peer forwarded a server's response."""
-    return head.header(OUTCOME_HEADER) is None
+    """Whether the peer forwarded a server's response.
+
+    One without a configuration is from the peer's HTTP layer, after a failure there.
+    """
+    has_configuration = head.header(CONFIGURATION_HEADER) is not None
+    return has_configuration and head.header(OUTCOME_HEADER) is None
 
 
 def decode_error(head: HttpResponse, body: bytes) -> Refused | RelayDeclined | SendFailed:
@@ -119,7 +123,7 @@
     outcome = head.header(OUTCOME_HEADER)
     if outcome == RelayOutcome.DECLINED.value:
         return RelayDeclined(reason)
-    if outcome == RelayOutcome.FAILED.value:
+    if outcome is None or outcome == RelayOutcome.FAILED.value:
         return SendFailed(f"the peer failed: {reason}", may_have_run=True)
     return Refused(head.status, reason, _parse_seconds(head.header(RETRY_AFTER_HEADER)))
 
