--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -15,10 +15,19 @@
 
 LOCALHOST = "127.0.0.1"
 HOST = "shop.example"
+# What a stand-in server records, by its name in the state.
+RECORDED_TIMES = (
+    "crash_times_s",
+    "crash_part_times_s",
+    "crash_body_times_s",
+    "fall_times_s",
+    "rejection_times_s",
+)
 MODEL_SERVICE = "tutor"
 PLAIN_SERVICE = "orders"
 LEASE_MS = 900
 GRACE_SECONDS = 4.0
+DEFAULT_SLOTS = 8
 
 
 def model(name: str, weights_mb: float = 40_000.0, load_time_s: float = 0.3) -> dict[str, Any]:
@@ -56,13 +65,17 @@
     def __init__(self, process: Process, service: str) -> None:
         self.process = process
         self.service = service
-        self._last_state: dict[str, Any] = {"crash_times_s": [], "crash_part_times_s": []}
+        self._last_state: dict[str, Any] = {name: [] for name in RECORDED_TIMES}
         self.address = f"{LOCALHOST}:{process.ports()[0]}"
 
     def fault(self, **faults: object) -> None:
         """Set the faults of the server; faults that are not named are off."""
         send(plain(self.address, "POST", "/_fault", json.dumps(faults).encode()))
 
+    def is_up(self) -> bool:
+        """Whether the server answers."""
+        return send(plain(self.address, "GET", "/_state")).status == 200
+
     def last_known_state(self) -> dict[str, Any]:
         """Return the server's state, or the last known state while it is down."""
         reply = send(plain(self.address, "GET", "/_state"))
@@ -227,12 +240,18 @@
         self.add_model_server(name, "", instance)
 
     def add_model_server(
-        self, name: str, held: str, instance: str = "", software_version: str = "v1"
+        self,
+        name: str,
+        held: str,
+        instance: str = "",
+        software_version: str = "v1",
+        slots: int = DEFAULT_SLOTS,
     ) -> None:
         """Start a model server.
 
         :param held: names of the models that are loaded at the start, joined by ``+``.
         :param instance: instance id to reuse; empty for a new one.
+        :param slots: the number of requests that its row says it works on at once.
         """
         models_path = self.folder / "models.json"
         models_path.write_text(json.dumps(self.models))
@@ -246,12 +265,15 @@
             str(self.memory_mb),
         ]
         arguments += ["--adapter_slots", "2", "--instance", instance]
-        arguments += ["--software_version", software_version]
+        arguments += ["--software_version", software_version, "--slots", str(slots)]
         self._add_server(name, MODEL_SERVICE, arguments)
 
-    def add_plain_server(self, name: str, service: str = PLAIN_SERVICE) -> None:
+    def add_plain_server(
+        self, name: str, service: str = PLAIN_SERVICE, slots: int = DEFAULT_SLOTS
+    ) -> None:
         """Start a server without models."""
-        self._add_server(name, service, ["--service", service, "--store", self.store_address])
+        arguments = ["--service", service, "--store", self.store_address, "--slots", str(slots)]
+        self._add_server(name, service, arguments)
 
     def _add_server(self, name: str, service: str, arguments: list[str]) -> None:
         arguments = [*arguments, "--run_log", str(self.folder / f"{name}.runs")]
--- a/standins/pool/faults.py
+++ b/standins/pool/faults.py
@@ -28,6 +28,11 @@
     :param event_seconds: time before each event of a stream, and each piece of an endless line.
     :param work_seconds: duration of a plain request.
     :param crash_part: prompt part on which the server crashes before the first event.
+    :param crash_body: text of a body on which the server crashes, whatever else the request has.
+    :param crash_after_events: events of a stream that ``crash_body`` lets through first.
+    :param places: requests that run at once; more are rejected with 503. 0 for no limit.
+    :param max_rejections: the server crashes when it rejects more than this number of requests in a
+        second for want of a place, and says so in all responses. 0 for a server that does not.
     :param back_after_seconds: time until a crashed server restarts as a new instance.
     :param state: the state in the server's row.
     :param listed: whether the server has a row in the store.
@@ -48,6 +53,10 @@
     event_seconds: float = EVENT_INTERVAL_SECONDS
     work_seconds: float = 0.0
     crash_part: str = ""
+    crash_body: str = ""
+    crash_after_events: int = 0
+    places: int = 0
+    max_rejections: int = 0
     back_after_seconds: float = 1.0
     state: str = "ready"
     listed: bool = True
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -23,6 +23,7 @@
 from standins.faults import json_response
 from standins.pool.faults import ServerFaults
 from standins.pool.holdings import Holdings, ModelSpec, OrderBody
+from standins.pool.places import Places
 from standins.pool.refusals import refuse
 from standins.pool.run_log import RunLog
 
@@ -42,7 +43,10 @@
         instance: str = "",
         software_version: str = "v1",
         run_log: str = "",
+        slots: int = 8,
     ) -> None:
+        self.slots = slots
+        self.places = Places()
         self.instance = instance or f"i-{uuid.uuid4().hex[:10]}"
         self.started_at_ms = time.time_ns() // 1_000_000
         self.service = service
@@ -58,6 +62,8 @@
         self._client = HttpClient(Connector())
         self.crash_times_s: list[float] = []
         self.crash_part_times_s: list[float] = []
+        self.crash_body_times_s: list[float] = []
+        self.fall_times_s: list[float] = []
         self._delayed_tasks: set[asyncio.Task[None]] = set()
 
     # Registration in the store.
@@ -92,7 +98,7 @@
             "address": f"127.0.0.1:{self.server.port}",
             "zone": self.zone,
             "version": self.software_version,
-            "slots": 8,
+            "slots": self.slots,
             "state": self.faults.state,
             "seq": holdings.revision if holdings else 0,
             "models": self._models(),
@@ -110,6 +116,8 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         request = exchange.request
+        if self.faults.max_rejections:
+            exchange.extra_headers = (("server-brittle", str(self.faults.max_rejections)),)
         if request is None:
             exchange.abort()
         elif request.path == "/_fault":
@@ -145,6 +153,9 @@
             "store_loads": holdings.store_loads if holdings else 0,
             "crash_times_s": self.crash_times_s,
             "crash_part_times_s": self.crash_part_times_s,
+            "crash_body_times_s": self.crash_body_times_s,
+            "fall_times_s": self.fall_times_s,
+            "rejection_times_s": self.places.rejection_times_s,
         }
 
     async def _send_report(self, exchange: Exchange) -> None:
@@ -197,12 +208,19 @@
             headers = (*headers, ("x-not-executed", "1"))
             await refuse(exchange, refusal_status, headers, self.faults)
             return
+        if not self.places.try_take(self.faults.places):
+            await refuse(exchange, 503, (*headers, ("x-not-executed", "1")), self.faults)
+            if self.server.is_listening and self.places.exceeds(self.faults.max_rejections):
+                self.fall_times_s.append(time.time())
+                self._crash()
+            return
         model = (request.header("x-model") or "").partition("/")[0]
         self._count_running(model, 1)
         try:
             with self.run_log.run(request_id):
                 await self._respond(exchange, request, headers)
         finally:
+            self.places.give_back()
             self._count_running(model, -1)
 
     def _count_running(self, model: str, change: int) -> None:
@@ -227,6 +245,11 @@
         if self.faults.mode == "reset":
             exchange.abort()
             return
+        if self._is_crash_body(request) and not (
+            request.header("x-model") and self.faults.crash_after_events
+        ):
+            self._crash_on_body()
+            return
         headers += (("x-response-stamp", f"{self.instance}.{uuid.uuid4().hex[:6]}"),)
         if self.faults.head_share < 1:
             self._cut_head(exchange, request, headers)
@@ -279,6 +302,9 @@
             if crashes:
                 self._crash()
                 return
+            if sent == self.faults.crash_after_events and self._is_crash_body(request):
+                self._crash_on_body()
+                return
             event = self._event(number)
             if self.faults.cut_after_events and sent == self.faults.cut_after_events:
                 await exchange.send(event[: len(event) // 2])
@@ -296,8 +322,18 @@
         self.crash_part_times_s.append(time.time())
         return True
 
+    def _is_crash_body(self, request: HttpRequest) -> bool:
+        text = self.faults.crash_body
+        return bool(text) and text.encode() in request.body
+
+    def _crash_on_body(self) -> None:
+        self.crash_body_times_s.append(time.time())
+        self._crash()
+
     def _crash(self) -> None:
         """Abort all connections, stop listening and schedule a restart as a new instance."""
+        if not self.server.is_listening:
+            return
         self.crash_times_s.append(time.time())
         port = self.server.port
         self.server.abort()
@@ -311,6 +347,7 @@
             await self._deregister(previous_instance)
         self.instance = f"i-{uuid.uuid4().hex[:10]}"
         self.started_at_ms = time.time_ns() // 1_000_000
+        self.places.forget_rejections()
         await self.server.start("127.0.0.1", port)
 
     async def _stream_close_delimited(
@@ -363,6 +400,7 @@
     instance: str = "",
     software_version: str = "v1",
     run_log: str = "",
+    slots: int = 8,
 ) -> None:
     """Run the server stand-in until the process is killed.
 
@@ -379,13 +417,14 @@
         instance: instance id to reuse; empty for a new one.
         software_version: version of its software, which is part of the data of its events.
         run_log: file to which each beginning and end of a run is appended; empty for none.
+        slots: the number of requests that its row says it works on at once.
     """
     holdings = None
     if models:
         with open(models, "rb") as file:
             specs = msgspec.json.decode(file.read(), type=list[ModelSpec])
         holdings = Holdings(specs, memory_mb, adapter_slots)
-    server = PoolServer(service, zone, store, holdings, instance, software_version, run_log)
+    server = PoolServer(service, zone, store, holdings, instance, software_version, run_log, slots)
     asyncio.run(_serve(server, held, host, port))
 
 
