--- a/features/support/platform_names.py
+++ b/features/support/platform_names.py
@@ -14,6 +14,7 @@
     "x-response-stamp",
     "x-expect-instance",
     "x-not-executed",
+    "server-brittle",
     "x-instance-id",
     "x-model",
     "x-token-usage",
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -99,6 +99,11 @@
         self.sends = self._counter(
             "loomwind_sends", "Sends of requests to servers, by server and end", ["server", "end"]
         )
+        self.server_rejections = self._counter(
+            "loomwind_server_rejections",
+            "Requests that servers rejected unstarted, by the likely cause",
+            ["cause"],
+        )
         self.peer_relays = self._counter(
             "loomwind_peer_relays",
             "Requests that a peer serves for this daemon (sent) or this one for a peer (taken)",
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -26,6 +26,8 @@
 INSTANCE = "x-instance-id"
 # Present when the server rejected the request without running it.
 NOT_EXECUTED = "x-not-executed"
+# In all responses of a server that falls over when it rejects more requests in a second.
+SERVER_BRITTLE = "server-brittle"
 # 0 is the most urgent.
 PRIORITY = "x-request-priority"
 MISDIRECTED_STATUS = 421
@@ -108,6 +110,7 @@
             from_server=head.header(RESPONSE_STAMP) is not None,
             missing_target=misdirected,
             other_instance=head.header(INSTANCE) not in (None, server_name),
+            max_rejections_per_second=_parse_count(head.header(SERVER_BRITTLE) or ""),
         )
 
     def response_headers(self, head: HttpResponse) -> Headers:
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -19,6 +19,8 @@
     :param unreachable: whether no connection could be made.
     :param not_sent: whether nothing was sent, because the server started to leave.
     :param broken: whether the connection failed before the response was complete.
+    :param rejected: whether the server had no place for the request, or is loading or unloading
+        what it needs.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         unreachable: bool = False,
         not_sent: bool = False,
         broken: bool = False,
+        rejected: bool = False,
     ) -> None:
         super().__init__(detail)
         self.may_have_run = may_have_run
@@ -40,6 +43,7 @@
         self.unreachable = unreachable
         self.not_sent = not_sent
         self.broken = broken
+        self.rejected = rejected
 
 
 class RelayDeclined(ServingError):
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -253,4 +253,5 @@
         missing_target=check.missing_target,
         other_instance=check.other_instance,
         at_fault=not check.missing_target,
+        rejected=not check.missing_target,
     )
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -8,6 +8,8 @@
 import math
 import sys
 
+from msgspec.structs import replace
+
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ClientDisconnected
 from loomwind.http.messages import Headers, HttpRequest
@@ -17,6 +19,7 @@
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, RelayDeclined, StreamTruncated
 from loomwind.serving.failures import end_failed_request, failure_status
+from loomwind.serving.fingerprint import fingerprint
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_relay import PeerRelay
@@ -219,6 +222,7 @@
             detail = f"no route; configuration {routes.configuration.version}"
             raise Refused(404, detail) if relayed is None else RelayDeclined(detail)
         service = routes.next_service(route)
+        caller = replace(caller, fingerprint=fingerprint(request, caller))
         if relayed is not None and self.pool.connectivity_of(service).is_unreachable:
             raise RelayDeclined("no server is reached from here")
         await RequestLifecycle(self, exchange, request, caller, route, service, relayed).serve()
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -13,7 +13,8 @@
 from loomwind.serving.directory import ServerDirectory
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.expectations import Expectations, ExpectedTarget
-from loomwind.serving.residency import Residency, ServerHolding
+from loomwind.serving.rejections import RejectionCause
+from loomwind.serving.residency import Residency, ServerHolding, holds
 from loomwind.serving.version_registry import VersionRegistry
 from loomwind.serving.views import ModelKey, ServerEntry
 from loomwind.settings import BoundSettings
@@ -157,6 +158,16 @@
         elif failure.at_fault:
             self.health(entry).record_failure(now)
 
+    def rejection_cause(self, entry: ServerEntry, target: ModelKey | None) -> RejectionCause:
+        """Return the likely cause of a rejection, from what is known of the server."""
+        if target is None:
+            return RejectionCause.NO_PLACE
+        if not holds(self.residency.held_by(entry, self.now()), target):
+            return RejectionCause.NOT_HELD
+        if self.residency.announced_load(entry.instance) is not None:
+            return RejectionCause.LOADING
+        return RejectionCause.NO_PLACE
+
     def update_holdings(self, holdings: tuple[ServerHolding, ...]) -> None:
         """Apply holdings that the leader has read, and wake waiting requests."""
         for holding in holdings:
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -148,6 +148,8 @@
     :param from_server: whether it carries the server's identification header.
     :param missing_target: whether the server lacks the requested model, or is another instance.
     :param other_instance: whether a server other than the intended one responded at the address.
+    :param max_rejections_per_second: the server falls over when it rejects more requests than this;
+        None for one that does not say so.
     """
 
     matches_request: bool
@@ -155,6 +157,7 @@
     from_server: bool
     missing_target: bool = False
     other_instance: bool = False
+    max_rejections_per_second: int | None = None
 
 
 class Dialect(ABC):
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -4,7 +4,6 @@
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.server import Exchange
-from loomwind.logs import log_decision
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import OutgoingRequest
 from loomwind.serving.hand_over import MoveDecision, MovePolicy
@@ -79,14 +78,8 @@
         self._selector.tried.add(entry.instance)
         self._handler.pool.record_failure(entry, caller.target, failure, self._handler.now())
         self._handler.count_send(entry, "failed" if failure.may_have_run else "refused")
-        log_decision(
-            "send-failed",
-            caller.request_id,
-            server=entry.instance,
-            passed_over=self._selector.passed_over(self._progress.server),
-            reason=str(failure),
-            ran=failure.may_have_run,
-            events=self._stream.events,
+        self._log.send_failed(
+            attempt, failure, self._selector.passed_over(entry.instance), self._stream.events
         )
 
     def is_at_peer(self, entry: ServerEntry) -> bool:
--- a/loomwind/serving/request_log.py
+++ b/loomwind/serving/request_log.py
@@ -7,6 +7,8 @@
 from attrs import define
 
 from loomwind.logs import log_decision
+from loomwind.serving.errors import SendFailed
+from loomwind.serving.server_attempt import Attempt
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 if TYPE_CHECKING:
@@ -100,6 +102,35 @@
             servers=self._handler.pool.directory.version,
         )
 
+    def send_failed(
+        self, attempt: Attempt, failure: SendFailed, passed_over: Sequence[str], events: int
+    ) -> None:
+        """Log and count a failed send, with what is known of the server.
+
+        :param passed_over: the servers that were not chosen.
+        :param events: the number of events that were relayed.
+        """
+        entry = attempt.entry
+        cause = None
+        if failure.rejected:
+            cause = self._handler.pool.rejection_cause(entry, self._caller.target).value
+            self._metrics.server_rejections.labels(cause).inc()
+        log_decision(
+            "send-failed",
+            self._caller.request_id,
+            server=entry.instance,
+            target=self._target,
+            fingerprint=self._caller.fingerprint,
+            passed_over=passed_over,
+            reason=str(failure),
+            ran=failure.may_have_run,
+            broken=failure.broken,
+            rejected_for=cause,
+            in_flight=attempt.health.in_flight,
+            slots=entry.slots,
+            events=events,
+        )
+
     def resumed(self, entry: ServerEntry, last_event_id: str, events: int) -> None:
         """Log and count a send that continues a stream, with the software that continues it.
 
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -243,6 +243,7 @@
     :param last_event_id: the event after which a stream resumes; None for a new stream.
     :param origin_id: the request ID of the caller's attempt that brought a resumed stream's first
         event; None for a new stream.
+    :param fingerprint: what all attempts at the same request share, whatever their IDs.
     """
 
     request_id: str
@@ -254,6 +255,7 @@
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
     origin_id: str | None = None
+    fingerprint: str = ""
 
     @property
     def unique_part(self) -> str:
