--- /dev/null
+++ b/features/brittle_servers.feature
@@ -0,0 +1,31 @@
+Feature: Servers that fall over when they reject too many requests
+
+  Such servers say how many rejections in a second they stand. The deployments allow them to fall
+  over 2 times plus a tenth of their number.
+
+  Scenario: one daemon at twice the load does not make servers fall over
+    Given 5 model servers with few places
+    And 1 pool daemons
+    And the servers fall over when they reject more than 10 requests in a second
+    When requests come at 2.0 times what the servers hold, for 5.0 s
+    Then the servers fell over at most 2 times
+    And at least 0.9 of the requests that they could hold were served
+    And every rejected request may come back at a given time
+
+  Scenario: 6 daemons at a load that fits lose nothing
+    Given 5 model servers with few places
+    And 6 pool daemons
+    And the servers fall over when they reject more than 10 requests in a second
+    When requests come at 0.5 times what the servers hold, for 5.0 s
+    Then the servers fell over at most 0 times
+    And at least 0.99 of the requests that they could hold were served
+
+  Scenario: 6 daemons at twice the load, each unaware of the others' requests, make no servers fall over
+    Given 5 model servers with few places
+    And 6 pool daemons
+    And the servers fall over when they reject more than 2 requests in a second
+    When requests come at 2.0 times what the servers hold, for 5.0 s
+    Then the servers fell over at most 2 times
+    And at least 0.9 of the requests that they could hold were served
+    And every rejected request may come back at a given time
+    And no request ended in another way
