Send no more to a server that must not reject many than it has places for

Cause: nothing limited what was sent to a server; requests in progress only ranked servers, and a daemon learned of a full one by its rejections, each daemon alone. Class: a limit that is learned by overrunning it.

Servers that say how many rejections in a second they stand get requests only with a permit. For each such server one daemon keeps a ledger (rendezvous hashing); daemons state what they have in progress there and what waits, and free places are granted at once to those that wait. All permits together stay within the server's slots, less after a rejection; a server that has rejected half of what it stands in a second gets none until the second is over. Without an answer of the first three owners a daemon keeps to its share. A request that finds all servers full waits for a permit as long as wait_policy says, and is else refused at once, with the time that the owners' figures tell. What servers say is spread by gossip and with digests, and the leader reads it from reports. Servers that say nothing of the kind are served as before.

Not taken: a limit in each daemon (N/D rejections a second are a pause of 32 s with 65 daemons), and subsets of servers for each daemon (a rare model is at one server).

--- /dev/null
+++ b/features/permits.feature
@@ -0,0 +1,44 @@
+Feature: Permits for requests to servers that must not reject many
+
+  Scenario: daemons never have more requests at a server than it has places, whatever messages are lost or late
+    Then in any exchange of statements and grants the requests stay within the server's places
+
+  Scenario: a permit is granted to a request that waits as soon as another one ends
+    Given a ledger for a server of 2 slots
+    When daemon one states 2 requests and daemon two wants 1 more
+    Then daemon two is granted 0
+    When daemon one states 1 requests
+    Then daemon two is granted 1
+
+  Scenario: after a rejection the server gets what it has in progress, and later one more
+    Given a ledger for a server of 8 slots
+    When daemon one states 6 requests
+    And daemon one states 6 requests and 1 rejections
+    Then the limit is 6
+    When 2000 ms pass
+    And daemon one states 6 requests
+    Then the limit is 7
+
+  Scenario: a server that rejects grants no permits until the second is over
+    Given a ledger for a server of 8 slots
+    When daemon one states 6 requests and 1 rejections
+    And daemon one states 2 requests
+    And daemon two wants 1 more
+    Then daemon two is granted 0
+    When 1000 ms pass
+    Then daemon two is granted 1
+
+  Scenario: a daemon that takes over a ledger grants little until all have stated their requests
+    Given a ledger for a server of 8 slots, taken over
+    When daemon two wants 4 more
+    Then daemon two is granted 2
+    When daemon one states 6 requests
+    And 360 ms pass
+    Then daemon two is granted 0
+
+  Scenario: a daemon that says nothing any more loses its permits
+    Given a ledger for a server of 2 slots
+    When daemon one states 2 requests and daemon two wants 1 more
+    And 1200 ms pass
+    And daemon two wants 1 more
+    Then daemon two is granted 1
--- a/features/steps/daemon_start_steps.py
+++ b/features/steps/daemon_start_steps.py
@@ -29,7 +29,7 @@
     context.state = state
     context.configured_after_seconds = seconds
     context.handler = RequestHandler(
-        "z", pool, absent, absent, Metrics(), state, absent, absent, absent, absent
+        "z", pool, absent, absent, Metrics(), state, absent, absent, absent, absent, absent
     )
 
 
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -8,17 +8,20 @@
 
 from behave import given, then, when
 
+from loomwind.clock import Clock
 from loomwind.http.client_connection import ClientConnection
 from loomwind.http.messages import HttpRequest
 from loomwind.http.server import Exchange
 from loomwind.metrics import Metrics
 from loomwind.platform.dialect import PlatformDialect
+from loomwind.serving.admission import Admission
 from loomwind.serving.breaker import ServerHealth
 from loomwind.serving.errors import Refused, SendFailed
 from loomwind.serving.forwarder import Forwarder, OpenResponse, OutgoingRequest
 from loomwind.serving.handler import RequestHandler
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_relay import PeerRelay
+from loomwind.serving.permit_owners import PermitOwners
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.replicated_state import ReplicatedState
@@ -161,6 +164,7 @@
         cast(PromptGuard, NoBannedPrompts()),
         cast(OriginLog, None),
         cast(Resumption, NoResumption()),
+        Admission(pool, cast(PermitOwners, None), Metrics(), Clock()),
     )
     parts = (WeightedService(SERVICE, 1.0),)
     route = RouteRule("r", "h", "/", kind, parts, 30.0, 0.6, attempts)
--- a/features/support/overload.py
+++ b/features/support/overload.py
@@ -25,20 +25,27 @@
 class Load:
     """A load and what came of it.
 
-    :ivar possible: requests that the servers could have served in the time.
+    :ivar seconds: its length.
+    :ivar possible: requests that the servers could have served in that time.
     :ivar falls: servers that fell over, each time counted.
     :ivar rejections: the most rejections in a second, by server.
     """
 
     outcomes: list[Outcome]
+    seconds: float
     possible: float
     falls: int
     rejections: Counter[str]
 
     @property
     def served(self) -> int:
-        """Return how many requests got a complete response."""
-        return sum(each.status == 200 for each in self.outcomes)
+        """Return how many requests got a complete response before the load ended.
+
+        Streams that began just before its end are allowed their time.
+        """
+        ends_s = self.seconds + STREAM_SECONDS
+        done = (each for each in self.outcomes if each.begun_s + each.seconds <= ends_s)
+        return sum(each.status == 200 for each in done)
 
     def summary(self) -> str:
         """Return the figures in a line."""
@@ -100,7 +107,7 @@
             }
         )
         possible = min(len(outcomes), rate_per_s * seconds)
-        return Load(outcomes, possible, falls, rejections)
+        return Load(outcomes, seconds, possible, falls, rejections)
 
     def _requests(self) -> list[Request]:
         return [
--- a/features/support/simulated_fleet.py
+++ b/features/support/simulated_fleet.py
@@ -17,6 +17,7 @@
     configuration_document,
 )
 from loomwind import constants
+from loomwind.clock import Clock
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages import AnyMessage
 from loomwind.messages.serving import (
@@ -40,6 +41,7 @@
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Store
 from loomwind.serving.prompt_guard import PromptGuard
+from loomwind.serving.rejection_limit_gossip import RejectionLimitGossip
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.server_list import ServerListFollower
 from loomwind.settings import BoundSettings
@@ -211,6 +213,12 @@
             health,
             prompts,
             self._configurations,
+            RejectionLimitGossip(
+                cast(PeerTransport, DaemonTransport(network, name)),
+                cast(PeerTable, peers),
+                self.replicated_state.pool.rejection_limits,
+                Clock(),
+            ),
         )
         DepartureGossip(
             name,
--- a/loomwind/messages/__init__.py
+++ b/loomwind/messages/__init__.py
@@ -58,6 +58,9 @@
     OriginAnswer,
     OriginNotice,
     OriginQuestion,
+    PermitGrants,
+    PermitQuestion,
+    PermitReport,
     PoolDemand,
     PoolDigest,
     PoolExpectations,
@@ -65,6 +68,7 @@
     PromptCrash,
     PromptCrashes,
     PromptsAnswered,
+    RejectionLimitNotice,
     ServerDeparture,
     ServerDepartures,
     ServerListAnswer,
@@ -116,6 +120,10 @@
     | ServerDepartures
     | PromptCrashes
     | PromptsAnswered
+    | PermitQuestion
+    | PermitReport
+    | PermitGrants
+    | RejectionLimitNotice
 )
 
 __all__ = [
@@ -159,6 +167,9 @@
     "OriginAnswer",
     "OriginNotice",
     "OriginQuestion",
+    "PermitGrants",
+    "PermitQuestion",
+    "PermitReport",
     "PoolDemand",
     "PoolDigest",
     "PoolExpectations",
@@ -172,6 +183,7 @@
     "PromptsAnswered",
     "Refused",
     "RegisterValue",
+    "RejectionLimitNotice",
     "RoutingRequest",
     "RoutingUpdate",
     "ServerDeparture",
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -6,6 +6,8 @@
 from loomwind.messages.identity import Message
 from loomwind.serving.demand import RunningCount, TargetDemand
 from loomwind.serving.expectations import ExpectedTarget
+from loomwind.serving.permit_ledger import PermitGrant, PermitHolder, PermitStatement
+from loomwind.serving.rejection_limits import ServiceRejectionLimit
 from loomwind.serving.residency import LearnedConcurrencyLimit, ServerHolding
 from loomwind.serving.stream_origins import OriginGroup, read_hashes
 from loomwind.serving.version_registry import ServiceVersions
@@ -202,6 +204,32 @@
     groups: tuple[OriginGroup, ...]
 
 
+class PermitReport(Message, frozen=True, tag=True, array_like=True):
+    """States a daemon's requests in progress at servers, and those that it would send."""
+
+    sender: PermitHolder
+    statements: tuple[PermitStatement, ...]
+
+
+class PermitQuestion(Message, frozen=True, tag=True, array_like=True):
+    """A :class:`PermitReport` that is answered with :class:`PermitGrants`."""
+
+    sender: PermitHolder
+    statements: tuple[PermitStatement, ...]
+
+
+class PermitGrants(Message, frozen=True, tag=True, array_like=True):
+    """Permits for a daemon; in an answer, one item for each statement."""
+
+    grants: tuple[PermitGrant, ...]
+
+
+class RejectionLimitNotice(Message, frozen=True, tag=True, array_like=True):
+    """Tells of services whose servers fall over when they reject too many requests."""
+
+    limits: tuple[ServiceRejectionLimit, ...]
+
+
 class ServerDeparture(Message, frozen=True, array_like=True):
     """A server instance that is leaving and gets no new requests.
 
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -99,6 +99,14 @@
         self.sends = self._counter(
             "loomwind_sends", "Sends of requests to servers, by server and end", ["server", "end"]
         )
+        self.permits = self._counter(
+            "loomwind_permits",
+            "Permits for requests to servers that must not reject many, by outcome",
+            ["outcome"],
+        )
+        self.waiting_for_place = self._gauge(
+            "loomwind_waiting_for_place", "Requests that wait for a place at a server now"
+        )
         self.server_rejections = self._counter(
             "loomwind_server_rejections",
             "Requests that servers rejected unstarted, by the likely cause",
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -226,6 +226,7 @@
             tracker.record_failed_read()
             tracker.read_at = self._now()
             return
+        self._exchange.observe_report(tracker.entry, report)
         busy_before = tracker.report is None or not tracker.idle
         if tracker.record_report(report, self._now()):
             self._send_holdings([tracker])
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -110,7 +110,7 @@
             from_server=head.header(RESPONSE_STAMP) is not None,
             missing_target=misdirected,
             other_instance=head.header(INSTANCE) not in (None, server_name),
-            max_rejections_per_second=_parse_count(head.header(SERVER_BRITTLE) or ""),
+            max_rejections_per_second=parse_rejection_limit(head),
         )
 
     def response_headers(self, head: HttpResponse) -> Headers:
@@ -125,6 +125,11 @@
         return headers
 
 
+def parse_rejection_limit(head: HttpResponse) -> int | None:
+    """Return how many rejections in a second a server stands; None if it does not say."""
+    return _parse_count(head.header(SERVER_BRITTLE) or "")
+
+
 def _parse_deadline_seconds(text: str | None) -> float | None:
     """Return the time until the deadline; None when the header is missing or malformed."""
     try:
--- a/loomwind/platform/engine.py
+++ b/loomwind/platform/engine.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 
 from loomwind import constants
 from loomwind.decoding import DecodeError, decode_json
@@ -9,7 +10,7 @@
 from loomwind.http.errors import ConnectFailed, HttpError
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.logs import log_state
-from loomwind.platform.dialect import EXPECT_INSTANCE, INSTANCE
+from loomwind.platform.dialect import EXPECT_INSTANCE, INSTANCE, parse_rejection_limit
 from loomwind.platform.documents import Count, WireHeldModel, convert_held_models
 from loomwind.serving.ports import EngineControl, MalformedDocument
 from loomwind.serving.views import (
@@ -86,7 +87,9 @@
         except MalformedDocument as error:
             log_state("server", "report-unreadable", server=entry.instance, error=str(error))
             return None
-        return None if _was_restarted(report, entry) else report
+        if _was_restarted(report, entry):
+            return None
+        return replace(report, max_rejections_per_second=parse_rejection_limit(response))
 
     async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
         """Send an order; see :meth:`EngineControl.send_order`."""
--- a/loomwind/serving/anti_entropy.py
+++ b/loomwind/serving/anti_entropy.py
@@ -10,6 +10,7 @@
 from loomwind.serving.follower import StoreHealth
 from loomwind.serving.peers import PeerTable
 from loomwind.serving.prompt_guard import PromptGuard
+from loomwind.serving.rejection_limit_gossip import RejectionLimitGossip
 from loomwind.serving.replicated_state import ReplicatedState
 
 # A daemon that has just started lacks the others' state, so it checks often until it knows a peer.
@@ -31,6 +32,7 @@
         health: StoreHealth,
         prompts: PromptGuard,
         configurations: ConfigurationGossip,
+        rejection_limits: RejectionLimitGossip,
     ) -> None:
         self._own_address = own_address
         self._transport = transport
@@ -39,6 +41,7 @@
         self._health = health
         self._prompts = prompts
         self._configurations = configurations
+        self._rejection_limits = rejection_limits
 
     async def run(self) -> None:
         """Send digests to random peers periodically; never returns."""
@@ -64,6 +67,7 @@
         if not self._peers.others():
             self._transport.send(digest.sender, self._own_digest())
         self._configurations.record_peer_version(digest.sender, digest.configuration_version)
+        self._rejection_limits.send_to(digest.sender)
         own_crashes = self._prompts.digest()
         if own_crashes and own_crashes != digest.prompt_crashes:
             self._transport.send(digest.sender, self._prompts.all_crashes())
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -20,6 +20,7 @@
 from loomwind.metrics import Metrics
 from loomwind.peering.transport import PeerTransport
 from loomwind.placement.controller import PlacementController
+from loomwind.serving.admission import Admission
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.configuration_polling import ConfigurationPolling
@@ -36,9 +37,11 @@
 from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.peers import PeerTable
+from loomwind.serving.permit_owners import PermitOwners
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect, DocumentParser, EngineControl, Snapshot, Store
 from loomwind.serving.prompt_guard import PromptGuard
+from loomwind.serving.rejection_limit_gossip import RejectionLimitGossip
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.resumption import Resumption
@@ -212,6 +215,7 @@
         self._configuration_gossip = ConfigurationGossip(
             self._own.address, self._transport, self._peers, self.replicated_state
         )
+        self._create_permits()
         self._anti_entropy = AntiEntropy(
             self._own.address,
             self._transport,
@@ -220,6 +224,7 @@
             self._health,
             self._prompt_guard,
             self._configuration_gossip,
+            self._rejection_limits,
         )
         self._departure_gossip = DepartureGossip(
             self._own.address, self._transport, self._peers, self.replicated_state
@@ -239,8 +244,22 @@
             self._prompt_guard,
             self._configuration_gossip,
             self._peer_origins,
+            self._permit_owners,
+            self._rejection_limits,
         )
 
+    def _create_permits(self) -> None:
+        """Create the components that limit requests to servers that must not reject many."""
+        clock = Clock()
+        self._rejection_limits = RejectionLimitGossip(
+            self._transport, self._peers, self._pool.rejection_limits, clock
+        )
+        self._permit_owners = PermitOwners(
+            self._own, self._transport, self._peers, self.metrics, clock
+        )
+        self._admission = Admission(self._pool, self._permit_owners, self.metrics, clock)
+        self._permit_owners.on_grant = self._admission.on_grant
+
     def _create_placement(self, deployment: Deployment) -> None:
         """Create the components that run while this daemon is the leader."""
         self._controller = PlacementController(
@@ -272,6 +291,7 @@
             deployment.dialect,
             self._pool.connectivity_of,
             self._pool.accepts_requests,
+            self._rejection_limits.observe_response,
         )
         self._client.on_idle_connection_error = self._pool.record_broken_connection
         self._probe = ConnectivityProbe(self._pool, forwarder)
@@ -299,6 +319,7 @@
                 self._registrar.confirm,
                 lambda: self.replicated_state.list_age_ms,
             ),
+            self._admission,
         )
         self._relay_service = RelayService(self._handler)
         self._relay_server = HttpServer(self._on_relayed_request)
@@ -324,6 +345,8 @@
         self._spawn(self._registrar.run())
         self._spawn(self._origins.run())
         self._spawn(self._peer_origins.run())
+        self._spawn(self._permit_owners.run())
+        self._spawn(self._admission.run())
         self._spawn(self._probe.run())
         self._spawn(self._leader_stepdown.run())
         self._spawn(self._exchange.send_demand())
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -19,6 +19,7 @@
     :param unreachable: whether no connection could be made.
     :param not_sent: whether nothing was sent, because the server started to leave.
     :param broken: whether the connection failed before the response was complete.
+    :param no_permit: whether nothing was sent, because the server has no place.
     :param rejected: whether the server had no place for the request, or is loading or unloading
         what it needs.
     """
@@ -34,6 +35,7 @@
         not_sent: bool = False,
         broken: bool = False,
         rejected: bool = False,
+        no_permit: bool = False,
     ) -> None:
         super().__init__(detail)
         self.may_have_run = may_have_run
@@ -44,6 +46,7 @@
         self.not_sent = not_sent
         self.broken = broken
         self.rejected = rejected
+        self.no_permit = no_permit
 
 
 class RelayDeclined(ServingError):
@@ -61,6 +64,17 @@
         self.ready_in_seconds = ready_in_seconds
 
 
+class NoPlace(ServingError):
+    """Every server that can run a request is full, and will be until after its deadline.
+
+    :param retry_after_seconds: the expected time until a place is free.
+    """
+
+    def __init__(self, retry_after_seconds: float) -> None:
+        super().__init__("every server that can run the request is full")
+        self.retry_after_seconds = retry_after_seconds
+
+
 class StreamTruncated(ServingError):
     """A stream to the caller has begun but cannot be completed."""
 
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -66,16 +66,19 @@
         dialect: Dialect,
         connectivity_of: Callable[[str], ServiceConnectivity],
         accepts_requests: Callable[[ServerEntry], bool] = lambda entry: True,
+        observe_response: Callable[[ServerEntry, ResponseCheck], None] = lambda entry, check: None,
     ) -> None:
         """Create a forwarder.
 
         :param connectivity_of: returns the connectivity of a service, which records each connect.
         :param accepts_requests: whether a server may get requests; checked once it is connected.
+        :param observe_response: called with what each head of a server's response tells.
         """
         self._client = client
         self._dialect = dialect
         self._connectivity_of = connectivity_of
         self._accepts_requests = accepts_requests
+        self._observe_response = observe_response
         self._clock = Clock()
         self._buffers = ResponseBuffers()
 
@@ -173,6 +176,8 @@
             head = await connection.read_head()
             check = self._dialect.check_response(request_id, entry.name, head)
             connection.note_keep_alive(head)
+            if not check.other_instance:
+                self._observe_response(entry, check)
             if check.matches_request:
                 return self._check_genuine(head, check, entry), check
             await connection.skip_answer(request)
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -16,6 +16,7 @@
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.metrics import Metrics
+from loomwind.serving.admission import Admission
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, RelayDeclined, StreamTruncated
 from loomwind.serving.failures import end_failed_request, failure_status
@@ -53,6 +54,7 @@
         prompts: PromptGuard,
         origins: OriginLog,
         resumption: Resumption,
+        admission: Admission,
     ) -> None:
         """Create a handler.
 
@@ -68,6 +70,7 @@
         self.prompts = prompts
         self.origins = origins
         self.resumption = resumption
+        self.admission = admission
         self.open_requests = 0
         self.timeouts: set[asyncio.Timeout] = set()
         self.rejects_waiting = False
--- a/loomwind/serving/model_wait.py
+++ b/loomwind/serving/model_wait.py
@@ -22,6 +22,28 @@
 RECHECK_INTERVAL_SECONDS = 0.2
 
 
+def wait_limits(
+    route: RouteRule, caller: CallerRequest, arrived: float, deadline: float
+) -> WaitLimits:
+    """Return the time limits of a request.
+
+    :param arrived: loop time at which the request arrived or its stream was interrupted.
+    :param deadline: loop time at which the request times out.
+    """
+    remaining = caller.remaining_seconds
+    return WaitLimits(
+        arrived_ms=arrived * MS_PER_SECOND,
+        event_timeout_ms=route.event_timeout_seconds * MS_PER_SECOND,
+        objective_ms=route.objective_seconds * MS_PER_SECOND,
+        deadline_ms=deadline * MS_PER_SECOND,
+        first_try=is_first_try(
+            None if remaining is None else remaining * MS_PER_SECOND,
+            route.timeout_seconds * MS_PER_SECOND,
+            is_resumed=caller.last_event_id is not None,
+        ),
+    )
+
+
 class ModelWait:
     """One wait, used as a context manager; meanwhile the demand reports include the request."""
 
@@ -44,18 +66,7 @@
         self._key = key
         self._caller = caller
         self._objective_seconds = route.objective_seconds
-        remaining = caller.remaining_seconds
-        self._limits = WaitLimits(
-            arrived_ms=arrived * MS_PER_SECOND,
-            event_timeout_ms=route.event_timeout_seconds * MS_PER_SECOND,
-            objective_ms=route.objective_seconds * MS_PER_SECOND,
-            deadline_ms=deadline * MS_PER_SECOND,
-            first_try=is_first_try(
-                None if remaining is None else remaining * MS_PER_SECOND,
-                route.timeout_seconds * MS_PER_SECOND,
-                is_resumed=caller.last_event_id is not None,
-            ),
-        )
+        self._limits = wait_limits(route, caller, arrived, deadline)
         self._request = WaitingRequest(arrived + self._objective_seconds, self._objective_seconds)
 
     def __enter__(self) -> "ModelWait":
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -18,12 +18,16 @@
     LeaseNotice,
     OriginNotice,
     OriginQuestion,
+    PermitGrants,
+    PermitQuestion,
+    PermitReport,
     PoolDemand,
     PoolDigest,
     PoolExpectations,
     PoolHoldings,
     PromptCrashes,
     PromptsAnswered,
+    RejectionLimitNotice,
     ServerDepartures,
     ServerListQuestion,
 )
@@ -34,11 +38,14 @@
 from loomwind.serving.leader_watch import LeaderWatch
 from loomwind.serving.peer_origins import PeerOrigins
 from loomwind.serving.peers import PeerTable
+from loomwind.serving.permit_owners import PermitOwners
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.prompt_guard import PromptGuard
+from loomwind.serving.rejection_limit_gossip import RejectionLimitGossip
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.residency import ServerHolding
 from loomwind.serving.server_list import ServerListFollower
+from loomwind.serving.views import ServerEntry, ServerReport
 
 BROADCAST_DELAY_SECONDS = 0.02
 MAX_BUFFERED_REPORTS = 4096
@@ -95,6 +102,8 @@
         prompts: PromptGuard,
         configurations: ConfigurationGossip,
         origins: PeerOrigins,
+        permits: PermitOwners,
+        rejection_limits: RejectionLimitGossip,
     ) -> None:
         self._own = own
         self._transport = transport
@@ -109,6 +118,8 @@
         self._prompts = prompts
         self._configurations = configurations
         self._origins = origins
+        self._permits = permits
+        self._rejection_limits = rejection_limits
         self._holdings_fence = 0
         self._pending_holdings: dict[str, ServerHolding] = {}
         self._broadcast_timer: asyncio.TimerHandle | None = None
@@ -138,6 +149,14 @@
                 return self._configurations.answer(message)
             case OriginQuestion():
                 return self._origins.answer(message)
+            case PermitQuestion():
+                return self._permits.answer(message)
+            case PermitReport():
+                self._permits.on_report(message)
+            case PermitGrants():
+                self._permits.on_grants(message)
+            case RejectionLimitNotice():
+                self._rejection_limits.on_notice(message)
             case OriginNotice():
                 self._origins.on_notice(message)
             case DirectoryCopy():
@@ -168,6 +187,10 @@
         fresh = (each for each in self._unreachable_at_peers.values() if now < each.expires_at)
         return any(service not in each.services for each in fresh)
 
+    def observe_report(self, entry: ServerEntry, report: ServerReport) -> None:
+        """Record what a server's report says to all daemons."""
+        self._rejection_limits.observe(entry, report.max_rejections_per_second)
+
     def _on_holdings(self, message: PoolHoldings) -> None:
         """Apply the servers' holdings; messages of an earlier leader are ignored."""
         if message.fence >= self._holdings_fence:
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -83,6 +83,11 @@
         """Return all daemons except this one."""
         return [peer for name, peer in self._peers.items() if name != self._own.name]
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether this daemon's own row is known, so that its peers know it too."""
+        return self._own.name in self._peers
+
     def get(self, name: str) -> PeerEntry | None:
         """Return the daemon with this name, or None if it has no row."""
         return self._peers.get(name)
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -13,6 +13,7 @@
 from loomwind.serving.directory import ServerDirectory
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.expectations import Expectations, ExpectedTarget
+from loomwind.serving.rejection_limits import RejectionLimits
 from loomwind.serving.rejections import RejectionCause
 from loomwind.serving.residency import Residency, ServerHolding, holds
 from loomwind.serving.version_registry import VersionRegistry
@@ -35,6 +36,7 @@
         self.directory = ServerDirectory(bounds.drain_seconds)
         self.versions = VersionRegistry(self.directory, bounds.drain_ms)
         self.residency = Residency()
+        self.rejection_limits = RejectionLimits()
         self.demand = DemandTracker()
         self.expectations = Expectations()
         self.probe_needed = asyncio.Event()
@@ -145,7 +147,7 @@
         self, entry: ServerEntry, target: ModelKey | None, failure: SendFailed, now: float
     ) -> None:
         """Update health and residency after a failed send."""
-        if failure.not_sent:
+        if failure.not_sent or failure.no_permit:
             return
         if failure.other_instance:
             self.directory.record_replaced(entry)
@@ -195,6 +197,7 @@
         """Drop the state of removed servers, and wake waiting requests."""
         known = {entry.instance for entry in self.directory.entries()}
         self.residency.retain_only(known)
+        self.rejection_limits.retain_only(known)
         by_service = self._instances_by_service()
         for service, connectivity in self._connectivity.items():
             connectivity.set_servers(by_service[service])
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -48,12 +48,17 @@
         # A request may also be at a peer, which is no server.
         self._servers: set[str] = set()
 
-    def new(self, entry: ServerEntry, is_replacement: bool = False) -> ServerAttempt:
-        """Return an attempt, which counts as one in progress at the server until it is stopped."""
+    def new(
+        self, entry: ServerEntry, is_replacement: bool = False, has_permit: bool = False
+    ) -> ServerAttempt:
+        """Return an attempt, which counts as one in progress at the server until it is stopped.
+
+        :param has_permit: whether a permit for the server was granted already.
+        """
         self._servers.add(entry.instance)
         events = self._stream.events
         attempt = ServerAttempt(self._handler, self._outgoing, entry, events, is_replacement)
-        attempt.begin()
+        attempt.begin(has_permit)
         return attempt
 
     def record_begun(self, replacement: Attempt) -> str | None:
@@ -70,6 +75,9 @@
 
     def record_failure(self, attempt: Attempt, failure: SendFailed) -> None:
         """Record that a server sent no usable response."""
+        if failure.no_permit:
+            self._progress.record_failure(may_have_run=False)
+            return
         entry = attempt.entry
         caller = self._outgoing.caller
         self._progress.record_failure(failure.may_have_run)
@@ -77,6 +85,8 @@
             self._handler.prompts.record_crash(caller, entry.instance)
         self._selector.tried.add(entry.instance)
         self._handler.pool.record_failure(entry, caller.target, failure, self._handler.now())
+        if failure.rejected:
+            self._handler.admission.record_rejection(entry)
         self._handler.count_send(entry, "failed" if failure.may_have_run else "refused")
         self._log.send_failed(
             attempt, failure, self._selector.passed_over(entry.instance), self._stream.events
@@ -113,7 +123,7 @@
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
         self._retries.refund_unsent()
-        if failure is not None:
+        if failure is not None and not failure.no_permit:
             entry = replacement.entry
             target = self._outgoing.caller.target
             self._selector.tried.add(entry.instance)
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -14,6 +14,7 @@
 from loomwind.serving.demand import DemandKey
 from loomwind.serving.errors import (
     ModelUnavailable,
+    NoPlace,
     OriginUnknown,
     Refused,
     RelayDeclined,
@@ -26,6 +27,7 @@
 from loomwind.serving.inactivity import event_silence_ms, start_silence_ms
 from loomwind.serving.model_wait import ModelWait
 from loomwind.serving.peer_attempts import PeerAttempts
+from loomwind.serving.place_wait import PlaceWait
 from loomwind.serving.relay_protocol import RelayMetadata, with_software_version
 from loomwind.serving.request_attempts import RequestAttempts
 from loomwind.serving.request_log import RequestLog, RequestProgress
@@ -68,6 +70,9 @@
         self._service = service
         self._caller = caller
         self._arrived_at = handler.now()
+        self._has_waited = False
+        self._place_wait: PlaceWait | None = None
+        self._has_permit = False
         timeout = route.timeout_seconds
         if caller.remaining_seconds is not None:
             timeout = min(timeout, caller.remaining_seconds)
@@ -81,7 +86,13 @@
         )
         self._retries = RetryPolicy(handler, caller, route, service, self._progress, self._log)
         self._selector = ServerSelector(
-            handler.pool, handler.forwarder, handler.zone, service, caller, route.resumable
+            handler.pool,
+            handler.forwarder,
+            handler.zone,
+            service,
+            caller,
+            route.resumable,
+            handler.admission.is_full,
         )
         self._stream = StreamRelay(
             exchange,
@@ -190,7 +201,8 @@
             entry = await self._wait_for_server()
             if entry is None:
                 continue
-            if await self._serve_by_server(self._attempts.new(entry)):
+            has_permit, self._has_permit = self._has_permit, False
+            if await self._serve_by_server(self._attempts.new(entry, has_permit=has_permit)):
                 return
 
     def _raise_if_banned(self) -> None:
@@ -215,14 +227,19 @@
         target = self._caller.target
         entry = self._choose_within_budget()
         if target is None:
+            if entry is None and self._selector.full:
+                return await self._wait_for_place()
             if entry is None:
                 raise self._errors.failure("no server of the service is known")
             return entry
         key = DemandKey(self._service, target)
-        if self._progress.sends == 0 and self._progress.waited_seconds == 0.0:
+        if not self._has_waited and self._progress.sends == 0:
             self._pool.demand.record_arrival(key, self._arrived_at)
+        self._has_waited = True
         if entry is not None:
             return entry
+        if self._selector.full:
+            return await self._wait_for_place()
         wait_started_at = self._handler.now()
         deadline = self._request.deadline
         since = wait_started_at if self._exchange.started else self._arrived_at
@@ -232,7 +249,7 @@
         self._handler.metrics.waiting_for_model.inc()
         try:
             with wait:
-                while entry is None and not self._peers.should_relay():
+                while entry is None and not self._is_wait_over():
                     self._raise_if_leaving()
                     self._raise_if_banned()
                     self._raise_if_version_gone()
@@ -246,6 +263,38 @@
         self._progress.is_waiting = False
         return entry
 
+    def _is_wait_over(self) -> bool:
+        """Whether a request that waits for its model should go on without a server."""
+        return bool(self._selector.full) or self._peers.should_relay()
+
+    async def _wait_for_place(self) -> ServerEntry | None:
+        """Wait until one of the servers, all of which are full, has a place.
+
+        :returns: the server, with a permit for it; None to look for servers again.
+        :raises Refused: none will have one in time, or this daemon is shutting down.
+        :raises StreamTruncated: the same, and the response has begun.
+        """
+        self._raise_if_leaving()
+        if self._place_wait is None:
+            since = self._handler.now() if self._exchange.started else self._arrived_at
+            self._place_wait = PlaceWait(
+                self._handler,
+                self._service,
+                self._route,
+                self._caller,
+                since,
+                self._request.deadline,
+            )
+        try:
+            entry = await self._place_wait.wait(self._selector.full)
+        except NoPlace as error:
+            raise self._errors.failure(str(error), error.retry_after_seconds) from error
+        if entry is not None and not self._retries.try_pay():
+            self._handler.admission.give_back(entry)
+            return None
+        self._has_permit = entry is not None
+        return entry
+
     def _raise_if_leaving(self) -> None:
         """Stop waiting when this daemon shuts down, so that the caller can try another daemon.
 
@@ -277,9 +326,11 @@
                 attempt = moved.replacement
             except SendFailed as failure:
                 self._attempts.record_failure(attempt, failure)
+                if not failure.no_permit:
+                    self._place_wait = None
                 if not self._retries.may_retry(failure):
                     raise self._errors.failure(str(failure)) from failure
-                if not failure.may_have_run:
+                if not (failure.may_have_run or failure.no_permit):
                     await asyncio.sleep(REFUSAL_RETRY_DELAY_SECONDS)
                 return False
 
--- a/loomwind/serving/retry_policy.py
+++ b/loomwind/serving/retry_policy.py
@@ -44,7 +44,7 @@
         A request that has not run and needs a model goes back to waiting. Its retry is charged only
         when a server can take it, so that it stays visible in the demand meanwhile.
         """
-        if failure.unreachable or failure.not_sent:
+        if failure.unreachable or failure.not_sent or failure.no_permit:
             return True
         if not failure.may_have_run and self._caller.target is not None:
             self.is_unpaid = True
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -8,8 +8,10 @@
 
 from attrs import frozen
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.http.client_connection import ClientConnection
 from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS, ServerHealth
+from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
 from loomwind.serving.views import ServerEntry
 
@@ -90,17 +92,29 @@
         self._connection: ClientConnection | None = None
         self._is_replacement = is_replacement
         self._is_counted = False
+        self._permitted_at: float | None = None
 
-    def begin(self) -> None:
-        """Count the request as one in progress at the server."""
+    def begin(self, has_permit: bool = False) -> None:
+        """Count the request as one in progress at the server.
+
+        :param has_permit: whether a permit for the server was granted already.
+        """
         target = self._outgoing.caller.target
         self._is_counted = True
-        self.health.record_sent(self._handler.now())
+        now = self._handler.now()
+        self._permitted_at = now if has_permit else None
+        self.health.record_sent(now)
         if target is not None:
             self._handler.pool.demand.begin_run(self.entry.instance, target)
 
     async def connect(self) -> None:
-        """Connect to the server."""
+        """Connect to the server, with a permit if it needs one."""
+        admission = self._handler.admission
+        if self._permitted_at is None and admission.is_limited(self.entry):
+            if not await admission.acquire(self.entry):
+                detail = f"{self.entry.instance}: no place"
+                raise SendFailed(detail, may_have_run=False, at_fault=False, no_permit=True)
+            self._permitted_at = self._handler.now()
         forwarder = self._handler.forwarder
         connect = forwarder.connect_anew if self._is_replacement else forwarder.connect
         self._connection = await connect(self.entry)
@@ -165,6 +179,9 @@
         target = self._outgoing.caller.target
         self._is_counted = False
         self.health.record_ended()
+        if self._permitted_at is not None:
+            held_ms = (self._handler.now() - self._permitted_at) * MS_PER_SECOND
+            self._handler.admission.give_back(self.entry, held_ms)
         if target is not None:
             self._handler.pool.demand.end_run(self.entry.instance, target)
 
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 from attrs import frozen
 
@@ -30,6 +31,7 @@
     """Selects servers for the attempts of one request.
 
     :ivar tried: instances that the request was sent to before.
+    :ivar full: the servers that could run the request at the last choice, if all were full.
     :ivar software_version: the version that the server must have; None for any.
     """
 
@@ -41,11 +43,13 @@
         service: str,
         caller: CallerRequest,
         is_resumable: bool = False,
+        is_full: Callable[[ServerEntry], bool] = lambda entry: False,
     ) -> None:
         """Create a selector.
 
         :param zone: the zone of this daemon.
         :param is_resumable: whether the caller may resume the stream that the request begins.
+        :param is_full: whether a server has no place for a request.
         """
         self._pool = pool
         self._connectivity = pool.connectivity_of(service)
@@ -54,13 +58,18 @@
         self._service = service
         self._caller = caller
         self._is_resumable = is_resumable
+        self._is_full = is_full
         self._candidates: list[Candidate] = []
         self.tried: set[str] = set()
+        self.full: list[ServerEntry] = []
         self.software_version: str | None = None
 
     def choose(self, now: float) -> ServerEntry | None:
         """Return the server with the lowest cost; None when no server can run the request."""
-        return self._lowest_cost(self._eligible(now), now)
+        able = self._able(now)
+        with_place = [entry for entry in able if not self._is_full(entry)]
+        self.full = [] if with_place else able
+        return self._lowest_cost(with_place, now)
 
     def choose_replacement(
         self, silent: ServerEntry, silence: Silence, now: float
@@ -103,6 +112,9 @@
         return chosen.entry if chosen else None
 
     def _eligible(self, now: float) -> list[ServerEntry]:
+        return [entry for entry in self._able(now) if not self._is_full(entry)]
+
+    def _able(self, now: float) -> list[ServerEntry]:
         if self._connectivity.is_unreachable and (responsive := self._responsive_idle(now)):
             return responsive
         return self._of_version(
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -203,6 +203,8 @@
     :param in_memory: models with a copy in host memory.
     :param on_disk: models with a copy on its disk.
     :param started_at_ms: start of its process, in Unix time; None when servers do not publish it.
+    :param max_rejections_per_second: it falls over when it rejects more requests than this; None
+        for a server that does not say so.
     """
 
     revision: int
@@ -216,6 +218,7 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     started_at_ms: int | None = None
+    max_rejections_per_second: int | None = None
 
 
 class ModelKey(Struct, frozen=True, order=True, array_like=True):
