Know a request that crashes servers again by what it asks for

Callers saw (BUDGET) server after server end under one request that its client repeated. Cause: what was recorded of a crash were the parts of a prompt but the last; a request with one part, or without a prompt, left nothing, since every attempt has an id of its own, and one with several parts had a sound part banned in its place. Class: evidence that is kept under the wrong name.

A crash is also recorded under the request's fingerprint, at any point of its answer, for plain requests too. Three crashes without a whole answer by one server in between ban it at every daemon, as the parts are. Crashes that one request explains don't count against the parts that it shares; those of several requests do. A server that was told to leave, or that goes on sending, has not crashed. Crashes within 100 ms had counted as one cause, also where a request was sent to the second server after the first had ended; a suspected request gets a new connection, and a server that accepted one after the crash before ended for a cause of its own.

Changed check: prompt_crashes waited for five crashes before it counted; the part is banned after three or four now, so that five never came. It waits for the ban instead, asks that at most five servers crashed until then, and counts as before. attempt_steps' stand-in of the request handler has the guard and the admission that attempts need now; its assertions are unchanged.

--- a/features/prompt_suspicion.feature
+++ b/features/prompt_suspicion.feature
@@ -41,3 +41,42 @@
     When servers crash at 0, 400 and 900 ms under route and bad
     And a server crashes at 130000 ms under route and bad
     Then bad is banned until 370000 ms
+
+  Scenario: a request that crashes three servers is banned, and no part that it shares
+    When servers crash at 0, 400 and 900 ms under route and session and the request one
+    Then the request one is banned
+    And route is not banned
+    And session is not banned
+
+  Scenario: servers that were up after the crash before end for a cause of their own
+    When servers crash at 0, 20 and 40 ms under route and session and the request one, each up 10 ms before
+    Then the request one is banned
+
+  Scenario: a power loss of a rack bans no request
+    When servers crash at 0, 20 and 40 ms under route and session and the request one
+    Then the request one is not banned
+
+  Scenario: a part that crashes servers is banned although requests with it are repeated
+    When servers crash at 0 and 200 ms under route and bad and the request one
+    And servers crash at 400 and 600 ms under route and bad and the request two
+    Then bad is banned
+    And the request one is not banned
+
+  Scenario: a request that was answered a moment ago may have begun to crash servers
+    When the request one is answered completely at 0 ms
+    And servers crash at 100, 500 and 1000 ms under route and session and the request one
+    Then the request one is banned
+
+  Scenario: an equal request that is answered elsewhere clears the request
+    When servers crash at 0 and 400 ms under route and session and the request one
+    And the request one is answered completely at 500 ms
+    And servers crash at 900 and 1300 ms under route and session and the request one
+    Then the request one is not banned
+
+  Scenario: a connection that broke while its server goes on is no crash
+    When servers crash at 0 and 400 ms under route and session and the request one
+    And the last of them is heard at 800 ms
+    And servers crash at 900 ms under route and session and the request one
+    Then the request one is not banned
+    When servers crash at 1300 ms under route and session and the request one
+    Then the request one is banned
--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -6,12 +6,17 @@
 from attrs import define, field
 from behave import then, when
 
+from features.steps.refusal_steps import NoBannedPrompts
 from features.support.virtual_time import run_in_virtual_time
+from loomwind.clock import Clock
 from loomwind.http.client_connection import ClientConnection
 from loomwind.http.messages import HttpRequest, HttpResponse
+from loomwind.metrics import Metrics
+from loomwind.serving.admission import Admission
 from loomwind.serving.forwarder import EVENT_STREAM, OpenResponse, OutgoingRequest
 from loomwind.serving.handler import RequestHandler
 from loomwind.serving.inactivity import event_silence_ms
+from loomwind.serving.permit_owners import PermitOwners
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.server_attempt import ServerAttempt
 from loomwind.serving.views import (
@@ -71,6 +76,13 @@
     forwarder: StreamingForwarder = field(factory=StreamingForwarder)
     pool: ServerPool = field(factory=lambda: ServerPool(BoundSettings()))
 
+    prompts: NoBannedPrompts = field(factory=NoBannedPrompts)
+
+    @property
+    def admission(self) -> Admission:
+        """Return an admission without limited servers."""
+        return Admission(self.pool, cast(PermitOwners, None), Metrics(), Clock())
+
     @staticmethod
     def now() -> float:
         """Return the time of the event loop in seconds."""
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -118,7 +118,8 @@
     crashes = sorted(at_s for state in states for at_s in state["crash_body_times_s"])
     assert len(crashes) >= KNOWN_CRASHES, crashes
     later = len(crashes) - KNOWN_CRASHES
-    assert later <= count, f"{later} after the third crash, last reply {context.last}"
+    last = context.last
+    assert later <= count, f"{later} after the third crash; {last.status} {last.body[:60]!r}"
 
 
 @then("the last one was rejected at once with a time to come back")
--- a/features/steps/prompt_crash_steps.py
+++ b/features/steps/prompt_crash_steps.py
@@ -32,21 +32,36 @@
 
 
 @when(
-    "bad and good requests are sent to every daemon until servers crashed {count:d} times, "
+    "bad and good requests are sent to every daemon until the part is banned, "
     "and for {seconds:f} s more"
 )
-def step_until_crashes(context: Any, count: int, seconds: float) -> None:
+def step_until_banned(context: Any, seconds: float) -> None:
     site = pool(context)
     limit = time.monotonic() + WAIT_TIMEOUT_SECONDS
 
     def keep_sending() -> bool:
-        assert time.monotonic() < limit, f"servers crashed only {_crash_count(site)} times"
-        return _crash_count(site) < count
+        assert time.monotonic() < limit, f"not banned after {_crash_count(site)} crashes"
+        return not any(_has_banned(daemon) for daemon in site.daemons.values())
 
     _send(context, site.daemons.values(), ("bad", "good"), keep_sending)
+    context.crashes_until_ban = _crash_count(site)
     _send(context, site.daemons.values(), ("bad", "good"), _until_elapsed(seconds))
 
 
+def _has_banned(daemon: PoolDaemonProcess) -> bool:
+    return any(
+        line.get("message_type") == "loomwind:prompt"
+        and line.get("state") == "banned"
+        and line.get("part") == "bad"
+        for line in daemon.log_lines()
+    )
+
+
+@then("servers crashed at most {count:d} times until the part was banned")
+def step_crashed_at_most(context: Any, count: int) -> None:
+    assert context.crashes_until_ban <= count, context.crashes_until_ban
+
+
 @when("bad and good requests are sent to every daemon for {seconds:f} s")
 def step_counted(context: Any, seconds: float) -> None:
     _send_counted(context, pool(context).daemons.values(), ("bad", "good"), seconds)
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -116,6 +116,10 @@
         """Return that the request is not banned."""
         return 0.0
 
+    def is_suspected(self, caller: CallerRequest) -> bool:
+        """Return that the request is not suspected."""
+        return False
+
     def may_retry(self, caller: CallerRequest) -> bool:
         """Return that the prompt is not suspected."""
         return True
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -257,16 +257,19 @@
 class PromptCrash(Struct, frozen=True, array_like=True):
     """A server process that ended when it began to answer a request.
 
-    :param identity: the ID of a part of the prompt that other prompts may share.
+    :param identity: the ID of a part of the prompt that other prompts may share, or of the request.
     :param position: the zero-based position of the part in the prompt.
     :param instance: the ID of the server instance.
     :param age_ms: the time since the crash.
+    :param up_ms: the time before the crash at which the server still accepted a connection; 0 if
+        that is not known.
     """
 
     identity: str
     position: int
     instance: str
     age_ms: float
+    up_ms: float = 0.0
 
 
 class PromptCrashes(Message, frozen=True, tag=True, array_like=True):
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -211,7 +211,9 @@
             self.replicated_state,
             self.settings.bounds,
         )
-        self._prompt_guard = PromptGuard(self._own.address, self._transport, self._peers)
+        self._prompt_guard = PromptGuard(
+            self._own.address, self._transport, self._peers, self._pool.is_heard_since
+        )
         self._configuration_gossip = ConfigurationGossip(
             self._own.address, self._transport, self._peers, self.replicated_state
         )
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -67,6 +67,16 @@
             return usable
         return [entry for entry in usable if self.residency.can_run(entry, target, now)]
 
+    def is_leaving(self, entry: ServerEntry) -> bool:
+        """Whether a server was told to leave, so that it ends as planned."""
+        directory = self.directory
+        return directory.get(entry.name) is None or directory.is_departing(entry.name)
+
+    def is_heard_since(self, instance: str, since_ms: float) -> bool:
+        """Whether a server instance has sent data to this daemon after a time."""
+        health = self._health.get(instance)
+        return health is not None and health.last_received_at * MS_PER_SECOND > since_ms
+
     def accepts_requests(self, entry: ServerEntry) -> bool:
         """Return whether the server instance of an entry may still receive requests."""
         return self.directory.accepts_requests(entry, self.now())
--- a/loomwind/serving/prompt_guard.py
+++ b/loomwind/serving/prompt_guard.py
@@ -1,11 +1,11 @@
-"""Stops requests whose prompts have a part that crashes servers.
+"""Stops requests that crash servers, by themselves or by a part of their prompts.
 
-Daemons share their observations: the parts under which servers crashed, and those of them that were
+Daemons share their observations: what servers crashed under, and what of it was
 later answered completely. New observations are gossiped to peers at once. A daemon that has
 missed some, or has just started, gets all of them from anti-entropy when its digest differs.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import xxhash
 
@@ -14,51 +14,82 @@
 from loomwind.messages.serving import PromptCrash, PromptCrashes, PromptsAnswered
 from loomwind.peering.transport import PeerTransport
 from loomwind.serving.peers import PeerTable
-from loomwind.serving.prompt_suspicion import Crash, PromptSuspicions, SharedPart
+from loomwind.serving.prompt_suspicion import (
+    WHOLE_REQUEST_POSITION,
+    Crash,
+    PromptSuspicions,
+    Suspect,
+)
 from loomwind.serving.views import CallerRequest
 
 
 class PromptGuard:
-    """Collects and shares observations of prompts that crash servers.
-
-    :param own_address: ``host:port`` at which peers reach this daemon.
-    """
-
-    def __init__(self, own_address: str, transport: PeerTransport, peers: PeerTable) -> None:
+    """Collects and shares observations of requests that crash servers."""
+
+    def __init__(
+        self,
+        own_address: str,
+        transport: PeerTransport,
+        peers: PeerTable,
+        is_heard_since: Callable[[str, float], bool] | None = None,
+    ) -> None:
+        """Create a guard.
+
+        :param own_address: ``host:port`` at which peers reach this daemon.
+        :param is_heard_since: whether a server instance has sent data after a time.
+        """
         self._own_address = own_address
         self._transport = transport
         self._peers = peers
-        self._suspicions = PromptSuspicions()
+        self._suspicions = PromptSuspicions(is_heard_since)
         self._clock = Clock()
 
     # Requests at this daemon.
 
     def banned_for_ms(self, caller: CallerRequest) -> float:
         """Return how long a request remains banned, in milliseconds; 0 when it is not."""
-        return self._suspicions.banned_for_ms(_shared_parts(caller), self._clock.now_ms())
+        return self._suspicions.banned_for_ms(_identities(caller), self._clock.now_ms())
 
     def may_retry(self, caller: CallerRequest) -> bool:
         """Whether a request that was interrupted may be retried at another server."""
         return self._suspicions.may_retry(_shared_parts(caller))
 
-    def record_crash(self, caller: CallerRequest, instance: str) -> None:
-        """Record that a server crashed when it began to respond to a request."""
-        crashes = (
-            PromptCrash(identity, position, instance, 0.0)
-            for position, identity in enumerate(_shared_parts(caller))
-        )
+    def is_suspected(self, caller: CallerRequest) -> bool:
+        """Whether a server crashed while it responded to the request."""
+        return self._suspicions.find(_request_identity(caller)) is not None
+
+    def record_crash(
+        self, caller: CallerRequest, instance: str, up_ms: float, is_early: bool
+    ) -> None:
+        """Record that a server crashed while it responded to a request.
+
+        :param up_ms: the time since it accepted a connection; 0 if that is not known.
+        :param is_early: whether it had hardly begun; otherwise no part of the prompt is suspected.
+        """
+        parts = _shared_parts(caller) if is_early else ()
+        crashes = [
+            PromptCrash(identity, position, instance, 0.0, up_ms)
+            for position, identity in enumerate(parts)
+        ]
+        request = _request_identity(caller)
+        crashes.append(PromptCrash(request, WHOLE_REQUEST_POSITION, instance, 0.0, up_ms))
         self._add_crashes(crashes)
 
-    def record_answered(self, caller: CallerRequest) -> None:
-        """Record that a request was answered completely."""
-        self._add_answered(_shared_parts(caller))
+    def record_answered(self, caller: CallerRequest, is_by_one_server: bool) -> None:
+        """Record that a request was answered completely.
+
+        :param is_by_one_server: whether no other server has begun its answer.
+        """
+        self._add_answered(_identities(caller) if is_by_one_server else _shared_parts(caller))
 
     # Messages from peers.
 
     def on_crashes(self, message: PromptCrashes) -> None:
         """Add crashes that a peer reports; reply with those parts that were answered recently."""
         now_ms = self._clock.now_ms()
-        identities = {crash.identity for crash in message.crashes}
+        identities = {
+            crash.identity for crash in message.crashes if crash.position != WHOLE_REQUEST_POSITION
+        }
         answered = tuple(
             each
             for each in sorted(identities)
@@ -75,8 +106,8 @@
     def digest(self) -> int:
         """Return a hash of the known crashes, to compare with peers; 0 when there are none."""
         known = sorted(
-            f"{each.part.identity} {instance}"
-            for each in self._suspicions.suspected()
+            f"{each.suspect.identity} {instance}"
+            for each in self._suspicions.replicated()
             for instance in each.crashes
         )
         return xxhash.xxh64_intdigest("\n".join(known).encode()) if known else 0
@@ -87,10 +118,8 @@
         return PromptCrashes(
             self._own_address,
             tuple(
-                PromptCrash(
-                    each.part.identity, each.part.position, crash.instance, now_ms - crash.at_ms
-                )
-                for each in self._suspicions.suspected()
+                _describe(each.suspect, crash, now_ms)
+                for each in self._suspicions.replicated()
                 for crash in each.crashes.values()
             ),
         )
@@ -112,9 +141,11 @@
         )
 
     def _add_crash(self, crash: PromptCrash, now_ms: float) -> bool:
-        part = SharedPart(crash.identity, crash.position)
+        suspect = Suspect(crash.identity, crash.position)
+        at_ms = now_ms - crash.age_ms
+        up_at_ms = at_ms - crash.up_ms if crash.up_ms > 0 else None
         return self._suspicions.record_crash(
-            part, Crash(crash.instance, now_ms - crash.age_ms), now_ms
+            suspect, Crash(crash.instance, at_ms, up_at_ms), now_ms
         )
 
     def _add_answered(self, identities: tuple[str, ...]) -> None:
@@ -128,6 +159,24 @@
             self._transport.send(peer.address, message)
 
 
+def _describe(suspect: Suspect, crash: Crash, now_ms: float) -> PromptCrash:
+    """Return a crash as peers are told of it."""
+    up_ms = 0.0 if crash.up_at_ms is None else crash.at_ms - crash.up_at_ms
+    return PromptCrash(
+        suspect.identity, suspect.position, crash.instance, now_ms - crash.at_ms, up_ms
+    )
+
+
+def _identities(caller: CallerRequest) -> tuple[str, ...]:
+    """Return the identities of a request: its shared parts, and itself."""
+    return (*_shared_parts(caller), _request_identity(caller))
+
+
+def _request_identity(caller: CallerRequest) -> str:
+    """Return the identity of a request, which differs from those of all parts of prompts."""
+    return f"request:{caller.fingerprint}"
+
+
 def _shared_parts(caller: CallerRequest) -> tuple[str, ...]:
     """Return the identities of all parts but the last, which other requests may share."""
     return tuple(part.identity for part in caller.prompt[:-1])
--- a/loomwind/serving/prompt_suspicion.py
+++ b/loomwind/serving/prompt_suspicion.py
@@ -1,14 +1,15 @@
-"""Detects parts of prompts that crash servers. Does no I/O; the caller passes the time.
+"""Detects requests, and parts of prompts, that crash servers. No I/O; the caller passes the time.
 
 A crash interrupts all requests at the server. A part that causes crashes is interrupted at several
 server instances and never answered completely, while any other part soon is. Crashes at nearly the
 same time have one cause, such as a power loss of a rack, and count as one. Crashes that a later,
-more specific part explains do not count against the parts before it.
+more specific part explains do not count against the parts before it, nor do those of one request
+that crashes servers by itself count against the parts that it shares.
 """
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
 
@@ -20,100 +21,152 @@
 MAX_BAN_MS = 3_600_000.0
 FORGET_AFTER_MS = 600_000.0
 ANSWERED_VALID_MS = 60_000.0
-MAX_SUSPECTED = 256
+# Single requests are not repeated for longer than this.
+FORGET_REQUEST_AFTER_MS = 60_000.0
+# A server that sends data so long after a connection to it broke has not ended.
+SURVIVED_AFTER_MS = 300.0
+MAX_SUSPECTED = 1024
 MAX_ANSWERED = 8192
 
 
+# More specific than any part of a prompt.
+WHOLE_REQUEST_POSITION = 1 << 16
+
+
 @frozen
-class SharedPart:
-    """A part of a prompt that other requests may share.
+class Suspect:
+    """A part of a prompt that other requests may share, or a whole request.
 
-    :ivar position: its index in the prompt; later parts are more specific.
+    :ivar position: the part's index in the prompt; later ones are more specific.
     """
 
     identity: str
     position: int
 
+    @property
+    def is_whole_request(self) -> bool:
+        """Whether it is a request, which only its repetitions share."""
+        return self.position == WHOLE_REQUEST_POSITION
+
 
 @frozen
 class Crash:
-    """A crash of a server instance when it began to respond.
+    """A crash of a server instance while it responded.
 
     :ivar instance: identifies the server process.
+    :ivar up_at_ms: when it still accepted a connection; None if that is not known.
     """
 
     instance: str
     at_ms: float
+    up_at_ms: float | None = None
 
 
 @define
 class Suspicion:
-    """The crashes and the ban of a suspected part.
+    """The crashes and the ban of a suspect.
 
     :ivar crashes: by instance.
     :ivar ban_ms: duration of the next ban.
     """
 
-    part: SharedPart
+    suspect: Suspect
     crashes: dict[str, Crash] = field(factory=dict)
     banned_until_ms: float = 0.0
     ban_ms: float = INITIAL_BAN_MS
 
 
 def count_causes(crashes: Iterable[Crash]) -> int:
-    """Return the number of separate causes: crashes at nearly the same time count as one."""
-    times = sorted(crash.at_ms for crash in crashes)
-    merged = sum(later - earlier < SAME_CAUSE_MS for earlier, later in itertools.pairwise(times))
-    return len(times) - merged
+    """Return the number of separate causes.
+
+    Crashes at nearly the same time count as one, unless the later server was up after the earlier
+    crash.
+    """
+    ordered = sorted(crashes, key=lambda crash: crash.at_ms)
+    merged = sum(_have_one_cause(*pair) for pair in itertools.pairwise(ordered))
+    return len(ordered) - merged
+
+
+def _have_one_cause(earlier: Crash, later: Crash) -> bool:
+    if later.up_at_ms is not None and later.up_at_ms > earlier.at_ms:
+        return False
+    return later.at_ms - earlier.at_ms < SAME_CAUSE_MS
 
 
 class PromptSuspicions:
-    """Suspected parts, and parts that were recently answered completely."""
+    """Suspects, and those that were recently answered completely."""
+
+    def __init__(self, is_heard_since: Callable[[str, float], bool] | None = None) -> None:
+        """Create an empty set.
 
-    def __init__(self) -> None:
+        :param is_heard_since: whether a server instance has sent data after a time.
+        """
+        self._is_heard_since = is_heard_since or (lambda instance, at_ms: False)
         self._suspected: OrderedDict[str, Suspicion] = OrderedDict()
         self._last_answered_ms: OrderedDict[str, float] = OrderedDict()
 
-    def record_crash(self, part: SharedPart, crash: Crash, now_ms: float) -> bool:
-        """Record a crash under a part; returns whether the crash is new.
+    def record_crash(self, suspect: Suspect, crash: Crash, now_ms: float) -> bool:
+        """Record a crash under a suspect; returns whether the crash is new.
 
-        A part that was recently answered completely is not suspected.
+        A part that was recently answered completely is not suspected. A whole request may begin to
+        crash servers at any time, and is soon answered again if it does not.
         """
         self._evict_expired(now_ms)
-        if self.was_answered_recently(part.identity, now_ms):
+        if not suspect.is_whole_request and self.was_answered_recently(suspect.identity, now_ms):
             return False
-        suspicion = self._suspected.setdefault(part.identity, Suspicion(part))
+        suspicion = self._suspected.setdefault(suspect.identity, Suspicion(suspect))
         if crash.instance in suspicion.crashes:
             return False
         suspicion.crashes[crash.instance] = crash
-        self._suspected.move_to_end(part.identity)
+        self._suspected.move_to_end(suspect.identity)
         while len(self._suspected) > MAX_SUSPECTED:
             self._suspected.popitem(last=False)
         return True
 
-    def ban_suspects(self, now_ms: float) -> tuple[SharedPart, ...]:
-        """Ban the parts with enough unexplained crashes; returns the newly banned ones."""
+    def ban_suspects(self, now_ms: float) -> tuple[Suspect, ...]:
+        """Ban the suspects with enough unexplained crashes; returns the newly banned ones."""
         banned = []
         for suspicion in self._suspected.values():
-            if now_ms < suspicion.banned_until_ms or self._ban_surplus(suspicion) < 1:
+            if now_ms < suspicion.banned_until_ms or not self._is_guilty(suspicion):
                 continue
             last_ms = max(crash.at_ms for crash in suspicion.crashes.values())
             if last_ms < suspicion.banned_until_ms:
                 continue
             suspicion.banned_until_ms = now_ms + suspicion.ban_ms
             suspicion.ban_ms = min(2 * suspicion.ban_ms, MAX_BAN_MS)
-            banned.append(suspicion.part)
+            banned.append(suspicion.suspect)
         return tuple(banned)
 
-    def _ban_surplus(self, suspicion: Suspicion) -> int:
-        """Return 1 or more when the causes left by more specific parts suffice for a ban."""
+    def _is_guilty(self, suspicion: Suspicion) -> bool:
+        """Whether the crashes that more specific suspects leave unexplained suffice for a ban."""
+        crashes = self._crashes_of(suspicion)
+        if suspicion.suspect.is_whole_request:
+            return count_causes(crashes.values()) >= BAN_CAUSES
         explained: set[str] = set()
+        by_request: set[str] = set()
         for other in self._suspected.values():
-            more_specific = other.part.position > suspicion.part.position
-            if more_specific and count_causes(other.crashes.values()) >= NO_RETRY_CAUSES:
+            if other.suspect.position <= suspicion.suspect.position:
+                continue
+            if self._count_causes(other) < NO_RETRY_CAUSES:
+                continue
+            if other.suspect.is_whole_request:
+                by_request = max(by_request, other.crashes.keys() & crashes.keys(), key=len)
+            else:
                 explained |= other.crashes.keys()
-        unexplained = (c for instance, c in suspicion.crashes.items() if instance not in explained)
-        return count_causes(unexplained) - BAN_CAUSES + 1
+        unexplained = [c for instance, c in crashes.items() if instance not in explained]
+        if count_causes(unexplained) < BAN_CAUSES:
+            return False
+        # One request may crash servers by itself; several that share the part accuse the part.
+        others = [crash for crash in unexplained if crash.instance not in by_request]
+        return not by_request or count_causes(others) >= NO_RETRY_CAUSES
+
+    def _crashes_of(self, suspicion: Suspicion) -> dict[str, Crash]:
+        """Return the crashes by instance, without those of servers that have not ended."""
+        return {
+            instance: crash
+            for instance, crash in suspicion.crashes.items()
+            if not self._is_heard_since(instance, crash.at_ms + SURVIVED_AFTER_MS)
+        }
 
     def record_answered(self, identities: Iterable[str], now_ms: float) -> tuple[str, ...]:
         """Record parts that were answered completely; returns those that were suspected."""
@@ -131,17 +184,33 @@
         """Whether a part was recently answered completely."""
         return now_ms - self._last_answered_ms.get(identity, float("-inf")) < ANSWERED_VALID_MS
 
-    def suspected(self) -> list[Suspicion]:
-        """Return all suspected parts, with their crashes."""
-        return list(self._suspected.values())
+    def find(self, identity: str) -> Suspicion | None:
+        """Return the suspicion of a part or request; None if there is none."""
+        return self._suspected.get(identity)
+
+    def replicated(self) -> list[Suspicion]:
+        """Return the suspicions that every daemon should have, with their crashes.
+
+        Most requests that were interrupted once are innocent and not repeated.
+        """
+        return [
+            each
+            for each in self._suspected.values()
+            if not each.suspect.is_whole_request or len(each.crashes) >= NO_RETRY_CAUSES
+        ]
 
     def may_retry(self, identities: Iterable[str]) -> bool:
-        """Whether a request with these parts that was interrupted may be retried."""
-        return all(self._count_causes(identity) < NO_RETRY_CAUSES for identity in identities)
+        """Whether a request with these shared parts that was interrupted may be retried."""
+        suspicions = (self._suspected.get(identity) for identity in identities)
+        return all(
+            each is None
+            or each.suspect.is_whole_request
+            or self._count_causes(each) < NO_RETRY_CAUSES
+            for each in suspicions
+        )
 
-    def _count_causes(self, identity: str) -> int:
-        suspicion = self._suspected.get(identity)
-        return count_causes(suspicion.crashes.values()) if suspicion else 0
+    def _count_causes(self, suspicion: Suspicion) -> int:
+        return count_causes(self._crashes_of(suspicion).values())
 
     def banned_for_ms(self, identities: Iterable[str], now_ms: float) -> float:
         """Return how long requests with any of the parts remain banned; 0 when none is."""
@@ -150,8 +219,10 @@
         return max(0.0, max(until, default=0.0) - now_ms)
 
     def _evict_expired(self, now_ms: float) -> None:
-        """Evict parts whose last crash is long ago and whose ban has expired."""
+        """Evict suspects whose last crash is long ago and whose ban has expired."""
         for identity, suspicion in list(self._suspected.items()):
             last_ms = max(crash.at_ms for crash in suspicion.crashes.values())
-            if max(last_ms + FORGET_AFTER_MS, suspicion.banned_until_ms) < now_ms:
+            is_single = suspicion.suspect.is_whole_request and len(suspicion.crashes) == 1
+            valid_ms = FORGET_REQUEST_AFTER_MS if is_single else FORGET_AFTER_MS
+            if max(last_ms + valid_ms, suspicion.banned_until_ms) < now_ms:
                 del self._suspected[identity]
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from loomwind.serving.handler import RequestHandler
 
-# The prompt is suspected of a crash only when the server sent fewer events than this.
+# A part of the prompt is suspected of a crash only when the server sent fewer events than this.
 EARLY_CRASH_EVENTS = 16
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -81,8 +81,9 @@
         entry = attempt.entry
         caller = self._outgoing.caller
         self._progress.record_failure(failure.may_have_run)
-        if failure.broken and self._stream.events - attempt.events_before < EARLY_CRASH_EVENTS:
-            self._handler.prompts.record_crash(caller, entry.instance)
+        if failure.broken and not self._handler.pool.is_leaving(entry):
+            is_early = self._stream.events - attempt.events_before < EARLY_CRASH_EVENTS
+            self._handler.prompts.record_crash(caller, entry.instance, attempt.up_ms(), is_early)
         self._selector.tried.add(entry.instance)
         self._handler.pool.record_failure(entry, caller.target, failure, self._handler.now())
         if failure.rejected:
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -29,7 +29,7 @@
 from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.place_wait import PlaceWait
 from loomwind.serving.relay_protocol import RelayMetadata, with_software_version
-from loomwind.serving.request_attempts import RequestAttempts
+from loomwind.serving.request_attempts import SERVER_ERROR_STATUSES, RequestAttempts
 from loomwind.serving.request_log import RequestLog, RequestProgress
 from loomwind.serving.retry_policy import RetryPolicy
 from loomwind.serving.server_attempt import Answer, Attempt
@@ -206,14 +206,14 @@
                 return
 
     def _raise_if_banned(self) -> None:
-        """Reject a request whose prompt has a banned part.
+        """Reject a request that is banned, or whose prompt has a banned part.
 
-        :raises Refused: a part of the prompt has crashed several servers.
+        :raises Refused: it, or a part of its prompt, has crashed several servers.
         :raises StreamTruncated: the same, and the response has begun.
         """
         banned_ms = self._handler.prompts.banned_for_ms(self._caller)
         if banned_ms > 0:
-            reason = "a part of the prompt has ended several servers"
+            reason = "the request, or a part of its prompt, has ended several servers"
             raise self._errors.failure(reason, banned_ms / MS_PER_SECOND)
 
     # Waiting for a server.
@@ -359,7 +359,8 @@
             )
         attempt.is_read = True
         await self._stream.relay(entry, answer.response, attempt.health)
-        self._handler.prompts.record_answered(self._caller)
+        is_by_one_server = attempt.events_before == 0 and self._caller.last_event_id is None
+        self._handler.prompts.record_answered(self._caller, is_by_one_server)
         self._handler.forwarder.release(answer.response.connection)
 
     async def _read_stream(self, entry: ServerEntry, read: Callable[[], Awaitable[bytes]]) -> bytes:
@@ -378,6 +379,8 @@
         if failure is not None and (self._exchange.started or may_repeat):
             raise failure
         head = answer.response.head
+        if head.status not in SERVER_ERROR_STATUSES:
+            self._handler.prompts.record_answered(self._caller, is_by_one_server=True)
         await self._exchange.respond(
             head.status, self._handler.dialect.response_headers(head), body
         )
--- a/loomwind/serving/retry_policy.py
+++ b/loomwind/serving/retry_policy.py
@@ -59,7 +59,7 @@
     def move_obstacle(self) -> str | None:
         """Return why a request that a server has may not be sent to another one too."""
         if self._handler.prompts.banned_for_ms(self._caller) > 0:
-            return "a part of its prompt is banned"
+            return "it, or a part of its prompt, is banned"
         obstacle = self._obstacle(may_have_run=True, runs=self._progress.runs + 1)
         if obstacle is None and not self._budget.has_room(self._handler.now()):
             obstacle = BUDGET_EXHAUSTED
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -35,6 +35,7 @@
 
     :ivar events_before: the number of events that the request's stream had before.
     :ivar answering: brings the beginning of the response; None before the request is sent.
+    :ivar connected_at: loop time at which a new connection was begun for it; None for a kept one.
     :ivar is_read: whether somebody reads the rest of the response, and closes the connection.
     """
 
@@ -43,8 +44,15 @@
         self.health = health
         self.events_before = events_before
         self.answering: asyncio.Task[Answer] | None = None
+        self.connected_at: float | None = None
         self.is_read = False
 
+    def up_ms(self) -> float:
+        """Return the time since a new connection to the server was begun; 0 for a kept one."""
+        if self.connected_at is None:
+            return 0.0
+        return (asyncio.get_running_loop().time() - self.connected_at) * MS_PER_SECOND
+
     @abstractmethod
     async def connect(self) -> None:
         """Connect to the server.
@@ -116,8 +124,12 @@
                 raise SendFailed(detail, may_have_run=False, at_fault=False, no_permit=True)
             self._permitted_at = self._handler.now()
         forwarder = self._handler.forwarder
-        connect = forwarder.connect_anew if self._is_replacement else forwarder.connect
-        self._connection = await connect(self.entry)
+        # A new connection shows that the server is up, so that its crash is one of its own.
+        if self._is_replacement or self._handler.prompts.is_suspected(self._outgoing.caller):
+            self.connected_at = self._handler.now()
+            self._connection = await forwarder.connect_anew(self.entry)
+        else:
+            self._connection = await forwarder.connect(self.entry)
 
     def send(self, last_event_id: str | None) -> asyncio.Task[Answer]:
         """Send the request to the connected server."""
