--- a/features/support/overload.py
+++ b/features/support/overload.py
@@ -90,20 +90,24 @@
     def set_faults(self, max_rejections: int = 0, **faults: object) -> None:
         """Limit the servers' places; with ``max_rejections`` they also fall over."""
         for name in self.names:
-            self.site.servers[name].fault(
-                places=PLACES,
-                max_rejections=max_rejections,
-                event_seconds=STREAM_SECONDS / EVENTS,
-                back_after_seconds=BACK_AFTER_SECONDS,
-                **faults,
-            )
+            self.set_faults_of(name, max_rejections, **faults)
+
+    def set_faults_of(self, name: str, max_rejections: int, **faults: object) -> None:
+        """Limit the places of one server."""
+        self.site.servers[name].fault(
+            places=PLACES,
+            max_rejections=max_rejections,
+            event_seconds=STREAM_SECONDS / EVENTS,
+            back_after_seconds=BACK_AFTER_SECONDS,
+            **faults,
+        )
 
     def play(self, load: float, seconds: float) -> Load:
         """Offer a multiple of what the servers hold to all daemons in turn."""
         rate_per_s = len(self.names) * PLACES / STREAM_SECONDS
         states = self._states()
         begun_at_s = time.time()
-        outcomes = send_at_rate(self._requests(), load * rate_per_s, seconds, self.seed)
+        outcomes = send_at_rate(self.requests(), load * rate_per_s, seconds, self.seed)
         later = self._states()
         falls = sum(
             len(later[name]["fall_times_s"]) - len(states[name]["fall_times_s"]) for name in later
@@ -133,7 +137,8 @@
                     seconds.append(fields["at_s"] - begun[fields["request_id"]])
         return sum(seconds) / len(seconds) if seconds else STREAM_SECONDS
 
-    def _requests(self) -> list[Request]:
+    def requests(self) -> list[Request]:
+        """Return a request to each daemon."""
         return [
             self.site.request(daemon, "draft", MODEL, EVENTS, DEADLINE_SECONDS)
             for daemon in self.site.daemons.values()
