Keep the numbers of grants rising, and the requests of a server whose slots change, in a ledger

A daemon that had granted itself permits while no owner answered knew a higher number than its owner's next grant, and took that for one that was overtaken: it would have got no permit until the owner had counted up. A server whose number of slots changed got a new, empty ledger, which grants places that are taken. Both were found by reading; both scenarios failed before (number 1 where one above 7 was due; 1 granted where none was free).

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -36,6 +36,19 @@
     And 360 ms pass
     Then daemon two is granted 0
 
+  Scenario: a daemon that got permits from another owner meanwhile takes the next grant for a new one
+    Given a ledger for a server of 2 slots
+    When daemon one wants 1 more
+    And daemon one has noticed 7 grants and wants 1 more
+    Then the last grant has a number above 7
+
+  Scenario: a server whose number of slots changes keeps its requests in the ledger
+    Given a ledger for a server of 4 slots
+    When daemon one states 4 requests
+    And the server has 2 slots
+    And daemon two wants 1 more
+    Then daemon two is granted 0
+
   Scenario: a daemon that says nothing any more loses its permits
     Given a ledger for a server of 2 slots
     When daemon one states 2 requests and daemon two wants 1 more
--- a/features/steps/permit_steps.py
+++ b/features/steps/permit_steps.py
@@ -47,15 +47,19 @@
     now_ms: float = 0.0
     number: int = 0
     granted: dict[str, int] = field(factory=dict)
+    last_number: int = 0
 
-    def state(self, daemon: str, held: int, wanted: int = 0, rejected: int = 0) -> None:
+    def state(
+        self, daemon: str, held: int, wanted: int = 0, rejected: int = 0, noticed: int = 0
+    ) -> None:
         """Record a statement, and what is granted after it."""
         self.number += 1
         statement = _statement(
             self.number,
             held,
             wanted,
-            rejected=rejected,
+            noticed,
+            rejected,
             slots=self.slots,
             is_settled=self.is_taken_over,
         )
@@ -65,6 +69,7 @@
     def grant(self) -> None:
         """Grant what is free."""
         for holder, grant in self.ledger.grant(INSTANCE, DAEMONS, self.now_ms).items():
+            self.last_number = grant.number
             self.granted[holder.address] = self.granted.get(holder.address, 0) + grant.count
 
 
@@ -78,33 +83,48 @@
     context.rig = LedgerRig(slots, is_taken_over=True)
 
 
-@when("daemon {name} states {held:d} requests and daemon {other} wants {wanted:d} more")
+@when("daemon {name:w} states {held:d} requests and daemon {other:w} wants {wanted:d} more")
 def step_state_both(context: Any, name: str, held: int, other: str, wanted: int) -> None:
     context.rig.state(name, held)
     context.rig.state(other, 0, wanted)
 
 
-@when("daemon {name} states {held:d} requests")
+@when("daemon {name:w} states {held:d} requests")
 def step_state(context: Any, name: str, held: int) -> None:
     context.rig.state(name, held)
 
 
-@when("daemon {name} states {held:d} requests and {rejected:d} rejections")
+@when("daemon {name:w} states {held:d} requests and {rejected:d} rejections")
 def step_rejections(context: Any, name: str, held: int, rejected: int) -> None:
     context.rig.state(name, held, rejected=rejected)
 
 
-@when("daemon {name} wants {wanted:d} more")
+@when("daemon {name:w} wants {wanted:d} more")
 def step_want(context: Any, name: str, wanted: int) -> None:
     context.rig.state(name, 0, wanted)
 
 
+@when("daemon {name:w} has noticed {noticed:d} grants and wants {wanted:d} more")
+def step_noticed(context: Any, name: str, noticed: int, wanted: int) -> None:
+    context.rig.state(name, 0, wanted, noticed=noticed)
+
+
+@when("the server has {slots:d} slots")
+def step_slots(context: Any, slots: int) -> None:
+    context.rig.slots = slots
+
+
+@then("the last grant has a number above {number:d}")
+def step_number(context: Any, number: int) -> None:
+    assert context.rig.last_number > number, context.rig.last_number
+
+
 @when("{duration:d} ms pass")
 def step_pass(context: Any, duration: int) -> None:
     context.rig.now_ms += duration
 
 
-@then("daemon {name} is granted {count:d}")
+@then("daemon {name:w} is granted {count:d}")
 def step_granted(context: Any, name: str, count: int) -> None:
     context.rig.grant()
     granted = context.rig.granted.pop(name, 0)
--- a/loomwind/serving/permit_ledger.py
+++ b/loomwind/serving/permit_ledger.py
@@ -205,6 +205,7 @@
             holding.number = statement.number
             holding.held, holding.wanted = statement.held, statement.wanted
             holding.expires_ms = expires_ms
+            holding.grants = max(holding.grants, statement.noticed)
             holding.unnoticed = [g for g in holding.unnoticed if g.number > statement.noticed]
         if statement.rejected:
             server.record_rejections(statement.rejected, now_ms)
@@ -260,7 +261,7 @@
         self, statement: PermitStatement, interval_scale: float, now_ms: float
     ) -> _ServerPermits:
         server = self._servers.get(statement.instance)
-        if server is None or server.slots != statement.slots:
+        if server is None:
             warm_up_ms = WARM_UP_MS * interval_scale if statement.is_settled else 0.0
             slots = statement.slots
             server = _ServerPermits(
@@ -268,6 +269,9 @@
             )
             self._servers[statement.instance] = server
         server.max_rejections = statement.max_rejections
+        if server.slots != statement.slots:
+            server.slots = statement.slots
+            server.limit = min(server.limit, server.slots)
         return server
 
     def retain_only(self, instances: set[str], now_ms: float) -> None:
