Judge crashes under requests in linear work, and tell of them in one message

Since requests are suspects, a server that ends under many of them made each daemon look at every pair of up to 1,024 suspects for each message: processor time for seconds. Only suspects that gained a crash are judged now, against those that share a server with them; expired ones are looked for once a second. The scenario (1,000 requests, two crashes) did not end in 100 s before.

Each interrupted request had its own gossip, forwarded by each daemon; observations of 20 ms go in one message, with ages as of its sending.

--- a/features/prompt_suspicion.feature
+++ b/features/prompt_suspicion.feature
@@ -73,6 +73,10 @@
     And servers crash at 900 and 1300 ms under route and session and the request one
     Then the request one is not banned
 
+  Scenario: a server that ends under many requests costs a look at each, not at each pair
+    When a server crashes under 1000 requests that share route and session, and another one again
+    Then servers were looked up at most 20000 times
+
   Scenario: a connection that broke while its server goes on is no crash
     When servers crash at 0 and 400 ms under route and session and the request one
     And the last of them is heard at 800 ms
--- a/features/steps/prompt_suspicion_steps.py
+++ b/features/steps/prompt_suspicion_steps.py
@@ -16,9 +16,13 @@
 @given("prompts with the shared parts route and session, and a unique last part")
 def step_parts(context: Any) -> None:
     context.heard = {}
-    context.suspicions = PromptSuspicions(
-        lambda instance, at_ms: context.heard.get(instance, -1.0) > at_ms
-    )
+    context.look_ups = 0
+
+    def is_heard_since(instance: str, at_ms: float) -> bool:
+        context.look_ups += 1
+        return bool(context.heard.get(instance, -1.0) > at_ms)
+
+    context.suspicions = PromptSuspicions(is_heard_since)
     context.instances = (f"i-{number}" for number in itertools.count())
     context.now_ms = 0.0
 
@@ -112,6 +116,26 @@
     assert context.suspicions.banned_for_ms((name,), context.now_ms) == 0
 
 
+@when(
+    "a server crashes under {count:d} requests that share {first:w} and {second:w}, "
+    "and another one again"
+)
+def step_many_requests(context: Any, count: int, first: str, second: str) -> None:
+    """Record what daemons report of two crashes, one request after the other."""
+    for at_ms in (0.0, 400.0):
+        crash = Crash(next(context.instances), at_ms)
+        for number in range(count):
+            request = Suspect(f"request-{number}", WHOLE_REQUEST_POSITION)
+            for suspect in (Suspect(first, 0), Suspect(second, 1), request):
+                context.suspicions.record_crash(suspect, crash, at_ms)
+            context.suspicions.ban_suspects(at_ms)
+
+
+@then("servers were looked up at most {count:d} times")
+def step_look_ups(context: Any, count: int) -> None:
+    assert context.look_ups <= count, context.look_ups
+
+
 @when("the last of them is heard at {at_ms:d} ms")
 def step_heard(context: Any, at_ms: int) -> None:
     context.heard[context.crashed[-1].instance] = float(at_ms)
--- a/loomwind/serving/admission.py
+++ b/loomwind/serving/admission.py
@@ -100,11 +100,14 @@
         return self._limits.limit_of(entry, self._clock.now_ms()) is not None
 
     def is_full(self, entry: ServerEntry) -> bool:
-        """Whether a server that needs permits had none free a moment ago."""
+        """Whether a server that needs permits had none free a moment ago.
+
+        While requests of this daemon wait for it, its owner tells when it has.
+        """
         server = self._servers.get(entry.instance)
         if server is None or not self.is_limited(entry):
             return False
-        return self._clock.now_ms() < server.full_until_ms
+        return server.wanted > 0 or self._clock.now_ms() < server.full_until_ms
 
     # Requests.
 
--- a/loomwind/serving/prompt_guard.py
+++ b/loomwind/serving/prompt_guard.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable, Iterable
 
 import xxhash
+from attrs import frozen
 
-from loomwind.clock import Clock
+from loomwind.clock import MS_PER_SECOND, Clock
 from loomwind.logs import log_state
 from loomwind.messages.serving import PromptCrash, PromptCrashes, PromptsAnswered
 from loomwind.peering.transport import PeerTransport
@@ -24,6 +25,37 @@
 )
 from loomwind.serving.views import CallerRequest
 
+# A crash interrupts many requests at once, which are told of in one message.
+GOSSIP_DELAY_MS = 20.0
+
+
+@frozen
+class _Observation:
+    """A crash under a suspect, in times of this daemon's clock."""
+
+    suspect: Suspect
+    crash: Crash
+
+    @classmethod
+    def read(cls, message: PromptCrash, now_ms: float) -> "_Observation":
+        """Return what a message tells."""
+        at_ms = now_ms - message.age_ms
+        up_at_ms = at_ms - message.up_ms if message.up_ms > 0 else None
+        suspect = Suspect(message.identity, message.position)
+        return cls(suspect, Crash(message.instance, at_ms, up_at_ms))
+
+    def describe(self, now_ms: float) -> PromptCrash:
+        """Return the message that tells of it."""
+        crash = self.crash
+        up_ms = 0.0 if crash.up_at_ms is None else crash.at_ms - crash.up_at_ms
+        return PromptCrash(
+            self.suspect.identity,
+            self.suspect.position,
+            crash.instance,
+            now_ms - crash.at_ms,
+            up_ms,
+        )
+
 
 class PromptGuard:
     """Collects and shares observations of requests that crash servers.
@@ -47,6 +79,9 @@
         self._transport = transport
         self._peers = peers
         self._suspicions = PromptSuspicions(is_heard_since)
+        self._unsent_crashes: list[_Observation] = []
+        self._unsent_answered: set[str] = set()
+        self._gossip_timer: asyncio.TimerHandle | None = None
         self._changed_bans: set[str] = set()
         self.bans_changed = asyncio.Event()
         self._clock = Clock()
@@ -153,7 +188,7 @@
         return PromptCrashes(
             self._own_address,
             tuple(
-                _describe(each.suspect, crash, now_ms)
+                _Observation(each.suspect, crash).describe(now_ms)
                 for each in self._suspicions.replicated()
                 for crash in each.crashes.values()
             ),
@@ -164,49 +199,59 @@
     def _add_crashes(self, crashes: Iterable[PromptCrash]) -> list[str]:
         """Record crashes; returns what is banned because of them."""
         now_ms = self._clock.now_ms()
-        new_crashes = tuple(crash for crash in crashes if self._add_crash(crash, now_ms))
-        if not new_crashes:
+        observations = [_Observation.read(crash, now_ms) for crash in crashes]
+        new = [
+            each
+            for each in observations
+            if self._suspicions.record_crash(each.suspect, each.crash, now_ms)
+        ]
+        if not new:
             return []
-        self._gossip(PromptCrashes(self._own_address, new_crashes))
+        self._unsent_crashes += new
+        self._schedule_gossip()
         banned = self._suspicions.ban_suspects(now_ms)
         for part in banned:
             log_state("prompt", "banned", part=part.identity, position=part.position)
         log_state(
             "prompt",
             "suspected",
-            crashes=[f"{each.identity} {each.instance}" for each in new_crashes],
+            crashes=[f"{each.suspect.identity} {each.crash.instance}" for each in new],
         )
         return [suspect.identity for suspect in banned]
 
-    def _add_crash(self, crash: PromptCrash, now_ms: float) -> bool:
-        suspect = Suspect(crash.identity, crash.position)
-        at_ms = now_ms - crash.age_ms
-        up_at_ms = at_ms - crash.up_ms if crash.up_ms > 0 else None
-        return self._suspicions.record_crash(
-            suspect, Crash(crash.instance, at_ms, up_at_ms), now_ms
-        )
-
     def _add_answered(self, identities: tuple[str, ...]) -> tuple[str, ...]:
         """Record what was answered; returns what was suspected."""
         cleared = self._suspicions.record_answered(identities, self._clock.now_ms())
         if cleared:
-            self._gossip(PromptsAnswered(cleared))
+            self._unsent_answered.update(cleared)
+            self._schedule_gossip()
             log_state("prompt", "cleared", parts=cleared)
         return cleared
 
+    def _schedule_gossip(self) -> None:
+        if self._gossip_timer is None:
+            delay_seconds = GOSSIP_DELAY_MS / MS_PER_SECOND
+            loop = asyncio.get_running_loop()
+            self._gossip_timer = loop.call_later(delay_seconds, self._send_unsent)
+
+    def _send_unsent(self) -> None:
+        """Send what was observed lately; crashes first, which an answer may clear."""
+        self._gossip_timer = None
+        now_ms = self._clock.now_ms()
+        crashes = tuple(each.describe(now_ms) for each in self._unsent_crashes)
+        answered = tuple(self._unsent_answered)
+        self._unsent_crashes.clear()
+        self._unsent_answered.clear()
+        if crashes:
+            self._gossip(PromptCrashes(self._own_address, crashes))
+        if answered:
+            self._gossip(PromptsAnswered(answered))
+
     def _gossip(self, message: PromptCrashes | PromptsAnswered) -> None:
         for peer in self._peers.gossip_targets():
             self._transport.send(peer.address, message)
 
 
-def _describe(suspect: Suspect, crash: Crash, now_ms: float) -> PromptCrash:
-    """Return a crash as peers are told of it."""
-    up_ms = 0.0 if crash.up_at_ms is None else crash.at_ms - crash.up_at_ms
-    return PromptCrash(
-        suspect.identity, suspect.position, crash.instance, now_ms - crash.at_ms, up_ms
-    )
-
-
 def _identities(caller: CallerRequest) -> tuple[str, ...]:
     """Return the identities of a request: its shared parts, and itself."""
     return (*_shared_parts(caller), _request_identity(caller))
--- a/loomwind/serving/prompt_suspicion.py
+++ b/loomwind/serving/prompt_suspicion.py
@@ -8,7 +8,7 @@
 """
 
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
@@ -25,6 +25,7 @@
 FORGET_REQUEST_AFTER_MS = 60_000.0
 # A server that sends data so long after a connection to it broke has not ended.
 SURVIVED_AFTER_MS = 300.0
+EVICTION_INTERVAL_MS = 1000.0
 MAX_SUSPECTED = 1024
 MAX_ANSWERED = 8192
 
@@ -123,6 +124,10 @@
         """
         self._is_heard_since = is_heard_since or (lambda instance, at_ms: False)
         self._suspected: OrderedDict[str, Suspicion] = OrderedDict()
+        # Those that gained a crash since they were last judged.
+        self._unjudged: set[str] = set()
+        self._by_instance: defaultdict[str, set[str]] = defaultdict(set)
+        self._evicted_ms = float("-inf")
         self._last_answered_ms: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(self, suspect: Suspect, crash: Crash, now_ms: float) -> bool:
@@ -138,15 +143,19 @@
         if crash.instance in suspicion.crashes:
             return False
         suspicion.crashes[crash.instance] = crash
+        self._by_instance[crash.instance].add(suspect.identity)
+        self._unjudged.add(suspect.identity)
         self._suspected.move_to_end(suspect.identity)
         while len(self._suspected) > MAX_SUSPECTED:
-            self._suspected.popitem(last=False)
+            self.forget(next(iter(self._suspected)))
         return True
 
     def ban_suspects(self, now_ms: float) -> tuple[Suspect, ...]:
         """Ban the suspects with enough unexplained crashes; returns the newly banned ones."""
         banned = []
-        for suspicion in self._suspected.values():
+        unjudged = [self._suspected[each] for each in self._unjudged if each in self._suspected]
+        self._unjudged.clear()
+        for suspicion in unjudged:
             if now_ms < suspicion.banned_until_ms or not self._is_guilty(suspicion):
                 continue
             if suspicion.last_crash_ms < suspicion.banned_until_ms:
@@ -162,9 +171,12 @@
         crashes = self._crashes_of(suspicion)
         if suspicion.suspect.is_whole_request:
             return count_causes(crashes.values()) >= BAN_CAUSES
+        if count_causes(crashes.values()) < BAN_CAUSES:
+            return False
         explained: set[str] = set()
         by_request: set[str] = set()
-        for other in self._suspected.values():
+        others = set().union(*(self._by_instance[instance] for instance in crashes))
+        for other in (self._suspected[identity] for identity in others):
             if other.suspect.position <= suspicion.suspect.position:
                 continue
             if self._count_causes(other) < NO_RETRY_CAUSES:
@@ -177,8 +189,8 @@
         if count_causes(unexplained) < BAN_CAUSES:
             return False
         # One request may crash servers by itself; several that share the part accuse the part.
-        others = [crash for crash in unexplained if crash.instance not in by_request]
-        return not by_request or count_causes(others) >= NO_RETRY_CAUSES
+        rest = [crash for crash in unexplained if crash.instance not in by_request]
+        return not by_request or count_causes(rest) >= NO_RETRY_CAUSES
 
     def _crashes_of(self, suspicion: Suspicion) -> dict[str, Crash]:
         """Return the crashes by instance, without those of servers that have not ended."""
@@ -194,7 +206,7 @@
         for identity in identities:
             self._last_answered_ms[identity] = now_ms
             self._last_answered_ms.move_to_end(identity)
-            if self._suspected.pop(identity, None) is not None:
+            if self.forget(identity):
                 cleared.append(identity)
         while len(self._last_answered_ms) > MAX_ANSWERED:
             self._last_answered_ms.popitem(last=False)
@@ -222,7 +234,14 @@
 
     def forget(self, identity: str) -> bool:
         """Drop a suspicion; returns whether there was one."""
-        return self._suspected.pop(identity, None) is not None
+        suspicion = self._suspected.pop(identity, None)
+        if suspicion is None:
+            return False
+        for instance in suspicion.crashes:
+            self._by_instance[instance].discard(identity)
+            if not self._by_instance[instance]:
+                del self._by_instance[instance]
+        return True
 
     def find(self, identity: str) -> Suspicion | None:
         """Return the suspicion of a part or request; None if there is none."""
@@ -260,8 +279,11 @@
 
     def _evict_expired(self, now_ms: float) -> None:
         """Evict suspects whose last crash is long ago and whose ban has expired."""
+        if now_ms - self._evicted_ms < EVICTION_INTERVAL_MS:
+            return
+        self._evicted_ms = now_ms
         for identity, suspicion in list(self._suspected.items()):
             is_single = suspicion.suspect.is_whole_request and len(suspicion.crashes) == 1
             valid_ms = FORGET_REQUEST_AFTER_MS if is_single else FORGET_AFTER_MS
             if max(suspicion.last_crash_ms + valid_ms, suspicion.banned_until_ms) < now_ms:
-                del self._suspected[identity]
+                self.forget(identity)
