--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -154,6 +154,7 @@
 
 def _check_served(context: Any, count: int, make: Any) -> None:
     site = pool(context)
+    site.wait_ready()
     for _ in range(count):
         reply = send(make(site, site.daemons[next(context.daemon_turns)]))
         assert reply.status == 200 and reply.is_complete, reply
--- a/loomwind/serving/prompt_guard.py
+++ b/loomwind/serving/prompt_guard.py
@@ -25,7 +25,8 @@
 )
 from loomwind.serving.views import CallerRequest
 
-# A crash interrupts many requests at once, which are told of in one message.
+# A crash interrupts many requests at once, which are told of in one message. Repeated crashes are
+# told of at once.
 GOSSIP_DELAY_MS = 20.0
 
 
@@ -208,7 +209,10 @@
         if not new:
             return []
         self._unsent_crashes += new
-        self._schedule_gossip()
+        if any(self._suspicions.is_repeated(each.suspect.identity) for each in new):
+            self._send_unsent()
+        else:
+            self._schedule_gossip()
         banned = self._suspicions.ban_suspects(now_ms)
         for part in banned:
             log_state("prompt", "banned", part=part.identity, position=part.position)
@@ -236,6 +240,8 @@
 
     def _send_unsent(self) -> None:
         """Send what was observed lately; crashes first, which an answer may clear."""
+        if self._gossip_timer is not None:
+            self._gossip_timer.cancel()
         self._gossip_timer = None
         now_ms = self._clock.now_ms()
         crashes = tuple(each.describe(now_ms) for each in self._unsent_crashes)
--- a/loomwind/serving/prompt_suspicion.py
+++ b/loomwind/serving/prompt_suspicion.py
@@ -247,6 +247,11 @@
         """Return the suspicion of a part or request; None if there is none."""
         return self._suspected.get(identity)
 
+    def is_repeated(self, identity: str) -> bool:
+        """Whether several servers crashed under a suspect."""
+        suspicion = self._suspected.get(identity)
+        return suspicion is not None and len(suspicion.crashes) >= NO_RETRY_CAUSES
+
     def replicated(self) -> list[Suspicion]:
         """Return the suspicions that every daemon should have, with their crashes.
 
