Take no crash for a new one that an answer has cleared

Since requests are suspects without the parts' 60 s of trust after an answer, daemons told each other of a cleared crash for ever: one cleared it, another one's news of it came back as new, was told of again and cleared again.

A crash that a suspect's answer has cleared stays cleared, whatever peers tell of it and however inexact its time is by then, and who tells of it is told of the answer. Both scenarios, six guards in virtual time, failed before: 5,075 messages until the test cut them off, and six daemons that went on suspecting a request that had been answered before they heard of its crash.

--- a/features/prompt_suspicion.feature
+++ b/features/prompt_suspicion.feature
@@ -84,3 +84,15 @@
     Then the request one is not banned
     When servers crash at 1300 ms under route and session and the request one
     Then the request one is banned
+
+  Scenario: a crash and an answer that a daemon has seen before it heard of the crash
+    Given 6 daemons that tell each other of crashes and answers
+    When a server crashes under the request one at the first daemon, and the second one answers it after 5 ms
+    Then the daemons fall silent after at most 200 messages
+    And no daemon suspects the request one
+
+  Scenario: a crash that an answer has cleared is not taken for a new one when peers tell of it
+    Given 6 daemons that tell each other of crashes and answers
+    When a server crashes under the request one at the first daemon, and the second one answers it after 25 ms
+    Then the daemons fall silent after at most 200 messages
+    And no daemon suspects the request one
--- a/loomwind/serving/prompt_guard.py
+++ b/loomwind/serving/prompt_guard.py
@@ -156,18 +156,16 @@
     # Messages from peers.
 
     def on_crashes(self, message: PromptCrashes) -> None:
-        """Add crashes that a peer reports; reply with those parts that were answered recently."""
+        """Add crashes that a peer reports; reply with those suspects that an answer has cleared."""
         now_ms = self._clock.now_ms()
-        identities = {
-            crash.identity for crash in message.crashes if crash.position != WHOLE_REQUEST_POSITION
+        observations = [_Observation.read(crash, now_ms) for crash in message.crashes]
+        cleared = {
+            each.suspect.identity
+            for each in observations
+            if self._suspicions.is_cleared(each.suspect, each.crash, now_ms)
         }
-        answered = tuple(
-            each
-            for each in sorted(identities)
-            if self._suspicions.was_answered_recently(each, now_ms)
-        )
-        if answered:
-            self._transport.send(message.sender, PromptsAnswered(answered))
+        if cleared:
+            self._transport.send(message.sender, PromptsAnswered(tuple(sorted(cleared))))
         self._add_crashes(message.crashes)
 
     def on_answered(self, message: PromptsAnswered) -> None:
--- a/loomwind/serving/prompt_suspicion.py
+++ b/loomwind/serving/prompt_suspicion.py
@@ -128,16 +128,14 @@
         self._unjudged: set[str] = set()
         self._by_instance: defaultdict[str, set[str]] = defaultdict(set)
         self._evicted_ms = float("-inf")
+        # Requests and server instances.
+        self._cleared: OrderedDict[tuple[str, str], None] = OrderedDict()
         self._last_answered_ms: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(self, suspect: Suspect, crash: Crash, now_ms: float) -> bool:
-        """Record a crash under a suspect; returns whether the crash is new.
-
-        A part that was recently answered completely is not suspected. A whole request may begin to
-        crash servers at any time, and is soon answered again if it does not.
-        """
+        """Record a crash under a suspect; returns whether the crash is new and not cleared."""
         self._evict_expired(now_ms)
-        if not suspect.is_whole_request and self.was_answered_recently(suspect.identity, now_ms):
+        if self.is_cleared(suspect, crash, now_ms):
             return False
         suspicion = self._suspected.setdefault(suspect.identity, Suspicion(suspect))
         if crash.instance in suspicion.crashes:
@@ -150,6 +148,18 @@
             self.forget(next(iter(self._suspected)))
         return True
 
+    def is_cleared(self, suspect: Suspect, crash: Crash, now_ms: float) -> bool:
+        """Whether a complete answer shows that a suspect has not caused a crash.
+
+        A part that was recently answered completely is not suspected. A whole request may begin to
+        crash servers at any time; it has to be answered after the crash, or was already for it.
+        """
+        if not suspect.is_whole_request:
+            return self.was_answered_recently(suspect.identity, now_ms)
+        if (suspect.identity, crash.instance) in self._cleared:
+            return True
+        return self._last_answered_ms.get(suspect.identity, float("-inf")) >= crash.at_ms
+
     def ban_suspects(self, now_ms: float) -> tuple[Suspect, ...]:
         """Ban the suspects with enough unexplained crashes; returns the newly banned ones."""
         banned = []
@@ -206,12 +216,22 @@
         for identity in identities:
             self._last_answered_ms[identity] = now_ms
             self._last_answered_ms.move_to_end(identity)
-            if self.forget(identity):
+            suspicion = self._suspected.get(identity)
+            if suspicion is not None:
+                self._remember_cleared(suspicion)
+                self.forget(identity)
                 cleared.append(identity)
         while len(self._last_answered_ms) > MAX_ANSWERED:
             self._last_answered_ms.popitem(last=False)
         return tuple(cleared)
 
+    def _remember_cleared(self, suspicion: Suspicion) -> None:
+        """Keep which crashes were cleared: peers may still tell of them, with inexact times."""
+        for instance in suspicion.crashes:
+            self._cleared[(suspicion.suspect.identity, instance)] = None
+        while len(self._cleared) > MAX_ANSWERED:
+            self._cleared.popitem(last=False)
+
     def was_answered_recently(self, identity: str, now_ms: float) -> bool:
         """Whether a part was recently answered completely."""
         return now_ms - self._last_answered_ms.get(identity, float("-inf")) < ANSWERED_VALID_MS
