Show that streams are cut by a move to a server that fails, while their own only pauses

The stand-in server can fail new streams after a delay, before or after the first byte of their response, while those that run go on: 500, a rejection, a closed or reset connection, silence, a trickle of bytes, a crash.

The log could not tell whether the other server had responded when a stream was moved, nor whether the silent server's connection was still open: hand-over has both now. No logic is changed.

--- a/features/silent_requests.feature
+++ b/features/silent_requests.feature
@@ -38,3 +38,20 @@
       | route | name |
       | drill | one  |
       | look  | shop |
+
+  Scenario Outline: streams of a server that pauses for <pause> s are not cut when another one fails new requests by <failure> after <delay> s
+    Given 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When streams run at server one, server two fails more by <failure> after <delay> s, and server one is suspended for <pause> s
+    Then every stream that ran there is complete
+
+    Examples: the other server
+      | failure | delay | pause |
+      | shed    | 0.1   | 1.7   |
+      | shed    | 0.6   | 1.7   |
+      | errors  | 0.6   | 1.7   |
+      | close   | 0.6   | 1.7   |
+      | reset   | 0.6   | 1.7   |
+      | mute    | 0.6   | 1.7   |
+      | trickle | 0.0   | 1.7   |
+      | crash   | 0.6   | 1.7   |
--- a/features/steps/silent_request_steps.py
+++ b/features/steps/silent_request_steps.py
@@ -48,6 +48,25 @@
     suspend(server, seconds)
 
 
+@when(
+    "streams run at server {name:w}, server {other:w} fails more by {failure} after {delay:f} s, "
+    "and server {same:w} is suspended for {seconds:f} s"
+)
+def step_streams_failed_late(
+    context: Any, name: str, other: str, failure: str, delay: float, same: str, seconds: float
+) -> None:
+    assert name == same
+    server = begin_at(context, ROUTE, name, LONG_STREAM_EVENTS)
+    kind, _, after = failure.partition(" after its ")
+    pool(context).servers[other].fault(
+        late_failure=kind,
+        late_seconds=delay,
+        late_after=after,
+        event_seconds=context.event_seconds,
+    )
+    suspend(server, seconds)
+
+
 @when("streams run at server {name:w}, and it hangs")
 def step_streams_hang(context: Any, name: str) -> None:
     server = begin_at(context, ROUTE, name, LONG_STREAM_EVENTS)
@@ -97,6 +116,11 @@
     check_ran_once(context, replies)
 
 
+@then("every stream that ran there is complete")
+def step_streams_complete(context: Any) -> None:
+    check_streams(silent_replies(context), LONG_STREAM_EVENTS)
+
+
 @then("every stream that ran there is complete, and another server ran it")
 def step_streams_moved(context: Any) -> None:
     check_streams(silent_replies(context), LONG_STREAM_EVENTS)
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -57,6 +57,7 @@
 
 @given("every event of a stream takes {seconds:f} s")
 def step_event_seconds(context: Any, seconds: float) -> None:
+    context.event_seconds = seconds
     for server in pool(context).servers.values():
         server.fault(event_seconds=seconds)
 
--- a/loomwind/serving/hand_over.py
+++ b/loomwind/serving/hand_over.py
@@ -180,6 +180,8 @@
             server=silent.instance,
             to=replacement.entry.instance,
             outcome=outcome.value,
+            responded=_has_responded(replacement),
+            silent_connection=_connection_state(reading),
             silent_ms=round(self._clock.now_ms() - since_ms),
             took_ms=round(self._clock.now_ms() - begun_ms),
         )
@@ -267,6 +269,21 @@
     return reading.done() and reading.exception() is None
 
 
+def _has_responded(attempt: Attempt) -> bool:
+    """Whether a valid response to an attempt has begun."""
+    answering = attempt.answering
+    if answering is None or not answering.done() or answering.cancelled():
+        return False
+    return answering.exception() is None
+
+
+def _connection_state(reading: asyncio.Future[T]) -> str:
+    """Describe the silent server's connection, for the log."""
+    if not reading.done():
+        return "open"
+    return "data" if _has_data(reading) else "failed"
+
+
 def _failure_of(future: asyncio.Future[T]) -> SendFailed | None:
     """Return the failure with which an attempt's step has ended; None if it has not.
 
--- a/standins/pool/faults.py
+++ b/standins/pool/faults.py
@@ -11,6 +11,11 @@
     :param mode: applies to requests: ``errors`` responds with 500, ``mute`` runs the request and
         never responds, ``shed`` rejects it without running it, ``reset`` runs it and closes the
         connection.
+    :param late_failure: how streams fail that come from now on, those that run already go on:
+        ``errors``, ``shed``, ``close`` or ``reset`` of the connection, ``mute``, ``trickle`` of
+        bytes without an event, ``crash``; empty for none.
+    :param late_seconds: time from a stream's arrival, or from what is sent first, to its failure.
+    :param late_after: what is sent before the failure: ``head`` or ``event``; empty for nothing.
     :param refusal_body: body of a ``shed`` response: ``endless``, ``missing`` though announced, or
         ``cut`` by the end of the connection; empty for a response without a body.
     :param surplus: send a second response after each one, which a client could take for the
@@ -39,6 +44,9 @@
     """
 
     mode: str = ""
+    late_failure: str = ""
+    late_seconds: float = 0.0
+    late_after: str = ""
     refusal_body: str = ""
     surplus: bool = False
     cut_after_events: int = 0
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -23,6 +23,7 @@
 from standins.faults import json_response
 from standins.pool.faults import ServerFaults
 from standins.pool.holdings import Holdings, ModelSpec, OrderBody
+from standins.pool.late_failures import fail_late
 from standins.pool.places import Places
 from standins.pool.refusals import refuse
 from standins.pool.run_log import RunLog
@@ -215,6 +216,11 @@
                 self._crash()
             return
         model = (request.header("x-model") or "").partition("/")[0]
+        if model and self.faults.late_failure == "shed":
+            await asyncio.sleep(self.faults.late_seconds)
+            self.places.give_back()
+            await refuse(exchange, 503, (*headers, ("x-not-executed", "1")), self.faults)
+            return
         self._count_running(model, 1)
         try:
             with self.run_log.run(request_id):
@@ -285,6 +291,9 @@
         first = int(request.header("last-event-id") or 0) + 1
         last = int((request.header("x-token-usage") or "1,1").split(",")[1])
         headers = (*headers, ("content-type", "text/event-stream"))
+        if self.faults.late_failure:
+            await fail_late(exchange, headers, self.faults, self._event(first), self._crash)
+            return
         if self.faults.has_no_events:
             start_close_delimited(exchange, headers, self.faults.http_version)
             exchange.abort()
