Report running requests by software version, and log them beside the copies of their models

Neither the leader nor its log could relate running streams to the software versions of the servers that hold their models: an order for a further copy named neither the version nor the streams that it was for. Daemons add their running requests by model and version to the demand report; the leader logs them once a second while several versions serve. No decision uses them yet.

--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -4,7 +4,7 @@
 
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.messages.identity import Message
-from loomwind.serving.demand import RunningCount, TargetDemand
+from loomwind.serving.demand import RunningCount, RunningStreams, TargetDemand
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.permit_ledger import PermitGrant, PermitHolder, PermitStatement
 from loomwind.serving.rejection_limits import ServiceRejectionLimit
@@ -20,6 +20,7 @@
     :param store_answers: whether the daemon reaches the store.
     :param next_report_in_ms: the time until the daemon's next report; longer in a large fleet.
     :param unreachable_services: the services whose servers the daemon cannot connect to.
+    :param streams: the running requests by model and software version.
     """
 
     sender: str
@@ -28,6 +29,7 @@
     store_answers: bool = True
     next_report_in_ms: float = 0.0
     unreachable_services: tuple[str, ...] = ()
+    streams: tuple[RunningStreams, ...] = ()
 
 
 class LeaderQuestion(Message, frozen=True, tag=True, array_like=True):
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -9,12 +9,14 @@
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.messages.serving import PoolDemand
-from loomwind.serving.demand import DECAY_PER_SECOND, DemandKey
+from loomwind.serving.demand import DECAY_PER_SECOND, DemandKey, VersionedModel
 from loomwind.serving.views import ModelKey
 
 # How long a report stays valid after the next one is due: some are lost or late.
 REPORT_GRACE_SECONDS = 1.75
 MIN_UNSERVED_REQUESTS = 2.0
+# The platform's clients give up a silent stream after two seconds at the earliest, and resume it.
+STREAM_RETENTION_SECONDS = 2.0
 
 
 class PendingDemand(Struct, frozen=True):
@@ -22,7 +24,7 @@
 
     :param urgency_seconds: the smallest latency objective among them.
     :param slack_seconds: the longest time left until one of them misses its objective.
-    :param expected_retries: refused requests whose callers were told to retry.
+    :param expected_retries: refused requests whose responses named a time to retry.
     :param unserved: requests for the target's model since a server last held it.
     :param since: when the current uninterrupted wait for the target began.
     """
@@ -65,6 +67,13 @@
         return self.rate * math.exp(-DECAY_PER_SECOND * max(0.0, now - self.updated))
 
 
+class LastCount(Struct, frozen=True):
+    """The last count of running requests that was not zero, and when it was reported."""
+
+    count: int
+    at: float
+
+
 class DemandView:
     """Aggregates the demand reports of all daemons.
 
@@ -78,6 +87,7 @@
         self._rates: dict[DemandKey, RequestRate] = defaultdict(RequestRate)
         self._unserved: dict[DemandKey, float] = defaultdict(float)
         self._waiting_since: dict[DemandKey, float] = {}
+        self._streams: dict[VersionedModel, LastCount] = {}
 
     def add_report(self, report: PoolDemand, now: float) -> None:
         """Process a daemon's report."""
@@ -204,6 +214,23 @@
             known == instance and target.model == model for known, target in self.running(now)
         )
 
+    def streams(self, service: str, now: float) -> dict[VersionedModel, int]:
+        """Return the running requests of a service by model and software version.
+
+        Interrupted ones are included until their callers should have resumed them.
+        """
+        totals: Counter[VersionedModel] = Counter()
+        for report in self._current_reports(now):
+            for running in report.streams:
+                totals[running.key] += running.count
+        self._streams |= {key: LastCount(count, now) for key, count in totals.items()}
+        self._streams = {
+            key: last
+            for key, last in self._streams.items()
+            if now - last.at <= STREAM_RETENTION_SECONDS
+        }
+        return {key: last.count for key, last in self._streams.items() if key.service == service}
+
     def rate(self, service: str, target: ModelKey, now: float) -> float:
         """Return the recent request rate for a target, in requests per second."""
         recent = self._rates.get(DemandKey(service, target))
--- a/loomwind/placement/shortage_log.py
+++ b/loomwind/placement/shortage_log.py
@@ -1,4 +1,4 @@
-"""Periodic log lines and metrics about demand that the leader cannot meet."""
+"""Periodic log lines and metrics about demand that the leader cannot meet or may soon not meet."""
 
 from collections.abc import Iterable, Sequence
 
@@ -6,10 +6,12 @@
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import UnservedModel
 from loomwind.placement.server_tracker import ServerTracker
+from loomwind.placement.version_demand import VersionDemand
 
 MAX_MODELS_LOGGED = 8
 # Limits the rate of lines, since the store's use changes with every load.
 STORE_LOG_INTERVAL_MS = 1000.0
+VERSION_LOG_INTERVAL_MS = 1000.0
 
 
 class ShortageLog:
@@ -18,6 +20,7 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._store_logged_at_ms = float("-inf")
+        self._versions_logged_at_ms: dict[str, float] = {}
 
     def record_unserved(self, unserved: Sequence[UnservedModel]) -> None:
         """Record the models that are requested while no server holds them.
@@ -56,3 +59,19 @@
             next=list(queued[:MAX_MODELS_LOGGED]),
             loading=loads,
         )
+
+    def record_versions(self, service: str, demand: Sequence[VersionDemand], now_ms: float) -> None:
+        """Log the running streams and copies by model while several software versions serve.
+
+        :param demand: most streams first; empty while one version serves.
+        """
+        logged_at_ms = self._versions_logged_at_ms.get(service, float("-inf"))
+        if not demand or now_ms - logged_at_ms < VERSION_LOG_INTERVAL_MS:
+            return
+        self._versions_logged_at_ms[service] = now_ms
+        models = [
+            f"{each.key.model} {each.key.software_version}:"
+            f" {each.streams} streams, {len(each.copies)} copies"
+            for each in demand[: 2 * MAX_MODELS_LOGGED]
+        ]
+        log_state("placement", "versions", service=service, total=len(demand), models=models)
--- a/loomwind/serving/demand.py
+++ b/loomwind/serving/demand.py
@@ -3,11 +3,11 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from msgspec import Struct
 
-from loomwind.serving.views import ModelKey
+from loomwind.serving.views import ModelKey, ServerEntry
 
 RATE_HALF_LIFE_SECONDS = 12.0
 DECAY_PER_SECOND = math.log(2) / RATE_HALF_LIFE_SECONDS
@@ -24,7 +24,7 @@
     :param urgency_seconds: the smallest latency objective among the requests that wait or are
         expected to be retried; 0 if there are none.
     :param slack_seconds: the longest time left until one of these misses its objective.
-    :param expected_retries: refused requests whose callers were told to retry.
+    :param expected_retries: refused requests whose responses named a time to retry.
     :param software_version: the version that the server must have; None for any.
     """
 
@@ -61,6 +61,21 @@
     count: int
 
 
+class VersionedModel(Struct, frozen=True, array_like=True, order=True):
+    """A model at servers of one software version."""
+
+    service: str
+    model: str
+    software_version: str
+
+
+class RunningStreams(Struct, frozen=True, array_like=True):
+    """The number of a daemon's requests for a model that run at one software version."""
+
+    key: VersionedModel
+    count: int
+
+
 class DemandKey(Struct, frozen=True):
     """A model or an adapter of a service.
 
@@ -100,6 +115,7 @@
         self._arrivals: Counter[DemandKey] = Counter()
         self._recent: dict[DemandKey, DecayingCount] = {}
         self._running: Counter[tuple[str, ModelKey]] = Counter()
+        self._entries_in_use: dict[str, ServerEntry] = {}
         self._changed = asyncio.Event()
         self.new_demand = asyncio.Event()
 
@@ -181,6 +197,24 @@
         """Return the number of running requests by server and target."""
         return tuple(RunningCount(i, target, n) for (i, target), n in self._running.items())
 
+    def running_streams(self, entries: Iterable[ServerEntry]) -> tuple[RunningStreams, ...]:
+        """Return the number of running requests by model and software version.
+
+        A server that is no longer listed keeps the version of its last entry while requests run.
+
+        :param entries: the known servers.
+        """
+        in_use = {instance for instance, _ in self._running}
+        known = self._entries_in_use | {entry.instance: entry for entry in entries}
+        self._entries_in_use = {name: known[name] for name in in_use if name in known}
+        totals: Counter[VersionedModel] = Counter()
+        for (instance, target), count in self._running.items():
+            entry = self._entries_in_use.get(instance)
+            if entry is not None:
+                key = VersionedModel(entry.service, target.model, entry.software_version)
+                totals[key] += count
+        return tuple(RunningStreams(key, totals[key]) for key in sorted(totals))
+
     def wake(self) -> None:
         """Wake all waiting requests."""
         self._changed.set()
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -270,6 +270,7 @@
             not self._health.is_unavailable(self._now()),
             self._report_interval_seconds() * MS_PER_SECOND,
             self._pool.unreachable_services(),
+            demand.running_streams(self._pool.directory.entries()),
         )
 
     def _report_interval_seconds(self) -> float:
