Failing tests: copies of a model at another software version count as copies

Callers that resumed a stream during a release were refused although servers of its version were up (postmortem of resumed streams). On the simulated pool with two software versions: further copies go to the new version, the last copy of the old one is evicted for a waiting request, memory freed at one version stays unused while another version loads the model, and orders go on to a server whose address another instance has taken over.

--- /dev/null
+++ b/features/steps/replaced_server_steps.py
@@ -0,0 +1,147 @@
+"""Steps about orders to a server instance whose address another one has taken over.
+
+The controller runs in virtual time, with stubs for the servers and the peers.
+"""
+
+import asyncio
+from typing import Any, cast
+
+import msgspec
+from behave import given, then, when
+
+from features.steps.planner_steps import SERVICE, profile, report
+from features.support.virtual_time import run_in_virtual_time
+from loomwind.leadership.election import Election
+from loomwind.messages.serving import PoolDemand
+from loomwind.metrics import Metrics
+from loomwind.placement.controller import PlacementController
+from loomwind.serving.demand import TargetDemand
+from loomwind.serving.peer_exchange import DemandInbox, PeerExchange
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.ports import EngineControl
+from loomwind.serving.replicated_state import ReplicatedState
+from loomwind.serving.views import (
+    CallerLimits,
+    Configuration,
+    ModelKey,
+    Order,
+    OrderAnswer,
+    ServerEntry,
+    ServerReport,
+    ServerState,
+    ServiceProfile,
+)
+from loomwind.settings import BoundSettings
+
+ANSWER_SECONDS = 0.01
+BUSY_UNTIL_SECONDS = 0.5
+STEP_SECONDS = 0.1
+LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+
+
+class ReplacedServerControl:
+    """Servers of which one is gone; the process at its address reports no models.
+
+    The other one executes an order of an earlier leader at first.
+
+    :ivar orders: the instance and the target of each order.
+    """
+
+    def __init__(self, gone: str) -> None:
+        self.gone = gone
+        self.orders: list[tuple[str, str]] = []
+
+    async def read_report(self, entry: ServerEntry, timeout: float) -> ServerReport:
+        """Return the report of an empty server, whichever process answers."""
+        await asyncio.sleep(ANSWER_SECONDS)
+        now = asyncio.get_running_loop().time()
+        is_busy = entry.instance != self.gone and now < BUSY_UNTIL_SECONDS
+        return msgspec.structs.replace(report([], set()), busy=is_busy)
+
+    async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
+        """Accept an order, unless it is for the instance that is gone."""
+        await asyncio.sleep(ANSWER_SECONDS)
+        self.orders.append((entry.instance, order.target.model))
+        is_gone = entry.instance == self.gone
+        return OrderAnswer.OTHER_INSTANCE if is_gone else OrderAnswer.ACCEPTED
+
+
+class LeadingElection:
+    """An election that this daemon has won."""
+
+    class lease:
+        """The lease of the leader."""
+
+        fence = 7
+
+    def is_leader(self) -> bool:
+        """Return that this daemon leads."""
+        return True
+
+
+class PeerExchangeStub:
+    """A peer exchange without peers."""
+
+    def __init__(self) -> None:
+        self.inbox = DemandInbox()
+
+    def scale_interval(self, seconds: float) -> float:
+        """Return the interval of a small fleet."""
+        return seconds
+
+    def observe_report(self, entry: ServerEntry, report: ServerReport) -> None:
+        """Ignore a report."""
+
+    def broadcast_holdings(self, message: object) -> None:
+        """Send nothing."""
+
+    def send_expectations(self, daemon: str, message: object) -> None:
+        """Send nothing."""
+
+
+class ConfiguredState:
+    """The state of a daemon that has a configuration."""
+
+    def __init__(self) -> None:
+        services = (ServiceProfile(SERVICE, "/health", 10, profile(100)),)
+        self.configuration = Configuration(1, (), services, LIMITS)
+
+
+@given("a leader with two empty servers, of which {name:w} is gone and its address is taken over")
+def step_leader(context: Any, name: str) -> None:
+    context.engine_control = ReplacedServerControl(name)
+
+
+@when("requests wait for c for {seconds:f} s")
+def step_wait(context: Any, seconds: float) -> None:
+    run_in_virtual_time(_lead(context, seconds))
+
+
+async def _lead(context: Any, seconds: float) -> None:
+    pool = ServerPool(BoundSettings())
+    for name in ("one", "two"):
+        pool.directory.put(ServerEntry(name, SERVICE, f"{name}:1", "zone-a", 8, ServerState.READY))
+    exchange = PeerExchangeStub()
+    controller = PlacementController(
+        "own",
+        cast(Election, LeadingElection()),
+        pool,
+        cast(ReplicatedState, ConfiguredState()),
+        cast(EngineControl, context.engine_control),
+        cast(PeerExchange, exchange),
+        BoundSettings(),
+        Metrics(),
+    )
+    leading = asyncio.create_task(controller.run())
+    for _ in range(round(seconds / STEP_SECONDS)):
+        waiting = TargetDemand(SERVICE, ModelKey("c"), 1, 0.0, 0.6, 0.6)
+        exchange.inbox.put(PoolDemand("daemon-1", (waiting,), ()))
+        await asyncio.sleep(STEP_SECONDS)
+    leading.cancel()
+
+
+@then("{name:w} was sent one order, and then {other:w} was ordered to load c")
+def step_orders(context: Any, name: str, other: str) -> None:
+    assert context.engine_control.orders == [(name, "c"), (other, "c")], (
+        context.engine_control.orders
+    )
--- a/features/support/simulated_pool.py
+++ b/features/support/simulated_pool.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Mapping
 
 from attrs import define, field, frozen
 
@@ -16,7 +17,7 @@
 from loomwind.placement.planner import Planner
 from loomwind.placement.server_tracker import ServerTracker
 from loomwind.placement.store_concurrency import StoreConcurrencyLimit
-from loomwind.serving.demand import TargetDemand
+from loomwind.serving.demand import RunningStreams, TargetDemand, VersionedModel
 from loomwind.serving.residency import AnnouncedLoad, LearnedConcurrencyLimit
 from loomwind.serving.views import (
     EngineProfile,
@@ -50,6 +51,7 @@
     """
 
     name: str
+    software_version: str = ""
     held: list[str] = field(factory=list)
     on_disk: set[str] = field(factory=set)
     loading: str = ""
@@ -119,16 +121,28 @@
             self.add_server()
         self.now = 10.0
         self.admissions: list[StoreAdmissionRecord] = []
+        self.orders: list[PlannedOrder] = []
+        self._running: dict[tuple[str, ModelKey], int] = {}
         self._concurrency_limit = StoreConcurrencyLimit()
         self.change_leader()
 
     # Events.
 
-    def add_server(self) -> None:
-        """Add an empty server."""
+    def add_server(self, software_version: str = "") -> str:
+        """Add an empty server and return its name."""
         name = f"s{self._servers_added}"
         self._servers_added += 1
-        self._servers[name] = SimulatedServer(name)
+        self._servers[name] = SimulatedServer(name, software_version)
+        return name
+
+    def preload(self, name: str, models: list[str]) -> None:
+        """Put models on a server, without a copy on its disk."""
+        self._servers[name].held = list(models)
+
+    def drain_server(self, name: str) -> None:
+        """Let a server accept no new requests and no orders; its streams are still reported."""
+        del self._servers[name]
+        self._trackers.pop(name, None)
 
     def remove_server(self) -> None:
         """Remove a random server, even while it is loading."""
@@ -164,6 +178,25 @@
         sender = f"daemon-{self._random.randrange(4)}"
         self._demand.add_report(PoolDemand(sender, (requested,), ()), self.now)
 
+    def run_streams(self, running: Mapping[tuple[str, str], int]) -> None:
+        """Report the running streams by model and software version, instead of earlier ones."""
+        streams = tuple(
+            RunningStreams(VersionedModel(SERVICE, *key), count) for key, count in running.items()
+        )
+        self._demand.add_report(PoolDemand("daemon-streams", (), (), streams=streams), self.now)
+
+    def run_requests(self, server: str, model: str, count: int) -> None:
+        """Let requests for a model run at a server."""
+        self._running[(server, ModelKey(model))] = count
+
+    def holders(self, model: str, software_version: str) -> list[str]:
+        """Return the servers of a version that hold a model and do not drain."""
+        return [
+            server.name
+            for server in self._servers.values()
+            if server.software_version == software_version and model in server.held
+        ]
+
     # Simulation step.
 
     def step(self, plans: bool = True) -> None:
@@ -180,7 +213,15 @@
         for name, server in self._servers.items():
             tracker = self._trackers.get(name)
             if tracker is None:
-                entry = ServerEntry(name, SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+                entry = ServerEntry(
+                    name,
+                    SERVICE,
+                    "a:1",
+                    "zone-a",
+                    8,
+                    ServerState.READY,
+                    software_version=server.software_version,
+                )
                 tracker = ServerTracker(entry, self._profile, self._announced_loads.get(name))
                 self._trackers[name] = tracker
             elif self._random.random() < 0.5:
@@ -197,7 +238,7 @@
             SERVICE,
             servers,
             self._demand,
-            {},
+            self._running,
             self.now,
             self._rate_limiter.allows(self.now),
             False,
@@ -205,6 +246,7 @@
         )
         requested = {pending.key.target.model for pending in self._demand.pending_demand(self.now)}
         for order in Planner(inputs).plan():
+            self.orders.append(order)
             self._record_admission(order, requested)
             if order.from_store:
                 self._rate_limiter.record(self.now)
