Count and log the closes of callers' connections

Cause: a close of a caller's connection left neither a line nor a count.

Each close now counts in loomwind_connections_closed_total{by,reason}. A line `loomwind:connection` / `closed` says which side ended it and why (both typed), the client's address, the id of the request in progress or of the last one, what was read and not handled, what had arrived unread (FIONREAD at the moment of the close), what was unsent, and how old the last byte was.

The fake transport of configuration_effect_steps gets the method that asks for unsent bytes; what these steps check is unchanged. `loomwind explain` takes these lines for no state of their daemon.

--- a/features/steps/configuration_effect_steps.py
+++ b/features/steps/configuration_effect_steps.py
@@ -29,6 +29,10 @@
         """Count what the daemon sends."""
         self.written_bytes += len(data)
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0: what is written is taken at once."""
+        return 0
+
     def is_closing(self) -> bool:
         """Return whether the daemon closed it."""
         return self.closed
--- a/loomwind/explain.py
+++ b/loomwind/explain.py
@@ -18,6 +18,8 @@
 # How far before the end of a request other log lines are considered.
 LOOKBACK_SECONDS = 30.0
 REQUEST_TYPE = "loomwind:request"
+# Lines that describe no state of their daemon.
+EVENT_TYPES = frozenset({REQUEST_TYPE, "loomwind:order", "loomwind:connection"})
 FAILED_DECISIONS = ("given-up", "out-of-time", "caller-left")
 UNEXPECTED_DECISIONS = ("failed", "unanswered")
 
@@ -138,7 +140,7 @@
     """Yield a daemon's newest line of each kind and subject, in order of time."""
     newest: dict[tuple[str, str], LogLine] = {}
     for line in lines:
-        if line.daemon == daemon and line.kind not in (REQUEST_TYPE, "loomwind:order"):
+        if line.daemon == daemon and line.kind not in EVENT_TYPES:
             newest[(line.kind, str(line.get("server") or line.get("table") or ""))] = line
     yield from sorted(newest.values(), key=lambda line: line.time)
 
--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -6,6 +6,7 @@
 import h11
 from msgspec import Struct
 
+from loomwind.http.connection_close import CloseReason
 from loomwind.http.errors import RESPONSE_EXCEPTIONS, ResponseError, map_exceptions
 from loomwind.http.messages import Headers, HttpRequest
 from loomwind.logs import log_state
@@ -49,7 +50,7 @@
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close once written data has been sent."""
 
     def reset(self) -> None:
@@ -140,6 +141,11 @@
         """Write bytes outside of any response; simulated servers use it to violate the protocol."""
         self._connection.write_raw(data)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the connection's end marks the end of the response."""
+        return self._ends_with_connection
+
     @property
     def ends_with_reset(self) -> bool:
         """Return whether the response is incomplete, and an end in order would make it complete."""
@@ -166,7 +172,7 @@
 
         Where only the connection's end ends the response, it is a reset.
         """
-        self._connection.close()
+        self._connection.close(CloseReason.RESPONSE_CUT)
 
     def reset(self) -> None:
         """Reset the connection; simulated servers use it to break off a response."""
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from loomwind.http.connection_close import CloseObserver, CloseReason
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.limits import ServerLimits
 from loomwind.http.server_connection import ServerConnection
@@ -25,8 +26,14 @@
     :ivar draining: responses ask clients to open a new connection; requests are still accepted.
     """
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        close_observer: CloseObserver | None = None,
+    ) -> None:
         self.handler = handler
+        self.close_observer = close_observer
         self._limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
         self.closing = False
@@ -69,12 +76,10 @@
 
     def stop_listening(self) -> None:
         """Accept no new connections, close idle ones, and let requests in progress finish."""
-        self.closing = True
-        if self._server is not None:
-            self._server.close()
+        self._refuse_connections()
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close()
+                connection.close(CloseReason.STOPPED_LISTENING)
 
     async def end_exchanges(self, timeout_seconds: float) -> None:
         """Cancel the handlers of all requests, and wait while those without a response get one.
@@ -102,6 +107,11 @@
 
     def close(self) -> None:
         """Stop listening and close all connections, without waiting for requests in progress."""
-        self.stop_listening()
+        self._refuse_connections()
         for connection in list(self.connections):
-            connection.close()
+            connection.close(CloseReason.SHUTDOWN)
+
+    def _refuse_connections(self) -> None:
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -8,10 +8,12 @@
 import h11
 
 from loomwind import constants
+from loomwind.clock import MS_PER_SECOND
+from loomwind.http.connection_close import ClosedBy, CloseReason, ConnectionClose
 from loomwind.http.errors import RESPONSE_EXCEPTIONS, ClientDisconnected, map_exceptions
 from loomwind.http.exchange import BadRequest, Exchange
-from loomwind.http.messages import HttpRequest
-from loomwind.http.sockets import reset_on_close
+from loomwind.http.messages import Headers, HttpRequest
+from loomwind.http.sockets import reset_on_close, unread_bytes
 
 if TYPE_CHECKING:
     from loomwind.http.server import HttpServer
@@ -33,6 +35,18 @@
     CLOSED = enum.auto()
 
 
+def _decode_headers(head: h11.Request) -> Headers:
+    return tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers)
+
+
+def _format_address(address: tuple[str, int] | None) -> str:
+    return "" if address is None else f"{address[0]}:{address[1]}"
+
+
+def _milliseconds(seconds: float) -> float:
+    return round(seconds * MS_PER_SECOND, 1)
+
+
 class ServerConnection(asyncio.Protocol):
     """A connection from a client."""
 
@@ -53,6 +67,13 @@
         self._is_unreadable = False
         self._waiting_bytes = 0
         self._is_paused = False
+        self._opened_at = 0.0
+        self._last_byte_at: float | None = None
+        self._request_count = 0
+        self._request_id = ""
+        self._has_left_request = False
+        self._is_close_recorded = False
+        self._linger_reason = CloseReason.UNREADABLE_REQUEST
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -108,11 +129,19 @@
         """Register the connection and start the idle timer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._opened_at = self._now()
         self._server.connections.add(self)
         self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler, since nobody can receive its response."""
+        error = "" if exc is None else repr(exc)
+        if error and not self._has_client_closed:
+            self._record_close(ClosedBy.ERROR, CloseReason.LOST, error)
+        elif self._state is ConnectionState.LINGERING:
+            self._record_close(ClosedBy.SERVER, self._linger_reason)
+        else:
+            self._record_close(ClosedBy.CLIENT, CloseReason.CLIENT_END, error)
         self._has_client_closed |= not self._is_closing_here
         self._state = ConnectionState.CLOSED
         self._server.connections.discard(self)
@@ -130,7 +159,7 @@
         """
         if self._task is None:
             return False
-        self._has_client_closed = True
+        self._has_client_closed = self._has_left_request = True
         self.cancel_handler()
         return True
 
@@ -150,6 +179,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed h11, and call the handler once a request is complete."""
+        self._last_byte_at = self._now()
         if self._state is ConnectionState.LINGERING:
             return
         if self._state is ConnectionState.IDLE:
@@ -211,9 +241,8 @@
     def _on_end(self) -> None:
         head = self._head
         assert head is not None
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
-        )
+        headers = _decode_headers(head)
+        self._request_id = self._id_in(headers)
         target = head.target.decode("latin-1")
         request = HttpRequest(head.method.decode("latin-1"), target, headers, bytes(self._body))
         self._handle(Exchange(self, request, None, request.method))
@@ -227,6 +256,7 @@
         self._state = ConnectionState.HANDLING
         self._cancel_timer()
         self._exchange = exchange
+        self._request_count += 1
         self._waiting_bytes = len(self._h11.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._run(exchange))
 
@@ -242,7 +272,7 @@
                 await exchange.ensure_end(error)
         finally:
             self._task = self._exchange = None
-            self._finish_exchange()
+            self._finish_exchange(exchange)
 
     @property
     def _is_closing(self) -> bool:
@@ -250,17 +280,18 @@
         closed = self._state is ConnectionState.CLOSED
         return closed or self._transport is None or self._transport.is_closing()
 
-    def _finish_exchange(self) -> None:
+    def _finish_exchange(self, exchange: Exchange) -> None:
         if self._is_closing:
             return
         has_unread_data = self._is_unreadable or self._is_paused
         self._waiting_bytes = 0
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if not reusable or self._ends_after_response:
+            reason = self._reason_to_close(exchange)
             if has_unread_data and not self._has_client_closed:
-                self._linger()
+                self._linger(reason)
             else:
-                self.close()
+                self.close(reason)
             return
         self._h11.start_next_cycle()
         self._head = None
@@ -272,7 +303,17 @@
             self._start_idle_timer()
         self._limit_reading()
 
-    def _linger(self) -> None:
+    def _reason_to_close(self, exchange: Exchange) -> CloseReason:
+        """Return why the connection is closed after a response."""
+        if self._is_unreadable:
+            return CloseReason.UNREADABLE_REQUEST
+        if exchange.ends_with_connection:
+            return CloseReason.RESPONSE_WITHOUT_LENGTH
+        if self._server.draining or self._server.closing:
+            return CloseReason.DRAINING
+        return CloseReason.NOT_REUSABLE
+
+    def _linger(self, reason: CloseReason) -> None:
         """Close once the client has, or after a moment.
 
         A close at once would reset the connection while the client still sends, and lose the
@@ -280,6 +321,7 @@
         """
         assert self._transport is not None
         self._state = ConnectionState.LINGERING
+        self._linger_reason = reason
         self._limit_reading()
         self._is_closing_here = True
         self._start_timer(LINGER_SECONDS)
@@ -327,18 +369,22 @@
 
     def abort(self) -> None:
         """Close immediately; written data may be lost."""
-        transport = self._prepare_close()
+        transport = self._prepare_close(CloseReason.ABORTED)
         if transport is not None:
             transport.abort()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close once written data has been sent."""
-        transport = self._prepare_close()
+        transport = self._prepare_close(reason)
         if transport is not None:
             transport.close()
 
-    def _prepare_close(self) -> asyncio.Transport | None:
+    def _prepare_close(self, reason: CloseReason) -> asyncio.Transport | None:
         """Have the connection reset if an end in order would make its response look complete."""
+        if self._has_client_closed:
+            self._record_close(ClosedBy.CLIENT, CloseReason.CLIENT_END)
+        else:
+            self._record_close(ClosedBy.SERVER, reason)
         self._is_closing_here = True
         self._cancel_timer()
         cuts_response = self._exchange is not None and self._exchange.ends_with_reset
@@ -350,7 +396,40 @@
         """Close with a reset, once written data was passed to the kernel."""
         if self._transport is not None:
             reset_on_close(self._transport)
-        self.close()
+        self.close(CloseReason.RESPONSE_RESET)
+
+    def _record_close(self, closed_by: ClosedBy, reason: CloseReason, error: str = "") -> None:
+        """Report the close to the server's observer, once."""
+        observer, transport = self._server.close_observer, self._transport
+        if observer is None or transport is None or self._is_close_recorded:
+            return
+        self._is_close_recorded = True
+        is_reading = self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY)
+        if is_reading:
+            self._request_id = self._id_in(_decode_headers(self._head)) if self._head else ""
+        now, last_byte_at = self._now(), self._last_byte_at
+        last_byte_age_ms = None if last_byte_at is None else _milliseconds(now - last_byte_at)
+        observer.on_close(
+            ConnectionClose(
+                closed_by,
+                reason,
+                error,
+                client=_format_address(transport.get_extra_info("peername")),
+                phase=self._state.name.lower(),
+                requests=self._request_count,
+                request_id=self._request_id,
+                is_request_open=is_reading or self._exchange is not None or self._has_left_request,
+                buffered_bytes=len(self._h11.trailing_data[0]) + is_reading * len(self._body),
+                unread_bytes=unread_bytes(transport),
+                unsent_bytes=transport.get_write_buffer_size(),
+                last_byte_age_ms=last_byte_age_ms,
+                age_ms=_milliseconds(now - self._opened_at),
+            )
+        )
+
+    def _id_in(self, headers: Headers) -> str:
+        observer = self._server.close_observer
+        return "" if observer is None else observer.request_id(headers)
 
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
@@ -365,7 +444,7 @@
         if self._state is ConnectionState.IDLE:
             self._on_idle_timeout()
         elif self._state is ConnectionState.LINGERING:
-            self.close()
+            self.close(CloseReason.LINGER_OVER)
         elif self._state is not ConnectionState.HANDLING:
             self._reject(BadRequest(408, "request-too-slow", "the request did not arrive in time"))
 
@@ -389,7 +468,7 @@
         if remaining_seconds > 0:
             self._start_timer(remaining_seconds)
         else:
-            self.close()
+            self.close(CloseReason.IDLE_TIMEOUT)
 
     @staticmethod
     def _now() -> float:
--- a/loomwind/http/sockets.py
+++ b/loomwind/http/sockets.py
@@ -1,8 +1,10 @@
-"""TCP socket options: detect a peer that vanished without closing, and reset a connection."""
+"""TCP sockets: detect a peer that vanished, reset a connection, and count unread bytes."""
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 from loomwind.clock import MS_PER_SECOND
 
@@ -36,3 +38,17 @@
     raw = transport.get_extra_info("socket")
     if raw is not None:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Return how many bytes have arrived and were not read; None if the kernel does not say."""
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return None
+    try:
+        answer = fcntl.ioctl(raw.fileno(), termios.FIONREAD, bytes(struct.calcsize("i")))
+    # A closed socket has a negative descriptor.
+    except (OSError, ValueError):
+        return None
+    count: int = struct.unpack("i", answer)[0]
+    return count
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -60,6 +60,11 @@
             "Requests that were served no response, by whether the caller had left",
             ["caller"],
         )
+        self.connections_closed = self._counter(
+            "loomwind_connections_closed",
+            "Connections of callers that were closed, by the side that ended them and the reason",
+            ["by", "reason"],
+        )
         self.waiting = self._gauge(
             "loomwind_requests_waiting", "Requests in the daemon and not finished"
         )
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -2,7 +2,13 @@
 
 import math
 
-from loomwind.http.messages import Headers, HttpRequest, HttpResponse, end_to_end_headers
+from loomwind.http.messages import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    end_to_end_headers,
+    find_header,
+)
 from loomwind.serving.ports import Dialect, ResponseCheck
 from loomwind.serving.views import CallerRequest, ModelKey, PromptPart
 
@@ -58,6 +64,10 @@
             origin_id=request.header(RESUMES),
         )
 
+    def request_id(self, headers: Headers) -> str:
+        """Return the id of a request; see :meth:`Dialect.request_id`."""
+        return find_header(headers, REQUEST_ID) or ""
+
     def server_headers(
         self,
         request: HttpRequest,
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -12,6 +12,7 @@
 from loomwind.admin import AdminServer
 from loomwind.clock import MS_PER_SECOND, Clock
 from loomwind.http.client import Connector, HttpClient
+from loomwind.http.close_log import CloseLog
 from loomwind.http.server import Exchange, HttpServer
 from loomwind.leadership.election import Election
 from loomwind.leadership.lease import Lease, LeaseHolder
@@ -328,7 +329,10 @@
         )
         self._relay_service = RelayService(self._handler)
         self._relay_server = HttpServer(self._on_relayed_request)
-        self.callers = HttpServer(self._on_request)
+        self._close_log = CloseLog(
+            self.metrics.connections_closed, Clock(), deployment.dialect.request_id
+        )
+        self.callers = HttpServer(self._on_request, close_observer=self._close_log)
         self._readiness_server = HttpServer(self._on_readiness_check)
         self._admin_server = AdminServer(self.metrics, self.is_ready)
         self.replicated_state.configuration_listeners.append(self._apply_limits)
@@ -465,6 +469,7 @@
         for task in list(self._tasks):
             task.cancel()
         self.callers.close()
+        self._close_log.flush()
         self._relay_server.close()
         self._readiness_server.close()
         self._admin_server.server.close()
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -167,6 +167,10 @@
     def read_request(self, request: HttpRequest) -> CallerRequest:
         """Decode the headers of a caller's request."""
 
+    @abstractmethod
+    def request_id(self, headers: Headers) -> str:
+        """Return the id in the headers of a request; empty if there is none."""
+
     @abstractmethod
     def server_headers(
         self,
