Use memory freed at one software version while a server of another version loads the model

A stream that is resumed waits for its model at its own version. Where a server of another version loaded the same model, the planner left the memory that it had freed for the stream unused until the reservation lapsed, and no longer counted the model among those that lack a copy, so that loads for others came first. Class: a copy at any software version counts as a copy.

A load elsewhere now counts for reserved memory only at the same version, and a model that a version lacks keeps its place in the store admission.

--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -120,11 +120,14 @@
         inputs: PlanInput,
         callers: Mapping[str, float] | None = None,
         overloaded: Mapping[str, float] | None = None,
+        missing_at_version: Mapping[str, float] | None = None,
     ) -> None:
         """Start an empty plan.
 
         :param callers: the number of callers of each requested model.
         :param overloaded: the number of requests beyond the slots of a model's servers.
+        :param missing_at_version: the number of requests that wait for a model at a software
+            version of which no server has or loads it.
         """
         self.orders: list[PlannedOrder] = []
         self._inputs = inputs
@@ -143,6 +146,7 @@
             for name, count in (overloaded or {}).items()
             if not inputs.index.loading[name] and not self.has_reserved_memory(name)
         }
+        missing |= missing_at_version or {}
         slots = inputs.store_loads_left if inputs.store_load_allowed else 0
         self._admission = StoreAdmission(slots, missing)
 
@@ -179,13 +183,18 @@
     def can_use_reserved_memory(self, server: ServerTracker, name: str) -> bool:
         """Return whether a model may be loaded into the memory reserved for it.
 
-        Its store slot was taken by the unload. A model that is loading elsewhere no longer needs
-        the memory.
+        Its store slot was taken by the unload. A model that is loading at another server of the
+        same software version no longer needs the memory.
         """
         if not server.loads_from_store(name):
             return True
-        elsewhere = self._inputs.index.loading[name] or ModelKey(name) in self._ordered_loads
-        return self._inputs.store_load_allowed and not elsewhere
+        version = server.entry.software_version
+        elsewhere = any(other.has_version(version) for other in self._inputs.index.loading[name])
+        return (
+            self._inputs.store_load_allowed
+            and not elsewhere
+            and not self.plans_load_at(name, version)
+        )
 
     def _add(self, order: PlannedOrder) -> None:
         self._assigned.add(order.instance)
@@ -246,9 +255,16 @@
             return True
         if not target.adapter and target.model in inputs.index.reserved:
             return True
-        instances = {server.entry.instance for server in inputs.servers}
-        planned = (order for order in self.orders if order.instance in instances)
-        return any(order.provides(target) for order in planned)
+        return self._plans_at(target, software_version)
+
+    def plans_load_at(self, name: str, software_version: str) -> bool:
+        """Return whether this plan loads a model at a server of a software version."""
+        return self._plans_at(ModelKey(name), software_version)
+
+    def _plans_at(self, target: ModelKey, software_version: str) -> bool:
+        planned = (order for order in self.orders if order.provides(target))
+        servers = (self._inputs.index.server(order.instance) for order in planned)
+        return any(server.has_version(software_version) for server in servers)
 
     def has_reserved_memory(self, name: str) -> bool:
         """Return whether another model is evicted for a model, already or by this plan."""
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -36,7 +36,7 @@
         self._overloaded = excess_callers(inputs, inputs.index.running_models())
         callers = inputs.demand.callers_by_model(pending_demand, inputs.now)
         missing_at_version = _missing_at_version(inputs, pending_demand)
-        self._draft = DraftPlan(inputs, callers, missing_at_version | self._overloaded)
+        self._draft = DraftPlan(inputs, callers, self._overloaded, missing_at_version)
         cost_model = CostModel(inputs, pending_demand, self._draft)
         self._adapters = AdapterPlanner(inputs, pending_demand, self._draft, cost_model)
         self._models = ModelPlanner(inputs, self._draft, cost_model, self._adapters)
