Send no orders to an instance whose address another server has taken over

The server had crashed and another process answered at its address: it rejected the orders, which name the instance, and answered the reads, so that the planner took it for an idle, empty server each time, while the servers that could load the model had no turn.

An order rejected for this reason removes the instance from the list of usable servers, as a rejected request does, until its row names another instance.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -372,7 +372,10 @@
             fence=order.fence,
             revision=order.expected_revision,
         )
-        if answer is OrderAnswer.ACCEPTED:
+        if answer is OrderAnswer.OTHER_INSTANCE:
+            # Its reports come from the process that has taken over the address.
+            self._directory.record_replaced(tracker.entry)
+        elif answer is OrderAnswer.ACCEPTED:
             if order.target.adapter:
                 loop = asyncio.get_running_loop()
                 loop.call_later(ADAPTER_LOAD_SECONDS, self._wake.set)
