Leave a silent server only for one that has begun its response, or when it is gone for certain

What callers saw (LOST): streams cut in the middle while their server only paused for 1.7 s.

Cause: 250 ms after the second send a replacement was taken for certain without an answer where others had answered since, and the silent server's connection was closed. That a server answers others does not say that it will answer this request. When it then failed, the route's two attempts were used up.

Now the connection to a silent server is closed once the other one has begun a valid response, or once the silent one is gone for certain: its connection failed, its host refused a connection since (and it is not leaving), or another process is at its address. At most two requests of a daemon are moved to one server at a time. Bytes that complete no event no longer end a silence.

No connection is made to ask whether a silent server's host refuses one: a process that ends closes its connections, and a host that starts again ends them by the keep-alive probes; what other requests and probes meet is used.

Changed checks of hand_over, all of which had the fault as their expectation: a server that has sent data and responds after 2000 ms no longer takes over from one that goes on after 3000 ms; the stream that moves before its caller gives up has a replacement that responds after 200 ms in place of 2000 ms, with the same bounds; "an idle server is relied on unanswered only if ..." is replaced by a check of every row that the silent server is left only if it had ended or the other one had responded. The overlap is checked for each attempt, against 400 ms as before.

RetryPolicy takes what it needs in place of the whole RequestHandler.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -5,24 +5,32 @@
     And another server that <other>
     When the stream is read
     Then <outcome>
+    And the silent server was left only if it had ended or the other one had responded
     And both servers had the request for at most 400 ms
 
     Examples: events
-      | silent                | other                                     | outcome                                  |
-      | goes on after 1200 ms | has sent data and responds after 30 ms    | the silent server goes on                |
-      | goes on after 1400 ms | has sent data and responds after 400 ms   | the silent server goes on                |
-      | goes on after 1400 ms | has sent data and responds after 30 ms    | the other server goes on                 |
-      | goes on after 3000 ms | has sent data and responds after 2000 ms  | the other server goes on                 |
-      | never goes on         | has sent data and responds after 100 ms   | the other server goes on                 |
-      | goes on after 3000 ms | is idle and responds after 100 ms         | the other server goes on                 |
-      | goes on after 3000 ms | is idle and responds after 2000 ms        | the silent server goes on                |
-      | goes on after 3000 ms | has sent data and refuses after 20 ms     | the silent server goes on                |
-      | goes on after 3000 ms | has sent data and accepts no connection   | the silent server goes on                |
-      | breaks after 1400 ms  | has sent data and responds after 400 ms   | the other server goes on                 |
-      | breaks after 1400 ms  | is idle and responds after 400 ms         | the other server goes on                 |
-      | breaks after 1400 ms  | has sent data and refuses after 20 ms     | the stream fails                         |
-      | goes on after 3000 ms | has sent data and fails unexpectedly      | the silent server goes on                |
-      | goes on after 3000 ms | may not be asked                          | the silent server goes on                |
+      | silent                    | other                                           | outcome                   |
+      | goes on after 1200 ms     | has sent data and responds after 30 ms          | the silent server goes on |
+      | goes on after 1400 ms     | has sent data and responds after 400 ms         | the silent server goes on |
+      | goes on after 1400 ms     | has sent data and responds after 30 ms          | the other server goes on  |
+      | goes on after 3000 ms     | has sent data and responds after 2000 ms        | the silent server goes on |
+      | goes on after 1700 ms     | has sent data and refuses after 600 ms          | the silent server goes on |
+      | goes on after 1700 ms     | has sent data and resets after 600 ms           | the silent server goes on |
+      | goes on after 2500 ms     | has sent data and resets after 200, 200, 200 ms | the silent server goes on |
+      | never goes on             | responds after 600, 100 ms                      | the other server goes on  |
+      | never goes on             | responds after 600, 500, 100 ms                 | the other server goes on  |
+      | never goes on             | has sent data and responds after 100 ms         | the other server goes on  |
+      | goes on after 3000 ms     | is idle and responds after 100 ms               | the other server goes on  |
+      | goes on after 3000 ms     | is idle and responds after 2000 ms              | the silent server goes on |
+      | goes on after 3000 ms     | has sent data and refuses after 20 ms           | the silent server goes on |
+      | goes on after 3000 ms     | has sent data and accepts no connection         | the silent server goes on |
+      | breaks after 1400 ms      | has sent data and responds after 400 ms         | the other server goes on  |
+      | breaks after 1400 ms      | is idle and responds after 400 ms               | the other server goes on  |
+      | breaks after 1400 ms      | has sent data and refuses after 20 ms           | the stream fails          |
+      | is replaced after 1400 ms | has sent data and responds after 600 ms         | the other server goes on  |
+      | is replaced after 1200 ms | has sent data and responds after 600 ms         | the stream fails          |
+      | goes on after 3000 ms     | has sent data and fails unexpectedly            | the silent server goes on |
+      | goes on after 3000 ms     | may not be asked                                | the silent server goes on |
 
   Scenario: a retry whose request was not sent costs nothing
     Given a stream whose server goes on after 3000 ms
@@ -39,7 +47,7 @@
 
   Scenario: a stream moves long before its caller gives up, after 2 s without an event
     Given a stream whose server never goes on
-    And another server that has sent data and responds after 2000 ms
+    And another server that has sent data and responds after 200 ms
     When the stream is read
     Then the silent server was left 1300 to 1700 ms after its last event
 
@@ -54,18 +62,12 @@
     Then it <may> from one that is silent since 1000 ms
 
     Examples: servers
-      | is                     | heard | may               |
-      | has requests           | 1200  | may take over     |
-      | has requests           | 900   | may not take over |
-      | is idle                | 900   | may take over     |
-      | is doubted             | 1200  | may not take over |
-
-  Scenario: an idle server is relied on unanswered only if the silence is not general
-    When a server is idle, and was last heard at 0 ms
-    Then it is not relied on while no server was heard since 1000 ms
-    And it is relied on when another server was heard at 1100 ms
-    But it is not relied on when the silent server was heard as well
-    And it is not relied on 1299 ms after the silent server's last data
+      | is                | heard | may               |
+      | has requests      | 1200  | may take over     |
+      | has requests      | 900   | may not take over |
+      | is idle           | 900   | may take over     |
+      | is suspect        | 1200  | may not take over |
+      | is being moved to | 1200  | may not take over |
 
   Scenario: a server of the only other software version takes no stream over
     Given a silent server of version v1, and servers of versions v2 and v2 that were heard since
@@ -89,3 +91,25 @@
 
   Scenario: a peer moves a stream that it relays before the daemon that asked it does
     Then a stream counts as silent at a peer at least 400 ms later than at a server
+
+  Scenario Outline: where a request may go that was sent to <events>, with <allowed> servers allowed and <retries> retries
+    Given a request that <allowed> servers may run, and a retry budget of <retries>
+    When it was sent to <events>
+    Then while its server is silent, it may move to <move>
+    And when its server fails, it may be sent to <retry>
+
+    Examples: sends
+      | allowed | retries | events                                                  | move        | retry             |
+      | 1       | 9       | one                                                     | no server   | no server         |
+      | 2       | 9       | one                                                     | any server  | any server        |
+      | 2       | 0       | one                                                     | no server   | no server         |
+      | 2       | 9       | one, two in vain                                        | two         | one or two        |
+      | 2       | 0       | one, two in vain                                        | no server   | no server         |
+      | 2       | 9       | one, two in vain, two in vain                           | two         | one or two        |
+      | 2       | 9       | one, two in vain, two in vain, two in vain              | no server   | one or two        |
+      | 2       | 9       | one, two and moved there                                | one         | one or two        |
+      | 2       | 9       | one which failed, two                                   | one         | no server         |
+      | 2       | 9       | one which rejected it, two                              | any server  | any server        |
+      | 3       | 9       | one, two in vain                                        | any server  | any server        |
+      | 3       | 9       | one, two in vain, three in vain                         | three or two | one or three or two |
+      | 3       | 9       | one which failed, two, three in vain                    | one or three | one or three or two |
--- a/features/silent_requests.feature
+++ b/features/silent_requests.feature
@@ -55,3 +55,15 @@
       | mute    | 0.6   | 1.7   |
       | trickle | 0.0   | 1.7   |
       | crash   | 0.6   | 1.7   |
+
+    Examples: the other server, after it has begun its response
+      | failure                | delay | pause |
+      | close after its head   | 0.3   | 1.7   |
+      | trickle after its head | 0.0   | 1.7   |
+
+  Scenario: streams of a server that hangs move to one that needs 0.25 s to begin its response
+    Given 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When streams run at server one, server two begins more after 0.25 s, and server one hangs
+    Then every stream that ran there is complete, and another server ran it
+    And every stream was handed over less than 2 s after its last event
--- a/features/steps/silent_request_steps.py
+++ b/features/steps/silent_request_steps.py
@@ -67,6 +67,19 @@
     suspend(server, seconds)
 
 
+@when(
+    "streams run at server {name:w}, server {other:w} begins more after {delay:f} s, "
+    "and server {same:w} hangs"
+)
+def step_streams_hang_late(context: Any, name: str, other: str, delay: float, same: str) -> None:
+    assert name == same
+    server = begin_at(context, ROUTE, name, LONG_STREAM_EVENTS)
+    pool(context).servers[other].fault(
+        late_failure="late", late_seconds=delay, event_seconds=context.event_seconds
+    )
+    server.process.signal(signal.SIGSTOP)
+
+
 @when("streams run at server {name:w}, and it hangs")
 def step_streams_hang(context: Any, name: str) -> None:
     server = begin_at(context, ROUTE, name, LONG_STREAM_EVENTS)
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -111,6 +111,15 @@
         if record is not None and record.entry.instance == entry.instance:
             record.is_replaced = True
 
+    def is_replaced(self, entry: ServerEntry) -> bool:
+        """Whether another server, or a later process of this one, responds at the address."""
+        record = self._servers.get(entry.name)
+        if record is None:
+            return False
+        if record.entry.instance == entry.instance:
+            return record.is_replaced
+        return entry.is_older_than(record.entry)
+
     def get(self, name: str) -> ServerEntry | None:
         """Return a known server in any state, or None."""
         record = self._servers.get(name)
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -1,7 +1,5 @@
 """When a server counts as silent, and which other server may take over from it. No I/O."""
 
-from collections.abc import Iterable
-
 from attrs import frozen
 
 from loomwind.clock import MS_PER_SECOND
@@ -14,6 +12,8 @@
 PEER_SILENCE_MS = LONGEST_PAUSE_MS + 400.0
 TIMEOUT_PER_OBJECTIVE = 2.0
 MIN_TIMEOUT_MS = 250.0
+# A server that has just taken over the streams of a silent one shows whether it can bear more.
+MAX_MOVES_AT_ONCE = 2
 
 
 def start_silence_ms(route: RouteRule) -> float | None:
@@ -42,16 +42,18 @@
 
 @frozen
 class Liveness:
-    """What this daemon has seen of a server.
+    """The state of a server, as this daemon observes it.
 
     :ivar last_received_ms: when data last came from it.
     :ivar in_flight: the number of this daemon's requests in progress there.
-    :ivar is_doubted: whether it failed recently, or is silent itself.
+    :ivar is_suspect: whether it failed recently, or is silent itself.
+    :ivar moves: the number of requests that are being moved to it.
     """
 
     last_received_ms: float
     in_flight: int
-    is_doubted: bool
+    is_suspect: bool
+    moves: int = 0
 
 
 @frozen
@@ -59,33 +61,18 @@
     """The silence of a server that has a request.
 
     :ivar since_ms: when it last sent data of the request.
-    :ivar is_heard: whether it has sent data of other requests since.
     :ivar has_begun: whether the caller has got the head of a response.
     """
 
     since_ms: float
-    is_heard: bool = False
     has_begun: bool = False
 
     def may_be_taken_over(self, other: Liveness) -> bool:
-        """Whether another server may take the request over.
+        """Whether the request may be sent to another server as well.
 
         It has sent data since, or had no reason to. When all servers are silent at once, the cause
         is rarely theirs, and a move gains nothing.
         """
-        return not other.is_doubted and (self._has_answered(other) or other.in_flight == 0)
-
-    def is_certain(self, other: Liveness, others: Iterable[Liveness], now_ms: float) -> bool:
-        """Whether the other server may be relied on before it has responded.
-
-        Not as long as the silent one may only pause. One that is heard works on other requests
-        first; the other one may do the same.
-
-        :param others: all servers but the silent one.
-        """
-        if self.is_heard or now_ms - self.since_ms < LONGEST_PAUSE_MS:
+        if other.is_suspect or other.moves >= MAX_MOVES_AT_ONCE:
             return False
-        return self._has_answered(other) or any(self._has_answered(each) for each in others)
-
-    def _has_answered(self, other: Liveness) -> bool:
-        return other.last_received_ms >= self.since_ms
+        return other.last_received_ms >= self.since_ms or other.in_flight == 0
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -47,6 +47,7 @@
         self._log = log
         # A request may also be at a peer, which is no server.
         self._servers: set[str] = set()
+        self._preferred = ""
 
     def new(
         self, entry: ServerEntry, is_replacement: bool = False, has_permit: bool = False
@@ -65,22 +66,23 @@
         """Record that the request is about to be sent; returns the id of its last event."""
         entry = replacement.entry
         last_event_id = self._stream.last_event_id
-        self._progress.sends += 1
+        self._progress.record_sent(entry.instance)
         self._retries.record_sent()
-        self._progress.server = entry.instance
-        self._progress.outcome_pending = True
         if last_event_id is not None:
             self._log.resumed(entry, last_event_id, self._stream.events)
         return last_event_id
 
     def record_failure(self, attempt: Attempt, failure: SendFailed) -> None:
         """Record that a server sent no usable response."""
-        if failure.no_permit:
-            self._progress.record_failure(may_have_run=False)
-            return
+        entry = attempt.entry
+        self._progress.record_failure(entry.instance, failure.may_have_run)
+        if not failure.no_permit:
+            self._note_failure(attempt, failure)
+
+    def _note_failure(self, attempt: Attempt, failure: SendFailed) -> None:
+        """Update what this daemon records of a server, and log the failure."""
         entry = attempt.entry
         caller = self._outgoing.caller
-        self._progress.record_failure(failure.may_have_run)
         if failure.broken and not self._handler.pool.is_leaving(entry):
             is_early = self._stream.events - attempt.events_before < EARLY_CRASH_EVENTS
             self._handler.prompts.record_crash(caller, entry.instance, attempt.up_ms(), is_early)
@@ -101,25 +103,23 @@
 
     def decide(self, silent: ServerEntry, silent_since_ms: float) -> MoveDecision:
         """Decide whether the request of a silent server is moved, and to which server."""
-        obstacle = self._retries.move_obstacle()
+        obstacle = self._retries.move_obstacle(silent.instance)
         if obstacle is not None:
             return MoveDecision(obstacle)
-        silence = self._silence(silent, silent_since_ms)
-        chosen = self._selector.choose_replacement(silent, silence, self._handler.now())
+        silence = Silence(silent_since_ms, has_begun=self._exchange.started)
+        self._selector.allowed = self._retries.allowed_servers(silent.instance)
+        now = self._handler.now()
+        chosen = self._selector.choose_replacement(silent, silence, now, self._preferred)
         if chosen is None:
             return MoveDecision("no other server that can run it has answered since")
         if not self._retries.try_spend():
             return MoveDecision(BUDGET_EXHAUSTED)
-        replacement = self.new(chosen.entry, is_replacement=True)
-        return MoveDecision("another server can run it", replacement, chosen.is_certain)
+        replacement = self.new(chosen, is_replacement=True)
+        return MoveDecision("another server can run it", replacement)
 
-    def _silence(self, silent: ServerEntry, since_ms: float) -> Silence:
-        has_begun = self._exchange.started
-        if self.is_at_peer(silent):
-            return Silence(since_ms, has_begun=has_begun)
-        pool = self._handler.pool
-        is_heard = pool.health(silent).last_received_at * MS_PER_SECOND > since_ms
-        return Silence(since_ms, is_heard, has_begun)
+    def has_ended(self, silent: ServerEntry, silent_since_ms: float) -> bool:
+        """Whether the process of a silent server has certainly ended."""
+        return self._handler.pool.has_ended(silent, silent_since_ms / MS_PER_SECOND)
 
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
@@ -133,26 +133,26 @@
     def record_dropped(
         self, replacement: Attempt, silent: ServerEntry, failure: SendFailed | None
     ) -> None:
-        """Record that a replacement that got the request was not needed, or has failed."""
+        """Record that a replacement that got the request was not needed, or has failed.
+
+        That is no failure of the request: its server still has it.
+        """
+        entry = replacement.entry
+        if failure is None or failure.may_have_run:
+            self._progress.record_run(entry.instance)
         if failure is not None:
-            self.record_failure(replacement, failure)
+            self._note_failure(replacement, failure)
         else:
-            self._record_left(replacement.entry)
+            self._preferred = entry.instance
+            self._handler.count_send(entry, "left")
         self._progress.server = silent.instance
-        self._progress.outcome_pending = True
 
     def record_moved(self, silent: ServerEntry) -> None:
         """Record that the request was taken over from a silent server."""
         if not self.is_at_peer(silent):
             self._handler.pool.health(silent).record_left(self._handler.now())
-        self._record_left(silent)
-        self._progress.outcome_pending = True
-
-    def _record_left(self, entry: ServerEntry) -> None:
-        """Record that a server that may have run the request goes on without a reader."""
-        self._progress.record_failure(may_have_run=True)
-        self._selector.tried.add(entry.instance)
-        self._handler.count_send(entry, "left")
+        self._progress.record_run(silent.instance)
+        self._handler.count_send(silent, "left")
 
     def check(self, answer: Answer, entry: ServerEntry) -> SendFailed | None:
         """Return why the beginning of a response cannot take the place of the current one."""
--- a/loomwind/serving/request_log.py
+++ b/loomwind/serving/request_log.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from attrs import define
+from attrs import define, field
 
 from loomwind.logs import log_decision
 from loomwind.serving.errors import SendFailed
@@ -19,8 +19,11 @@
 class RequestProgress:
     """How far a request has come.
 
-    :ivar runs: the number of servers that may have run it.
-    :ivar sends: the number of servers and peers that it was sent to.
+    :ivar failures: the number of attempts that failed after a server may have run it, but for those
+        beside another one that went on.
+    :ivar unnamed_servers: the number of servers that may have run it at the daemon that relays it.
+    :ivar servers: the servers, and peers, that may have run it for this daemon.
+    :ivar sends: how often it was sent to a server or peer.
     :ivar may_have_run: whether a server may have run it.
     :ivar outcome_pending: whether it was sent and no outcome is known yet.
     :ivar waited_seconds: how long it has waited for its model.
@@ -28,7 +31,9 @@
     :ivar server: the last server or peer that it was sent to; empty before the first.
     """
 
-    runs: int = 0
+    failures: int = 0
+    unnamed_servers: int = 0
+    servers: set[str] = field(factory=set)
     sends: int = 0
     may_have_run: bool = False
     outcome_pending: bool = False
@@ -36,11 +41,28 @@
     is_waiting: bool = False
     server: str = ""
 
-    def record_failure(self, may_have_run: bool) -> None:
-        """Record the outcome of a failed send."""
+    @property
+    def runs(self) -> int:
+        """Return the number of servers that may have run it."""
+        return self.unnamed_servers + len(self.servers)
+
+    def record_sent(self, server: str) -> None:
+        """Record that the request is about to be sent to a server or peer."""
+        self.sends += 1
+        self.server = server
+        self.outcome_pending = True
+
+    def record_run(self, server: str) -> None:
+        """Record that a server or peer may have run the request."""
+        self.servers.add(server)
+        self.may_have_run = True
+
+    def record_failure(self, server: str, may_have_run: bool) -> None:
+        """Record that the only attempt in progress has failed."""
         self.outcome_pending = False
-        self.runs += may_have_run
-        self.may_have_run |= may_have_run
+        if may_have_run:
+            self.failures += 1
+            self.record_run(server)
 
 
 class RequestLog:
@@ -158,6 +180,7 @@
             self._caller.request_id,
             reason=reason,
             sends=self._progress.sends,
+            failures=self._progress.failures,
             runs=self._progress.runs,
             max_attempts=self._route.max_attempts,
             configuration=self._handler.configuration_version(),
--- a/loomwind/serving/retry_policy.py
+++ b/loomwind/serving/retry_policy.py
@@ -1,16 +1,18 @@
 """Decides whether a request may be sent to a server again, and spends the retry budget."""
 
-from typing import TYPE_CHECKING
+import asyncio
+from collections.abc import Callable
 
+from loomwind.metrics import Metrics
+from loomwind.serving.budget import RetryBudget
 from loomwind.serving.errors import SendFailed
-from loomwind.serving.request_log import RequestLog, RequestProgress
+from loomwind.serving.prompt_guard import PromptGuard
+from loomwind.serving.request_log import RequestProgress
 from loomwind.serving.views import CallerRequest, RouteRule
 
-if TYPE_CHECKING:
-    from loomwind.serving.handler import RequestHandler
-
 MAX_EXTRA_SENDS = 3
 BUDGET_EXHAUSTED = "the retry budget is exhausted"
+SERVERS_EXHAUSTED = "it may have run on as many servers as its route allows"
 
 
 class RetryPolicy:
@@ -21,19 +23,28 @@
 
     def __init__(
         self,
-        handler: "RequestHandler",
         caller: CallerRequest,
         route: RouteRule,
-        service: str,
+        budget: RetryBudget,
+        prompts: PromptGuard,
+        metrics: Metrics,
         progress: RequestProgress,
-        log: RequestLog,
+        is_leaving: Callable[[], bool],
+        on_denied: Callable[[str], None],
     ) -> None:
-        self._handler = handler
+        """Create a policy.
+
+        :param is_leaving: whether this daemon shuts down, so that nothing may wait for a server.
+        :param on_denied: called with the reason why a failed attempt is not followed by another.
+        """
         self._caller = caller
         self._route = route
-        self._budget = handler.pool.retry_budget(service)
+        self._budget = budget
+        self._prompts = prompts
+        self._repeats = metrics.repeats
         self._progress = progress
-        self._log = log
+        self._is_leaving = is_leaving
+        self._on_denied = on_denied
         self.is_unpaid = False
         # When a retry was spent that has not been sent yet.
         self._unsent_since: float | None = None
@@ -48,43 +59,61 @@
             return True
         if not failure.may_have_run and self._caller.target is not None:
             self.is_unpaid = True
-            return not self._handler.rejects_waiting
-        obstacle = self._obstacle(failure.may_have_run, self._progress.runs)
+            return not self._is_leaving()
+        obstacle = self._obstacle(failure.may_have_run)
         if obstacle is None and not self.try_spend():
             obstacle = BUDGET_EXHAUSTED
         if obstacle is not None:
-            self._log.retry_denied(obstacle)
+            self._on_denied(obstacle)
         return obstacle is None
 
-    def move_obstacle(self) -> str | None:
-        """Return why a request that a server has may not be sent to another one too."""
-        if self._handler.prompts.banned_for_ms(self._caller) > 0:
+    def move_obstacle(self, silent: str) -> str | None:
+        """Return why a request that a server has may not be sent to another one too.
+
+        One send is left for a failure of the server that has it.
+        """
+        if self._prompts.banned_for_ms(self._caller) > 0:
             return "it, or a part of its prompt, is banned"
-        obstacle = self._obstacle(may_have_run=True, runs=self._progress.runs + 1)
-        if obstacle is None and not self._budget.has_room(self._handler.now()):
+        obstacle = self._obstacle(may_have_run=True, reserved_sends=1)
+        if obstacle is None and self.allowed_servers(silent) == {silent}:
+            obstacle = SERVERS_EXHAUSTED
+        if obstacle is None and not self._budget.has_room(_now()):
             obstacle = BUDGET_EXHAUSTED
         return obstacle
 
-    def _obstacle(self, may_have_run: bool, runs: int) -> str | None:
+    def allowed_servers(self, current: str = "") -> set[str] | None:
+        """Return the only servers that the request may be sent to; None for no limit.
+
+        The limit of a route is on servers, not on sends: those that may have run the request can
+        get it again.
+
+        :param current: a server that has the request; empty for none.
+        """
+        servers = self._progress.servers | ({current} if current else set())
+        if self._progress.unnamed_servers + len(servers) < self._route.max_attempts:
+            return None
+        return servers
+
+    def _obstacle(self, may_have_run: bool, reserved_sends: int = 0) -> str | None:
         """Return why the request may not be sent again, apart from the retry budget.
 
-        :param runs: the number of servers that may have run it.
+        :param reserved_sends: the number of sends that are kept for later.
         """
         if may_have_run and not self._route.repeatable:
             return "it may have run and cannot be repeated"
-        if may_have_run and not self._handler.prompts.may_retry(self._caller):
+        if may_have_run and not self._prompts.may_retry(self._caller):
             return "its prompt is suspected of crashes"
-        if runs >= self._route.max_attempts:
-            return "it may have run on as many servers as its route allows"
-        if self._progress.sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
+        if self._progress.failures >= self._route.max_attempts:
+            return "it may have run as often as its route allows"
+        if self._progress.sends + reserved_sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
             return "it was sent too often"
         return None
 
     def try_spend(self) -> bool:
         """Spend one retry; returns False when the budget is exhausted."""
-        now = self._handler.now()
+        now = _now()
         allowed = self._budget.try_spend(now)
-        self._handler.metrics.repeats.labels("allowed" if allowed else "over-budget").inc()
+        self._repeats.labels("allowed" if allowed else "over-budget").inc()
         if allowed:
             self._unsent_since = now
         return allowed
@@ -98,10 +127,14 @@
         if self._unsent_since is not None:
             self._budget.refund(self._unsent_since)
             self._unsent_since = None
-            self._handler.metrics.repeats.labels("returned").inc()
+            self._repeats.labels("returned").inc()
 
     def try_pay(self) -> bool:
         """Spend the retry that is to be charged, if any; returns False when it cannot be spent."""
         if self.is_unpaid:
             self.is_unpaid = not self.try_spend()
         return not self.is_unpaid
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -6,8 +6,6 @@
 import random
 from collections.abc import Callable
 
-from attrs import frozen
-
 from loomwind.clock import MS_PER_SECOND
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.inactivity import Liveness, Silence
@@ -16,21 +14,11 @@
 from loomwind.serving.views import CallerRequest, ServerEntry
 
 
-@frozen
-class Replacement:
-    """A server that may take a request over from a silent one.
-
-    :ivar is_certain: whether it may be relied on before it has responded.
-    """
-
-    entry: ServerEntry
-    is_certain: bool
-
-
 class ServerSelector:
     """Selects servers for the attempts of one request.
 
-    :ivar tried: instances that the request was sent to before.
+    :ivar tried: instances at which an attempt has failed.
+    :ivar allowed: the only instances that the request may be sent to; None for no limit.
     :ivar full: the servers that could run the request at the last choice, if all were full.
     :ivar software_version: the version that the server must have; None for any.
     """
@@ -61,6 +49,7 @@
         self._is_full = is_full
         self._candidates: list[Candidate] = []
         self.tried: set[str] = set()
+        self.allowed: set[str] | None = None
         self.full: list[ServerEntry] = []
         self.software_version: str | None = None
 
@@ -72,37 +61,31 @@
         return self._lowest_cost(with_place, now)
 
     def choose_replacement(
-        self, silent: ServerEntry, silence: Silence, now: float
-    ) -> Replacement | None:
+        self, silent: ServerEntry, silence: Silence, now: float, preferred: str = ""
+    ) -> ServerEntry | None:
         """Return the server that may take the request over from a silent one; None for none.
 
         A response that has begun named its software version, also before its first event.
+
+        :param preferred: the instance to return if it is among those that may.
         """
         entries = [
             entry
             for entry in self._eligible(now)
             if entry.instance != silent.instance
+            and entry.instance not in self.tried
             and (not silence.has_begun or entry.software_version == silent.software_version)
+            and silence.may_be_taken_over(self._liveness(entry, now))
         ]
-        others = {entry.instance: self._liveness(entry, now) for entry in entries}
-        entries = [
-            entry
-            for entry in entries
-            if entry.instance not in self.tried
-            and silence.may_be_taken_over(others[entry.instance])
-        ]
-        chosen = self._lowest_cost(entries, now)
-        if chosen is None:
-            return None
-        is_certain = silence.is_certain(
-            others[chosen.instance], others.values(), now * MS_PER_SECOND
-        )
-        return Replacement(chosen, is_certain)
+        again = [entry for entry in entries if entry.instance == preferred]
+        return self._lowest_cost(again or entries, now)
 
     def _liveness(self, entry: ServerEntry, now: float) -> Liveness:
         health = self._pool.health(entry)
-        is_doubted = health.is_open(now) or health.is_suspect(now) or health.is_unreachable(now)
-        return Liveness(health.last_received_at * MS_PER_SECOND, health.in_flight, is_doubted)
+        is_suspect = health.is_open(now) or health.is_suspect(now) or health.is_unreachable(now)
+        return Liveness(
+            health.last_received_at * MS_PER_SECOND, health.in_flight, is_suspect, health.moves
+        )
 
     def _lowest_cost(self, entries: list[ServerEntry], now: float) -> ServerEntry | None:
         candidates = [self._candidate(entry, now) for entry in entries]
@@ -116,11 +99,23 @@
 
     def _able(self, now: float) -> list[ServerEntry]:
         if self._connectivity.is_unreachable and (responsive := self._responsive_idle(now)):
-            return responsive
-        return self._of_version(
-            self._pool.reachable_candidates(self._service, self._caller.target, now)
+            return self._of_allowed(responsive)
+        return self._of_allowed(
+            self._of_version(
+                self._pool.reachable_candidates(self._service, self._caller.target, now)
+            )
         )
 
+    def _of_allowed(self, entries: list[ServerEntry]) -> list[ServerEntry]:
+        """Return the servers that may get the request.
+
+        Among those that may get it again, one at which it has not failed goes first.
+        """
+        if self.allowed is None:
+            return entries
+        allowed = [entry for entry in entries if entry.instance in self.allowed]
+        return [entry for entry in allowed if entry.instance not in self.tried] or allowed
+
     def _of_version(self, entries: list[ServerEntry]) -> list[ServerEntry]:
         """Return the servers that have the required software version.
 
@@ -172,6 +167,12 @@
             return False
         return not self._of_version(self._pool.directory.usable(self._service, now))
 
+    def are_allowed_gone(self, now: float) -> bool:
+        """Whether the request may be sent to some servers only, and none of them is usable."""
+        if self.allowed is None:
+            return False
+        return not self._of_allowed(self._pool.directory.usable(self._service, now))
+
     def passed_over(self, server: str) -> list[str]:
         """Return the other candidates of the last selection, with their cost inputs."""
         return [
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -33,8 +33,8 @@
     ) -> None:
         """Create a relay.
 
-        :param read: reads from a server, however long it is silent; if it raises an error instead,
-            the server's connection is closed.
+        :param read: reads events from a server, however long it is silent; if it raises an error
+            instead, the server's connection is closed.
         :param on_first_event: called before the first event of the request is relayed.
         """
         self._exchange = exchange
@@ -67,15 +67,12 @@
                 await self._exchange.start(response.head.status, headers)
             stream_gaps = StreamGaps()
             events_before = self.events
-            while chunk := await self._next_chunk(entry, response):
-                now = self._now()
-                health.record_received(now)
-                stream_gaps.record_event(now * MS_PER_SECOND)
-                is_first = self.events == 0
-                complete = self._complete_events(entry, chunk)
-                del chunk  # Would be kept while the next one is waited for.
-                if is_first and self.events:
+            is_first = events_before == 0
+            while complete := await self._next_events(entry, response, health):
+                stream_gaps.record_event(self._now() * MS_PER_SECOND)
+                if is_first:
                     self._on_first_event(entry)
+                is_first = False
                 await self._exchange.send(complete)
             has_events = self.events > events_before
             await self._exchange.send(self._finish_body(entry, response, has_events))
@@ -86,9 +83,25 @@
             self._event_buffer.discard_incomplete_event()
             raise
 
-    async def _next_chunk(self, entry: ServerEntry, response: OpenResponse) -> bytes:
+    async def _next_events(
+        self, entry: ServerEntry, response: OpenResponse, health: ServerHealth
+    ) -> bytes:
+        """Return the next complete events; empty at the end of the body.
+
+        A server whose bytes complete no event counts as silent.
+        """
+
+        async def read() -> bytes:
+            while chunk := await response.connection.read_body():
+                health.record_received(self._now())
+                complete = self._complete_events(entry, chunk)
+                del chunk  # Would be kept while the next one is waited for.
+                if complete:
+                    return complete
+            return b""
+
         try:
-            return await self._read(entry, response.connection.read_body)
+            return await self._read(entry, read)
         except HttpError as error:
             raise SendFailed(
                 f"{entry.instance}: {error}", may_have_run=True, broken=True
