Announce how long connections are kept, and close none with an unread request

What callers saw: a request that had arrived on a connection when its idle timer fired, when its daemon stopped listening, or when a stopping daemon looked for its last requests, ended without an answer: closing with unread bytes resets the connection. How long a connection is kept was not announced, so that a caller whose view of the idle limit differs (a change of the configuration) could not know when to stop using it. Cause: the closes asked the state of the parser only, not the kernel; a stopping daemon counted requests that were read whole only.

- Responses announce floor(0.8 x the time for which the connection is kept) in Keep-Alive; nothing below 1 s, or where the connection closes.
It is kept no longer and no shorter than before (an idle limit of 15 s: 12 s are announced, as callers are asked to keep to).
- An idle timeout and stop_listening leave connections with unread bytes open; a stopping daemon waits for what has arrived in part, within its grace time.
Left as it is: at the end of the notice time idle connections are closed.
To keep them for the whole grace time would take requests later than 3 s after SIGTERM that the grace time may cut, which are lost; one that crosses the close was not read and may be sent again.

--- a/loomwind/http/exchange.py
+++ b/loomwind/http/exchange.py
@@ -14,6 +14,8 @@
 # Responses that end with their head (RFC 9112, section 6.3), as do those to HEAD.
 BODILESS_STATUSES = frozenset({204, 304})
 
+KEEP_ALIVE = "keep-alive"
+
 
 class BadRequest(Struct, frozen=True):
     """The reason why a request could not be read, and the HTTP status to respond with."""
@@ -41,6 +43,13 @@
     def closes_after_response(self) -> bool:
         """Return whether responses tell the client that the connection closes after them."""
 
+    @property
+    def announced_idle_seconds(self) -> int:
+        """Return for how long the connection may be reused after the response.
+
+        It is 0 if that is not announced.
+        """
+
     def send_event(self, event: h11.Event) -> None:
         """Encode and write one h11 event."""
 
@@ -110,8 +119,7 @@
         :raises UnsendableResponse: the head is invalid; nothing was sent, so another may follow.
         """
         headers = (*headers, *self.extra_headers)
-        if self._connection.closes_after_response:
-            headers = (*headers, ("connection", "close"))
+        headers = (*headers, *self._connection_headers(headers))
         with map_exceptions(RESPONSE_EXCEPTIONS):
             raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
             head = h11.Response(status_code=status, headers=raw)
@@ -122,6 +130,15 @@
         self._ends_with_connection = not has_length and not self._connection.allows_chunks
         await self._connection.drain()
 
+    def _connection_headers(self, headers: Headers) -> Headers:
+        """Return the headers that say whether, and for how long, the connection stays open."""
+        if self._connection.closes_after_response:
+            return (("connection", "close"),)
+        seconds = self._connection.announced_idle_seconds
+        if not seconds or any(name.lower() == KEEP_ALIVE for name, _ in headers):
+            return ()
+        return ((KEEP_ALIVE, f"timeout={seconds}"),)
+
     async def send(self, data: bytes) -> None:
         """Send a part of the body in a single write, and wait while the client reads slowly.
 
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -70,15 +70,23 @@
         """Return the number of requests that were read and whose exchange has not ended."""
         return sum(connection.is_handling for connection in self.connections)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request has arrived on some connection."""
+        return any(connection.is_receiving for connection in self.connections)
+
     def start_draining(self) -> None:
         """Keep serving, but have responses close their connection, so that clients reconnect."""
         self.draining = True
 
     def stop_listening(self) -> None:
-        """Accept no new connections, close idle ones, and let requests in progress finish."""
+        """Accept no new connections, close idle ones, and let requests in progress finish.
+
+        A request that has arrived counts as one in progress.
+        """
         self._refuse_connections()
         for connection in list(self.connections):
-            if connection.is_idle:
+            if connection.is_idle and not connection.is_receiving:
                 connection.close(CloseReason.STOPPED_LISTENING)
 
     async def end_exchanges(self, timeout_seconds: float) -> None:
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -22,6 +22,11 @@
 # How long the rest of a request that was refused unread is discarded.
 LINGER_SECONDS = 1.0
 HTTP_1_0 = b"1.0"
+# Callers reuse a connection until four fifths of its idle timeout have passed (the protocol of the
+# platform). The rest covers the way of a request that is sent at the end of that time.
+ANNOUNCED_IDLE_SHARE = 0.8
+# Data that has arrived is read in the next pass of the loop.
+IDLE_RECHECK_SECONDS = 0.1
 
 
 class ConnectionState(enum.Enum):
@@ -35,6 +40,9 @@
     CLOSED = enum.auto()
 
 
+READING_STATES = (ConnectionState.READING_HEAD, ConnectionState.READING_BODY)
+
+
 def _decode_headers(head: h11.Request) -> Headers:
     return tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers)
 
@@ -102,6 +110,16 @@
             return True
         return self._server.closing and not self._has_pipelined_data
 
+    @property
+    def announced_idle_seconds(self) -> int:
+        """Return the time in the ``Keep-Alive`` field of responses; 0 if they have none.
+
+        The field has whole seconds.
+        """
+        if self._h11.their_state is h11.MUST_CLOSE:
+            return 0
+        return int(ANNOUNCED_IDLE_SHARE * self._idle_timeout_seconds)
+
     @property
     def _has_pipelined_data(self) -> bool:
         """Return whether data that belongs to further requests has been read."""
@@ -112,6 +130,13 @@
         """Return whether no request is being read or handled."""
         return self._state is ConnectionState.IDLE
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a part of a request has arrived, read or not, but not the whole."""
+        if self._state in READING_STATES:
+            return True
+        return self.is_idle and self._transport is not None and bool(unread_bytes(self._transport))
+
     @property
     def is_handling(self) -> bool:
         """Return whether a request was read whole, or refused, and its exchange has not ended."""
@@ -204,7 +229,7 @@
 
     def _read_events(self) -> None:
         try:
-            while self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY):
+            while self._state in READING_STATES:
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
@@ -404,7 +429,7 @@
         if observer is None or transport is None or self._is_close_recorded:
             return
         self._is_close_recorded = True
-        is_reading = self._state in (ConnectionState.READING_HEAD, ConnectionState.READING_BODY)
+        is_reading = self._state in READING_STATES
         if is_reading:
             self._request_id = self._id_in(_decode_headers(self._head)) if self._head else ""
         now, last_byte_at = self._now(), self._last_byte_at
@@ -463,10 +488,12 @@
         self._start_timer(self._idle_timeout_seconds)
 
     def _on_idle_timeout(self) -> None:
-        """Close, unless the idle timeout has been raised since the timer was started."""
+        """Close, unless the idle timeout was raised meanwhile, or data has arrived in time."""
         remaining_seconds = self._idle_since + self._idle_timeout_seconds - self._now()
         if remaining_seconds > 0:
             self._start_timer(remaining_seconds)
+        elif self.is_receiving:
+            self._start_timer(IDLE_RECHECK_SECONDS)
         else:
             self.close(CloseReason.IDLE_TIMEOUT)
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -453,9 +453,10 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _has_open_requests(self) -> bool:
-        """Return whether a request is in progress, or was read and is about to be."""
+        """Return whether a request is in progress, or has arrived in part and is about to be."""
         open_exchanges = self.callers.open_exchanges + self._relay_server.open_exchanges
-        return bool(self._handler.open_requests or open_exchanges)
+        is_serving = bool(self._handler.open_requests or open_exchanges)
+        return is_serving or self.callers.is_receiving or self._relay_server.is_receiving
 
     async def _release_leadership(self) -> None:
         """Release the lease once no order of this daemon can arrive after the next leader's."""
