--- a/features/support/pause_soak.py
+++ b/features/support/pause_soak.py
@@ -47,6 +47,7 @@
     "concurrent": concurrent_runs,
     "own end": lambda record: record.own_ends,
     "not recovered": lambda record: record.not_recovered,
+    "shut down inside": lambda record: record.shut_down_inside,
 }
 
 
@@ -72,11 +73,16 @@
         assert not found, "\n".join((f"{len(found)} found, {place}", self.summary, *found))
 
 
-def run_soak(options: SoakOptions) -> SoakResult:
-    """Run a soak with a site of its own, and judge it."""
+def run_soak(
+    options: SoakOptions, create_faults: Callable[..., PauseFaults] = PauseFaults
+) -> SoakResult:
+    """Run a soak with a site of its own, and judge it.
+
+    :param create_faults: the class of the faults.
+    """
     site = PoolSite()
     try:
-        record = _play(site, options)
+        record = _play(site, options, create_faults)
     finally:
         site.end_processes()
     record.read_runs()
@@ -90,11 +96,13 @@
     return SoakResult(findings, summary, logs)
 
 
-def _play(site: PoolSite, options: SoakOptions) -> SoakRecord:
+def _play(
+    site: PoolSite, options: SoakOptions, create_faults: Callable[..., PauseFaults]
+) -> SoakRecord:
     record = SoakRecord(site.folder, SOAK_GRACE_SECONDS)
     _build(site, options)
     stopping = threading.Event()
-    faults = PauseFaults(site, random.Random(options.seed), EVENT_SECONDS, record)
+    faults = create_faults(site, random.Random(options.seed), EVENT_SECONDS, record)
     count = min(MAX_SOAK_CALLERS, CALLERS_PER_DAEMON * options.daemons)
     sources = [random.Random(f"{options.seed}-{number}") for number in range(count)]
     callers = [SoakCaller(site, record, stopping, source) for source in sources]
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -121,10 +121,14 @@
     def start(self) -> None:
         """Write the settings and start the daemon process."""
         self._start_count += 1
-        self.settings_path.write_text(self._settings(self))
+        self.write_settings()
         environment = {**os.environ, "LOOMWIND_SETTINGS": str(self.settings_path)}
         self.process = Process("loomwind", ["serve"], self.log_path, environment)
 
+    def write_settings(self) -> None:
+        """Write the settings file from the present state of the site."""
+        self.settings_path.write_text(self._settings(self))
+
     def ready_status(self) -> int:
         """Return the HTTP status of the readiness endpoint, or 0 without a response."""
         return send(plain(f"{LOCALHOST}:{self.ready_port}", "GET", "/ready")).status
--- a/features/support/soak_record.py
+++ b/features/support/soak_record.py
@@ -12,6 +12,8 @@
 
 SUMMARY_FIELDS = (
     "decision",
+    "closed_by",
+    "phase",
     "server",
     "software",
     "version",
@@ -138,6 +140,7 @@
     :ivar stalled_servers: when each server stood still, suspended or held up by the machine.
     :ivar own_ends: daemons that ended without a signal, or not as they should.
     :ivar not_recovered: what did not come back after the faults.
+    :ivar shut_down_inside: connections that a daemon closed inside a request as it stopped.
     """
 
     folder: Path
@@ -151,6 +154,7 @@
     stalled_servers: defaultdict[str, list[Interval]] = field(factory=lambda: defaultdict(list))
     own_ends: list[str] = field(factory=list)
     not_recovered: list[str] = field(factory=list)
+    shut_down_inside: list[str] = field(factory=list)
     runs: defaultdict[str, list[Run]] = field(factory=lambda: defaultdict(list))
     lines: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
 
@@ -182,6 +186,8 @@
                 entry = _decode(line)
                 if entry.get("request_id") in ids:
                     self.lines[entry["request_id"]].append(_summary(path.stem, entry))
+                if entry.get("reason") == "shutdown" and entry.get("is_request_open"):
+                    self.shut_down_inside.append(f"{path.stem}: {line}")
 
 
 def _decode(line: str) -> dict[str, Any]:
