Tell a rejection for a model that is moved from one for want of a place

A daemon states both kinds apart. Rejections for a model that is moved count towards what the server stands in a second, but leave its limit as it is; a load of another model is no cause any more. The scenarios failed with all rejections counted as before (3 of 5 rows). A daemon that gets the rejection before the leader's news of the order still takes it for want of a place; the limit is then back within tenths of a second, since the server has shown to take more (by the tests of the ledger).

request_attempts passes the request's target: one line.

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -67,6 +67,25 @@
     And daemon one states 3 requests and 1 rejections
     Then the limit is 3
 
+  Scenario: a rejection for a model that is moved does not lower the limit
+    Given a ledger for a server of 8 slots
+    When daemon one states 6 requests
+    And daemon one states 6 requests and 1 for a model that is moved
+    Then the limit is 8
+
+  Scenario Outline: a rejection for a model that is moved is not taken for want of a place
+    Given a server that holds m1 and is loading <loading>
+    When it rejects a request for <target>
+    Then the daemon states <rejected> rejections and <refused> for a model that is moved
+
+    Examples:
+      | loading | target | rejected | refused |
+      | nothing | m1     | 1        | 0       |
+      | nothing | m2     | 0        | 1       |
+      | m2      | m2     | 0        | 1       |
+      | m2      | m1     | 1        | 0       |
+      | m1      | m1     | 0        | 1       |
+
   Scenario: a server that rejects at random does not lose its places for good
     When a server with 8 places rejects 5 percent at random for 30 s
     Then it had 0.5 of its places in use on average
--- a/features/steps/permit_steps.py
+++ b/features/steps/permit_steps.py
@@ -1,6 +1,8 @@
 """Steps for the ledger of permits."""
 
-from typing import Any
+import asyncio
+from collections.abc import Iterable
+from typing import Any, cast
 
 from attrs import define, field
 from behave import given, then, when
@@ -18,8 +20,15 @@
     PermitServer,
     statement_of,
 )
-from loomwind.clock import MS_PER_SECOND
-from loomwind.serving.permit_ledger import PermitHolder, PermitLedger
+from loomwind.clock import MS_PER_SECOND, Clock
+from loomwind.metrics import Metrics
+from loomwind.serving.admission import REPORT_DELAY_MS, Admission
+from loomwind.serving.permit_ledger import PermitHolder, PermitLedger, PermitStatement
+from loomwind.serving.permit_owners import PermitOwners
+from loomwind.serving.pool import ServerPool
+from loomwind.serving.residency import ServerHolding
+from loomwind.serving.views import HeldModel, ModelKey, ServerEntry, ServerState
+from loomwind.settings import BoundSettings
 
 HOLD_MS = 400.0
 LAN_DELAY_MS = 20.0
@@ -218,3 +227,46 @@
 @then("its limit is {limit:d}")
 def step_exchange_limit(context: Any, limit: int) -> None:
     assert context.exchange.limit == limit, context.exchange.limit
+
+
+class _RecordingOwners:
+    """Takes the place of the daemons that keep ledgers."""
+
+    def __init__(self) -> None:
+        self.statements: list[PermitStatement] = []
+
+    def report(self, statements: Iterable[PermitStatement]) -> None:
+        """Keep the statements."""
+        self.statements += statements
+
+
+@given("a server that holds {held} and is loading {loading}")
+def step_loading_server(context: Any, held: str, loading: str) -> None:
+    context.held = (HeldModel(held),)
+    context.loading = "" if loading == "nothing" else loading
+
+
+@when("it rejects a request for {target}")
+def step_reject_target(context: Any, target: str) -> None:
+    context.statements = asyncio.run(_reject(context.held, context.loading, ModelKey(target)))
+
+
+async def _reject(
+    held: tuple[HeldModel, ...], loading: str, target: ModelKey
+) -> list[PermitStatement]:
+    """Return what a daemon states after a server rejected a request."""
+    entry = ServerEntry(INSTANCE, "tutor", "127.0.0.1:9", "zone-a", 8, ServerState.READY, held=held)
+    pool, owners = ServerPool(BoundSettings()), _RecordingOwners()
+    pool.directory.put(entry)
+    pool.update_holdings((ServerHolding(INSTANCE, 1, held, loading),))
+    pool.rejection_limits.observe(entry, 2, Clock().now_ms())
+    admission = Admission(pool, cast(PermitOwners, owners), Metrics(), Clock())
+    admission.record_rejection(entry, target)
+    await asyncio.sleep(2 * REPORT_DELAY_MS / MS_PER_SECOND)
+    return owners.statements
+
+
+@then("the daemon states {rejected:d} rejections and {refused:d} for a model that is moved")
+def step_stated(context: Any, rejected: int, refused: int) -> None:
+    (statement,) = context.statements
+    assert (statement.rejected, statement.refused) == (rejected, refused), statement
--- a/loomwind/serving/admission.py
+++ b/loomwind/serving/admission.py
@@ -21,7 +21,8 @@
 from loomwind.serving.permit_ledger import RENEWAL_MS, PermitGrant, PermitStatement
 from loomwind.serving.permit_owners import PermitOwners
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.views import ServerEntry
+from loomwind.serving.rejections import RejectionCause
+from loomwind.serving.views import ModelKey, ServerEntry
 
 # A limit that was first said longer ago is known to every daemon.
 SETTLED_AFTER_MS = 2500.0
@@ -185,12 +186,18 @@
             self._hold_ms[entry.service] = HOLD_DECAY * average_ms + (1 - HOLD_DECAY) * held_ms
         self._schedule_report(entry.instance)
 
-    def record_rejection(self, entry: ServerEntry) -> None:
-        """Record that a server rejected a request for want of a place."""
-        if self.is_limited(entry):
-            self._server(entry)
-            self._rejected[entry.instance] += 1
-            self._schedule_report(entry.instance)
+    def record_rejection(self, entry: ServerEntry, target: ModelKey | None) -> None:
+        """Record that a server rejected a request.
+
+        :param target: the model or adapter that the request needs.
+        """
+        if not self.is_limited(entry):
+            return
+        self._server(entry)
+        cause = self._pool.rejection_cause(entry, target)
+        counts = self._rejected if cause is RejectionCause.NO_PLACE else self._refused
+        counts[entry.instance] += 1
+        self._schedule_report(entry.instance)
 
     def _server(self, entry: ServerEntry) -> _Server:
         return self._servers.setdefault(entry.instance, _Server(entry))
--- a/loomwind/serving/learned_limit.py
+++ b/loomwind/serving/learned_limit.py
@@ -162,9 +162,10 @@
         self._change(max(1, min(self.limit - 1, in_progress)), now_ms)
 
     def record_refusals(self, count: int, now_ms: float) -> None:
-        """Record rejections for another cause, which say nothing of the limit."""
+        """Record rejections for another cause, which neither lower the limit nor prove it."""
         self._rejected_ms.extend([now_ms] * count)
         self._unexplained_ms = now_ms
+        self._change(self.limit, now_ms)
 
     def record_granted(self, count: int, now_ms: float) -> None:
         """Record permits for requests that the server has not taken yet."""
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -176,7 +176,8 @@
             return RejectionCause.NO_PLACE
         if not holds(self.residency.held_by(entry, self.now()), target):
             return RejectionCause.NOT_HELD
-        if self.residency.announced_load(entry.instance) is not None:
+        load = self.residency.announced_load(entry.instance)
+        if load is not None and load.model == target.model:
             return RejectionCause.LOADING
         return RejectionCause.NO_PLACE
 
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -87,7 +87,7 @@
         self._selector.tried.add(entry.instance)
         self._handler.pool.record_failure(entry, caller.target, failure, self._handler.now())
         if failure.rejected:
-            self._handler.admission.record_rejection(entry)
+            self._handler.admission.record_rejection(entry, caller.target)
         self._handler.count_send(entry, "failed" if failure.may_have_run else "refused")
         self._log.send_failed(
             attempt, failure, self._selector.passed_over(entry.instance), self._stream.events
