--- a/loomwind/serving/admission.py
+++ b/loomwind/serving/admission.py
@@ -21,7 +21,8 @@
 from loomwind.serving.permit_ledger import RENEWAL_MS, PermitGrant, PermitStatement
 from loomwind.serving.permit_owners import PermitOwners
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.views import ServerEntry
+from loomwind.serving.rejections import RejectionCause
+from loomwind.serving.views import ModelKey, ServerEntry
 
 # A limit that was first said longer ago is known to every daemon.
 SETTLED_AFTER_MS = 2500.0
@@ -62,6 +63,7 @@
     :ivar noticed: the number of the last grant.
     :ivar limit: the number of requests of all daemons that it may have.
     :ivar waiting: the number of requests of all daemons that waited for it.
+    :ivar shown: how many requests it has had at once without rejecting any; 0 if nothing is known.
     """
 
     entry: ServerEntry
@@ -74,6 +76,7 @@
     full_until_ms: float = 0.0
     limit: int = 0
     waiting: int = 0
+    shown: int = 0
     standing_ms: float = float("-inf")
 
 
@@ -90,6 +93,7 @@
         self._clock = clock
         self._servers: dict[str, _Server] = {}
         self._rejected: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
         self._hold_ms: dict[str, float] = {}
         self._to_report: set[str] = set()
         self._report_timer: asyncio.TimerHandle | None = None
@@ -182,12 +186,18 @@
             self._hold_ms[entry.service] = HOLD_DECAY * average_ms + (1 - HOLD_DECAY) * held_ms
         self._schedule_report(entry.instance)
 
-    def record_rejection(self, entry: ServerEntry) -> None:
-        """Record that a server rejected a request for want of a place."""
-        if self.is_limited(entry):
-            self._server(entry)
-            self._rejected[entry.instance] += 1
-            self._schedule_report(entry.instance)
+    def record_rejection(self, entry: ServerEntry, target: ModelKey | None) -> None:
+        """Record that a server rejected a request.
+
+        :param target: the model or adapter that the request needs.
+        """
+        if not self.is_limited(entry):
+            return
+        self._server(entry)
+        cause = self._pool.rejection_cause(entry, target)
+        counts = self._rejected if cause is RejectionCause.NO_PLACE else self._refused
+        counts[entry.instance] += 1
+        self._schedule_report(entry.instance)
 
     def _server(self, entry: ServerEntry) -> _Server:
         return self._servers.setdefault(entry.instance, _Server(entry))
@@ -225,6 +235,7 @@
         if server is None:
             return
         server.limit, server.waiting = grant.limit, grant.wanted
+        server.shown = grant.shown or server.shown
         server.standing_ms = self._clock.now_ms()
         if grant.number <= server.noticed:
             # The owner takes what came before the last grant noticed for used or returned.
@@ -269,6 +280,8 @@
             max(1, entry.slots),
             self._limits.limit_of(entry, now_ms) or 0,
             self._limits.known_for_ms(entry.service, now_ms) > SETTLED_AFTER_MS,
+            self._refused.pop(instance, 0),
+            server.shown,
         )
 
     def _schedule_report(self, instance: str) -> None:
