Ask again whether a request is banned when its wait for a place ends

A ban that comes into force ends all waits for permits, and a permit that comes in the same moment is given back for a banned request; its answer is then that of any banned one.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -50,3 +50,9 @@
     And all daemons are killed and start again
     And the request is repeated 6 times with the prompt own:50
     Then none of them reached servers since the daemons started
+
+  Scenario: a request that is banned while it waits for a place is not sent
+    Given a server with one place that must not reject many, and a daemon
+    When a stream takes the place, and a request with the prompt route:100,own:50 waits for it
+    And the part route is banned before the place is free
+    Then the request that waited was rejected with a time to come back, and reached no server
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -1,6 +1,8 @@
 """Steps for single requests that crash servers, and that their callers repeat."""
 
+import base64
 import itertools
+import json
 import time
 from typing import Any
 
@@ -10,6 +12,9 @@
 from features.support.caller import Reply, Request, send
 from features.support.pool_site import PoolDaemonProcess, PoolSite
 from features.support.processes import wait_until
+from loomwind.clock import MS_PER_SECOND
+from loomwind.serving.ban_records import BAN_KEY_PREFIX
+from loomwind.serving.daemon import PEER_TABLE
 
 MODEL = "m1"
 GUILTY_BODY = b"guilty request"
@@ -20,6 +25,12 @@
 KNOWN_CRASHES = 3
 # A request that is rejected at once waits neither for a server nor for a deadline.
 AT_ONCE_SECONDS = 0.5
+BAN_MS = 60_000.0
+MAX_REJECTIONS = 2
+# The stream lasts until its server gets faster.
+RUNNING_EVENT_SECONDS = 0.06
+RUNNING_EVENTS = 120
+RUNNING_SECONDS = 8.0
 
 
 @given("{count:d} servers that crash on one request, and {daemons:d} daemons")
@@ -158,3 +169,58 @@
     for _ in range(count):
         reply = send(make(site, site.daemons[next(context.daemon_turns)]))
         assert reply.status == 200 and reply.is_complete, reply
+
+
+@given("a server with one place that must not reject many, and a daemon")
+def step_one_place(context: Any) -> None:
+    site = pool(context)
+    site.add_model_server("server-1", MODEL, slots=1)
+    site.configure()
+    site.add_daemon("daemon-1")
+    _set_event_seconds(site, 0.0)
+    site.wait_ready()
+    reply = send(_streamed(site, site.daemons["daemon-1"], "first:50", SOUND_BODY))
+    assert reply.status == 200, reply
+
+
+def _set_event_seconds(site: PoolSite, seconds: float) -> None:
+    site.servers["server-1"].fault(places=1, max_rejections=MAX_REJECTIONS, event_seconds=seconds)
+
+
+@when("a stream takes the place, and a request with the prompt {prompt} waits for it")
+def step_wait_for_place(context: Any, prompt: str) -> None:
+    site = pool(context)
+    daemon = site.daemons["daemon-1"]
+    _set_event_seconds(site, RUNNING_EVENT_SECONDS)
+    running = site.request(daemon, "drill", MODEL, RUNNING_EVENTS, RUNNING_SECONDS)
+    site.callers.begin([running])
+    server = site.servers["server-1"]
+    request_id = running.headers["x-request-id"]
+    wait_until(lambda: request_id in server.state()["runs"], "the stream runs")
+    site.callers.begin([_streamed(site, daemon, prompt, SOUND_BODY)])
+    wait_until(lambda: daemon.metric("loomwind_waiting_for_place") == 1, "the request waits")
+
+
+@when("the part {part} is banned before the place is free")
+def step_ban(context: Any, part: str) -> None:
+    site = pool(context)
+    until_unix_ms = time.time() * MS_PER_SECOND + BAN_MS
+    row = {"position": 0, "until_unix_ms": until_unix_ms, "ban_ms": BAN_MS}
+    value = base64.b64encode(json.dumps(row).encode()).decode()
+    site.apply(put=[{"table": PEER_TABLE, "key": BAN_KEY_PREFIX + part, "value": value}])
+    wait_until(lambda: bool(_adopted_bans(site)), "the daemon knows the ban")
+    _set_event_seconds(site, 0.0)
+
+
+def _adopted_bans(site: PoolSite) -> list[dict[str, Any]]:
+    lines = site.daemons["daemon-1"].log_lines()
+    return [line for line in lines if line.get("state") == "ban-adopted"]
+
+
+@then("the request that waited was rejected with a time to come back, and reached no server")
+def step_waited_rejected(context: Any) -> None:
+    site = pool(context)
+    running, waited = site.callers.finish()
+    assert running.status == 200, running
+    assert waited.status == 503 and float(waited.headers["retry-after"]) > 0, waited
+    assert site.runs(waited) == 0, waited
--- a/loomwind/serving/admission.py
+++ b/loomwind/serving/admission.py
@@ -148,6 +148,13 @@
         finally:
             self._metrics.waiting_for_place.dec()
 
+    def end_waits(self) -> None:
+        """End all waits without a permit, since some of the requests may not be sent any more."""
+        for server in self._servers.values():
+            for _, _, waiter in server.queue:
+                if not waiter.result.done():
+                    waiter.result.set_result(None)
+
     def _begin_wait(
         self, entries: Sequence[ServerEntry], since_ms: float, is_counted: bool
     ) -> _Waiter:
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -264,6 +264,7 @@
         )
         self._admission = Admission(self._pool, self._permit_owners, self.metrics, clock)
         self._permit_owners.on_grant = self._admission.on_grant
+        self._prompt_guard.on_ban = self._admission.end_waits
 
     def _create_placement(self, deployment: Deployment) -> None:
         """Create the components that run while this daemon is the leader."""
--- a/loomwind/serving/place_wait.py
+++ b/loomwind/serving/place_wait.py
@@ -44,15 +44,20 @@
     async def wait(self, entries: Sequence[ServerEntry]) -> ServerEntry | None:
         """Wait for a permit of one of the servers that can run the request.
 
-        :returns: the server that the permit is for; None if the servers should be looked up again.
+        :returns: the server that the permit is for; None if the servers, and whether the request
+            is banned, should be looked up again.
         :raises NoPlace: the request is refused, with a time after which to retry.
         """
         now_ms = self._handler.now() * MS_PER_SECOND
         if now_ms >= self._until_ms:
             self._until_ms = self._decide(entries, now_ms)
-        return await self._admission.wait_for_permit(
+        entry = await self._admission.wait_for_permit(
             entries, self._limits.arrived_ms, self._until_ms - now_ms
         )
+        if entry is not None and self._handler.prompts.banned_for_ms(self._caller) > 0:
+            self._admission.give_back(entry)
+            return None
+        return entry
 
     def _decide(self, entries: Sequence[ServerEntry], now_ms: float) -> float:
         """Return until when to wait.
--- a/loomwind/serving/prompt_guard.py
+++ b/loomwind/serving/prompt_guard.py
@@ -62,6 +62,7 @@
     """Collects and shares observations of requests that crash servers.
 
     :ivar bans_changed: set when this daemon has banned or cleared something by itself.
+    :ivar on_ban: called when a ban comes into force.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self._gossip_timer: asyncio.TimerHandle | None = None
         self._changed_bans: set[str] = set()
         self.bans_changed = asyncio.Event()
+        self.on_ban: Callable[[], None] = lambda: None
         self._clock = Clock()
 
     # Requests at this daemon.
@@ -147,6 +149,7 @@
         """Put a ban from the store in force."""
         if self._suspicions.adopt_ban(ban, self._clock.now_ms()):
             log_state("prompt", "ban-adopted", part=ban.suspect.identity, left_ms=ban.left_ms)
+            self.on_ban()
 
     def lift_ban(self, identity: str) -> None:
         """Drop a ban that was removed from the store."""
@@ -219,6 +222,8 @@
             "suspected",
             crashes=[f"{each.suspect.identity} {each.crash.instance}" for each in new],
         )
+        if banned:
+            self.on_ban()
         return [suspect.identity for suspect in banned]
 
     def _add_answered(self, identities: tuple[str, ...]) -> tuple[str, ...]:
