--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -20,6 +20,8 @@
       | a request that cannot be repeated ran twice                | repeated    |
       | a request that cannot be repeated ran although refused     | repeated    |
       | two servers work on a stream for a second                  | concurrent  |
+      | a stream is cut after a move from a paused server to one that fails | unanswered |
+      | a stream is cut that its server had before it failed new ones | unanswered |
 
   Scenario Outline: nothing is found when <what>
     Given the record of a soak in which <what>
@@ -36,3 +38,4 @@
       | a request on a connection that rested for long has no reply |
       | a request that can be repeated ran twice                   |
       | a server that is left is suspended for a second            |
+      | a stream is cut that only ran at a server that fails       |
--- a/features/steps/soak_check_steps.py
+++ b/features/steps/soak_check_steps.py
@@ -96,6 +96,14 @@
     return record
 
 
+def _cut_at_failing(*runs: Run) -> SoakRecord:
+    """Return a record of a stream that is cut while the second server fails new ones."""
+    attempt = _attempt(RESUMABLE, body=_events(1, 2), is_complete=False, seconds=2.0)
+    record = _record(attempt, *runs)
+    record.failing_servers["second"].append(Interval(SENT_S - 0.5, SENT_S + 1.5))
+    return record
+
+
 ALL = range(1, STREAM_EVENTS + 1)
 LAST_HALF = range(STREAM_EVENTS // 2 + 1, STREAM_EVENTS + 1)
 SUSPENDED = Interval(SENT_S - 2.0, SENT_S + 1.0)
@@ -122,6 +130,15 @@
         _attempt(STREAMS[0], 503), Run("first", SENT_S, SENT_S + 1.0)
     ),
     "two servers work on a stream for a second": lambda: _two_runs(RESUMABLE, 1.0),
+    "a stream is cut after a move from a paused server to one that fails": lambda: _cut_at_failing(
+        Run("first", SENT_S, SENT_S + 1.2), Run("second", SENT_S + 1.1, SENT_S + 2.0)
+    ),
+    "a stream is cut that its server had before it failed new ones": lambda: _cut_at_failing(
+        Run("second", SENT_S - 1.0, SENT_S + 2.0)
+    ),
+    "a stream is cut that only ran at a server that fails": lambda: _cut_at_failing(
+        Run("second", SENT_S, SENT_S + 2.0)
+    ),
     "a stream is cut as its daemon is killed": lambda: _cut_at_life(killed_at_s=SENT_S + 1.9),
     "a stream is cut at a daemon that was suspended": lambda: _cut_at_life(suspended=[SUSPENDED]),
     "a stream is cut as its server is killed": lambda: _cut_stream(run=Run("first", SENT_S)),
--- a/features/support/pause_faults.py
+++ b/features/support/pause_faults.py
@@ -1,5 +1,6 @@
 """Pauses of sound servers and of daemons, beside configuration changes, restarts and releases."""
 
+import math
 import random
 import signal
 import threading
@@ -20,6 +21,14 @@
 # Longer than a server takes to start, to serve streams and to lose some of their daemons.
 RELEASE_PAUSES_SECONDS = (3.2, 4.0)
 OPENING_POLL_SECONDS = 0.05
+# How new streams fail at one server while another one is suspended.
+LATE_FAILURES = ("errors", "close", "reset", "shed", "mute", "trickle")
+LATE_SECONDS = (0.3, 0.8)
+# Long enough that requests are moved away from the server that is suspended.
+FAILURE_PAUSES_SECONDS = (1.5, 2.2)
+# The share of the faults beside which this is begun.
+FAILURES_SHARE = 0.3
+FAILURE_OUTLASTS_SECONDS = (0.0, 0.5)
 # A server that pauses again at once would be silent for longer than a sound one.
 MIN_SOUND_SECONDS = 1.0
 PAUSES_BETWEEN_FAULTS_SECONDS = (0.1, 0.6)
@@ -32,10 +41,20 @@
     """Strikes a site with pauses, changes and restarts, and records each of them."""
 
     def __init__(
-        self, site: PoolSite, source: random.Random, event_seconds: float, record: SoakRecord
+        self,
+        site: PoolSite,
+        source: random.Random,
+        failure_source: random.Random,
+        event_seconds: float,
+        record: SoakRecord,
     ) -> None:
-        """Create the faults; the daemons of the site run already."""
+        """Create the faults; the daemons of the site run already.
+
+        :param failure_source: of the servers that fail while others are suspended.
+        """
         super().__init__(site, source, event_seconds)
+        self._failure_source = failure_source
+        self._failing: set[str] = set()
         self._record = record
         self._routes = [fields["name"] for fields in site.routes]
         self._sound_from: dict[str, float] = {}
@@ -59,6 +78,8 @@
         self._run_due()
         if not self._is_opening:
             super().strike()
+            if self._failure_source.random() < FAILURES_SHARE:
+                self._suspend_beside_failures()
             return self._source.uniform(*PAUSES_BETWEEN_FAULTS_SECONDS)
         self._is_opening = bool(self._due)
         return OPENING_POLL_SECONDS
@@ -76,6 +97,8 @@
             timer.join()
         if self._series is not None:
             self._series.join()
+        for name in sorted(self._failing):
+            self._end_failures(name)
         super().end()
 
     def _faults(self) -> tuple[Callable[[], None], ...]:
@@ -110,6 +133,51 @@
                 process = self._site.servers[name].process
                 self._suspend(name, process, seconds, [])
 
+    def _suspend_beside_failures(self) -> None:
+        """Suspend a model server while another one, that runs, fails new streams."""
+        source, now = self._failure_source, time.monotonic()
+        busy = {*self._suspended, *self._failing}
+        sound = (n for n in self._model_servers() if now >= self._sound_from.get(n, 0.0))
+        names = [name for name in sound if name not in busy]
+        if len(names) < 2:
+            return
+        paused, failing = source.sample(names, 2)
+        seconds = source.uniform(*FAILURE_PAUSES_SECONDS)
+        self._fail_new_streams(failing)
+        outlasts_seconds = source.uniform(*FAILURE_OUTLASTS_SECONDS)
+        ends = now + seconds + outlasts_seconds
+        self._due.append((ends, lambda: self._end_failures(failing)))
+        self._sound_from[paused] = now + seconds + MIN_SOUND_SECONDS
+        self._suspend(paused, self._site.servers[paused].process, seconds, [])
+
+    def _fail_new_streams(self, name: str) -> None:
+        source = self._failure_source
+        kind, late_seconds = source.choice(LATE_FAILURES), source.uniform(*LATE_SECONDS)
+        after = "" if kind == "shed" else source.choice(("", "", "head", "event"))
+        self._record.failing_servers[name].append(Interval(time.time(), math.inf))
+        self._failing.add(name)
+        self._site.servers[name].fault(
+            event_seconds=self._event_seconds,
+            late_failure=kind,
+            late_seconds=late_seconds,
+            late_after=after,
+        )
+        self._note(f"{name} fails new streams: {kind} {late_seconds:.2f} s after {after or 'all'}")
+
+    def _end_failures(self, name: str) -> None:
+        """End the failures of a server once it runs; the streams that it has taken still fail."""
+        if name not in self._failing:
+            return
+        if name in self._suspended:
+            self._due.append((time.monotonic(), lambda: self._end_failures(name)))
+            return
+        self._failing.discard(name)
+        if name in self._site.servers:
+            self._site.servers[name].fault(event_seconds=self._event_seconds)
+        intervals = self._record.failing_servers[name]
+        intervals[-1] = Interval(intervals[-1].start_s, time.time())
+        self._note(f"{name} serves new streams again")
+
     def _suspend_daemons(self) -> None:
         self._suspend_some_daemons(DAEMON_PAUSES_SECONDS)
 
--- a/features/support/pause_soak.py
+++ b/features/support/pause_soak.py
@@ -102,10 +102,11 @@
     record = SoakRecord(site.folder, SOAK_GRACE_SECONDS)
     _build(site, options)
     stopping = threading.Event()
-    faults = create_faults(site, random.Random(options.seed), EVENT_SECONDS, record)
+    sources = (random.Random(options.seed), random.Random(f"{options.seed} failures"))
+    faults = create_faults(site, *sources, EVENT_SECONDS, record)
     count = min(MAX_SOAK_CALLERS, CALLERS_PER_DAEMON * options.daemons)
-    sources = [random.Random(f"{options.seed}-{number}") for number in range(count)]
-    callers = [SoakCaller(site, record, stopping, source) for source in sources]
+    caller_sources = [random.Random(f"{options.seed}-{number}") for number in range(count)]
+    callers = [SoakCaller(site, record, stopping, source) for source in caller_sources]
     futures = [site.callers.run(caller.run) for caller in callers]
     try:
         strike_for(options.seconds, faults)
--- a/features/support/soak_checks.py
+++ b/features/support/soak_checks.py
@@ -17,6 +17,8 @@
 # How long two servers may work on one request while it is moved from one to the other.
 MOVE_SECONDS = 0.4
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# A run may begin just before the call that ends its server's failures returns, or begins them.
+FAULT_CALL_SECONDS = 0.001
 MAX_LINES_SHOWN = 8
 
 
@@ -33,6 +35,8 @@
         return "daemon suspended"
     if any(run.ended_at_s is None for run in record.runs.get(attempt.request_id, [])):
         return "server killed"
+    if _ran_at_failing_only(record, attempt):
+        return "server failed"
     timeout_s = min(attempt.timeout_s, *record.route_timeouts_s)
     took_s = ended_at_s - attempt.sent_at_s
     if attempt.reply.status and took_s >= timeout_s - TIME_OVER_MARGIN_SECONDS:
@@ -42,6 +46,22 @@
     return "" if _was_read(record, attempt) else _unread_excuse(record, attempt, life)
 
 
+def _ran_at_failing_only(record: SoakRecord, attempt: Attempt) -> bool:
+    """Whether a request ran, and only at servers that failed new streams as it came.
+
+    One that also ran at a sound server, even while that paused, could have been completed there.
+    """
+    runs = record.runs.get(attempt.request_id, [])
+    return bool(runs) and attempt.route.is_stream and all(_is_at_failing(record, r) for r in runs)
+
+
+def _is_at_failing(record: SoakRecord, run: Run) -> bool:
+    intervals = record.failing_servers.get(run.server, [])
+    return any(
+        each.overlaps(run.begun_at_s, run.begun_at_s + FAULT_CALL_SECONDS) for each in intervals
+    )
+
+
 def _is_grace_over(record: SoakRecord, attempt: Attempt, life: DaemonLife) -> bool:
     """Whether a server was still at work when a stopping daemon had to end."""
     if life.stopping_from_s is None:
--- a/features/support/soak_record.py
+++ b/features/support/soak_record.py
@@ -138,6 +138,7 @@
     :ivar idle_limits_s: the idle limits of all configurations.
     :ivar route_timeouts_s: the timeouts of all routes in all configurations.
     :ivar stalled_servers: when each server stood still, suspended or held up by the machine.
+    :ivar failing_servers: when new streams failed at each server.
     :ivar own_ends: daemons that ended without a signal, or not as they should.
     :ivar not_recovered: what did not come back after the faults.
     :ivar shut_down_inside: connections that a daemon closed inside a request as it stopped.
@@ -152,6 +153,7 @@
     idle_limits_s: list[float] = field(factory=list)
     route_timeouts_s: list[float] = field(factory=list)
     stalled_servers: defaultdict[str, list[Interval]] = field(factory=lambda: defaultdict(list))
+    failing_servers: defaultdict[str, list[Interval]] = field(factory=lambda: defaultdict(list))
     own_ends: list[str] = field(factory=list)
     not_recovered: list[str] = field(factory=list)
     shut_down_inside: list[str] = field(factory=list)
