Wait for the rows of restarted servers before sound requests are counted

All servers were back, and the daemon had not read their new rows yet (36 ms after the last one came back); the earlier wait asks for the number of rows only, which those of the ended processes satisfy.

--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
@@ -23,6 +24,7 @@
 DEADLINE_SECONDS = 4.0
 EVENTS = 40
 KNOWN_CRASHES = 3
+NONE_LISTED = b"no server of the service is known"
 # A request that is rejected at once waits neither for a server nor for a deadline.
 AT_ONCE_SECONDS = 0.5
 BAN_MS = 60_000.0
@@ -167,10 +169,22 @@
     site = pool(context)
     site.wait_ready()
     for _ in range(count):
-        reply = send(make(site, site.daemons[next(context.daemon_turns)]))
+        reply = _send_once_listed(lambda: make(site, site.daemons[next(context.daemon_turns)]))
         assert reply.status == 200 and reply.is_complete, reply
 
 
+def _send_once_listed(make: Callable[[], Request]) -> Reply:
+    """Send a request, again while its daemon does not have the rows of the new processes yet."""
+    replies: list[Reply] = []
+
+    def is_listed() -> bool:
+        replies.append(send(make()))
+        return replies[-1].body != NONE_LISTED
+
+    wait_until(is_listed, "a server is listed")
+    return replies[-1]
+
+
 @given("a server with one place that must not reject many, and a daemon")
 def step_one_place(context: Any) -> None:
     site = pool(context)
