Take no refused connection for the end of a silent server

What callers saw: a stream cut although its server only paused, at a daemon that could open no new connection to any server. Only another process at the server's address proves its end now.

New in hand_over: which evidence counts, and that a request goes back to the server that it came from.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -113,3 +113,24 @@
       | 3       | 9       | one, two in vain                                        | any server  | any server        |
       | 3       | 9       | one, two in vain, three in vain                         | three or two | one or three or two |
       | 3       | 9       | one which failed, two, three in vain                    | one or three | one or three or two |
+
+  Scenario Outline: a silent server counts as <state> when <evidence>
+    Given a server that is silent since 2000 ms
+    When <evidence>
+    Then it counts as <state>
+
+    Examples: evidence
+      | evidence                                                    | state     |
+      | nothing else is seen                                        | not ended |
+      | its host refuses a connection at 2500 ms                    | not ended |
+      | it says that it leaves, and refuses a connection at 2500 ms | not ended |
+      | its entry is removed                                        | not ended |
+      | its entry is removed, and it refuses one at 2500 ms         | not ended |
+      | another server responds at its address                      | ended     |
+      | a later process of it is listed                             | ended     |
+      | an earlier process of it is listed                          | not ended |
+
+  Scenario: a request whose new server fails goes back to the one that it came from, although that was silent
+    Given a request that may go to servers one and two again, and has failed at two
+    When server one was silent, and server three is idle
+    Then it is sent to server one
--- a/features/silent_requests.feature
+++ b/features/silent_requests.feature
@@ -67,3 +67,12 @@
     When streams run at server one, server two begins more after 0.25 s, and server one hangs
     Then every stream that ran there is complete, and another server ran it
     And every stream was handed over less than 2 s after its last event
+
+  Scenario: streams that a peer relays are not cut when their server pauses and another one fails
+    Given links between daemon-1 and all servers
+    And 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When the links to the servers become refuse_new
+    And streams run at server one, server two fails more by errors after 0.6 s, and server one is suspended for 1.7 s
+    Then a peer has relayed some of them
+    And every stream that ran there is complete
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -123,7 +123,7 @@
         self.attempts.append(ScriptedAttempt(self._behaviour, self._delays_ms[number]))
         return MoveDecision("it can run it", self.attempts[number])
 
-    def has_ended(self, silent: ServerEntry, silent_since_ms: float) -> bool:
+    def has_ended(self, silent: ServerEntry) -> bool:
         """Whether the silent server has been replaced."""
         text = self._silent_behaviour
         return "is replaced" in text and now_ms() >= number_in(text)
--- a/features/steps/silent_request_steps.py
+++ b/features/steps/silent_request_steps.py
@@ -129,6 +129,14 @@
     check_ran_once(context, replies)
 
 
+@then("a peer has relayed some of them")
+def step_relayed(context: Any) -> None:
+    replies_of(context)
+    lines = [line for each in pool(context).daemons.values() for line in each.log_lines()]
+    relayed = {line["request_id"] for line in lines if line.get("decision") == "relayed"}
+    assert relayed & context.silent_ids, relayed
+
+
 @then("every stream that ran there is complete")
 def step_streams_complete(context: Any) -> None:
     check_streams(silent_replies(context), LONG_STREAM_EVENTS)
--- a/loomwind/serving/breaker.py
+++ b/loomwind/serving/breaker.py
@@ -16,7 +16,6 @@
     :ivar in_flight: the number of this daemon's requests in progress at the server.
     :ivar error_rate: moving average of failed sends, 0 to 1.
     :ivar last_received_at: when data last came from the server, in seconds.
-    :ivar refused_at: when it last refused a connection, in seconds.
     :ivar moves: the number of requests that are being moved to the server.
     """
 
@@ -28,7 +27,6 @@
         self._on_received = on_received
         self.in_flight = 0
         self.last_received_at = float("-inf")
-        self.refused_at = float("-inf")
         self.moves = 0
         self.error_rate = 0.0
         self._failures = 0
--- a/loomwind/serving/directory.py
+++ b/loomwind/serving/directory.py
@@ -112,7 +112,11 @@
             record.is_replaced = True
 
     def is_replaced(self, entry: ServerEntry) -> bool:
-        """Whether another server, or a later process of this one, responds at the address."""
+        """Whether another server, or a later process of this one, responds at the address.
+
+        That alone proves that a process has ended: the entries of some are removed before, and
+        connections are also refused by networks, or by servers that complete their requests.
+        """
         record = self._servers.get(entry.name)
         if record is None:
             return False
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -17,7 +17,6 @@
     :param other_instance: another instance of the server responds at its address.
     :param at_fault: whether the failure counts against the server.
     :param unreachable: whether no connection could be made.
-    :param connection_refused: whether the server's host refused the connection.
     :param not_sent: whether nothing was sent, because the server started to leave.
     :param broken: whether the connection failed before the response was complete.
     :param no_permit: whether nothing was sent, because the server has no place.
@@ -37,7 +36,6 @@
         broken: bool = False,
         rejected: bool = False,
         no_permit: bool = False,
-        connection_refused: bool = False,
     ) -> None:
         super().__init__(detail)
         self.may_have_run = may_have_run
@@ -45,7 +43,6 @@
         self.other_instance = other_instance
         self.at_fault = at_fault
         self.unreachable = unreachable
-        self.connection_refused = connection_refused
         self.not_sent = not_sent
         self.broken = broken
         self.rejected = rejected
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -10,7 +10,7 @@
 from loomwind.clock import MS_PER_SECOND, Clock
 from loomwind.http.client import HttpClient
 from loomwind.http.client_connection import ClientConnection
-from loomwind.http.errors import ConnectFailed, ConnectRefused, HttpError, UnsendableRequest
+from loomwind.http.errors import ConnectFailed, HttpError, UnsendableRequest
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.serving.connectivity import ServiceConnectivity
 from loomwind.serving.errors import SendFailed
@@ -148,10 +148,7 @@
         except ConnectFailed as error:
             connectivity.record_connect_failure(entry.instance, self._clock.now_ms())
             raise SendFailed(
-                f"{entry.instance}: {error}",
-                may_have_run=False,
-                unreachable=True,
-                connection_refused=isinstance(error, ConnectRefused),
+                f"{entry.instance}: {error}", may_have_run=False, unreachable=True
             ) from error
         connectivity.record_connected(self._clock.now_ms())
         return connection
--- a/loomwind/serving/hand_over.py
+++ b/loomwind/serving/hand_over.py
@@ -58,7 +58,7 @@
         """Decide whether the request of a silent server is moved, and to which server."""
 
     @abstractmethod
-    def has_ended(self, silent: ServerEntry, silent_since_ms: float) -> bool:
+    def has_ended(self, silent: ServerEntry) -> bool:
         """Whether the process of a silent server has certainly ended."""
 
     @abstractmethod
@@ -151,7 +151,7 @@
         pause_ms = SETTLE_MS
         while not await _is_done(reading, pause_ms):
             pause_ms = RECHECK_MS
-            if self._policy.has_ended(silent, since_ms):
+            if self._policy.has_ended(silent):
                 detail = f"{silent.instance}: its process has ended"
                 raise SendFailed(detail, may_have_run=True, broken=True)
             decision = self._policy.decide(silent, since_ms)
@@ -176,7 +176,7 @@
         begun_ms = self._clock.now_ms()
         replacement.health.moves += 1
         try:
-            outcome = await self._race(silent, reading, since_ms, replacement)
+            outcome = await self._race(silent, reading, replacement)
             is_moved = outcome is MoveOutcome.MOVED
         finally:
             replacement.health.moves -= 1
@@ -201,7 +201,6 @@
         self,
         silent: ServerEntry,
         reading: asyncio.Future[T],
-        since_ms: float,
         replacement: Attempt,
     ) -> MoveOutcome:
         outcome = await self._connect(reading, replacement)
@@ -210,7 +209,7 @@
         answering = replacement.send(self._policy.record_begun(replacement))
         await _first_of(reading, answering, OVERLAP_MS)
         failure = self._failure(answering, replacement.entry)
-        is_gone = reading.done() or self._policy.has_ended(silent, since_ms)
+        is_gone = reading.done() or self._policy.has_ended(silent)
         if failure is None and (answering.done() or is_gone) and not _has_data(reading):
             return MoveOutcome.MOVED
         self._policy.record_dropped(replacement, silent, failure)
--- a/loomwind/serving/pool.py
+++ b/loomwind/serving/pool.py
@@ -72,19 +72,6 @@
         directory = self.directory
         return directory.get(entry.name) is None or directory.is_departing(entry.name)
 
-    def has_ended(self, entry: ServerEntry, since: float) -> bool:
-        """Whether a server's process has certainly ended since a time, in seconds.
-
-        Another process responds at its address, or nothing listens there. A server that leaves may
-        stop listening while it completes its requests, and a removed entry proves nothing.
-        """
-        if self.directory.is_replaced(entry):
-            return True
-        health = self._health.get(entry.instance)
-        if health is None or self.is_leaving(entry):
-            return False
-        return health.refused_at > max(since, health.last_received_at)
-
     def is_heard_since(self, instance: str, since_ms: float) -> bool:
         """Whether a server instance has sent data to this daemon after a time."""
         health = self._health.get(instance)
@@ -178,8 +165,6 @@
             self.residency.record_missing(entry.instance, target, now)
         elif failure.unreachable:
             self.health(entry).record_unreachable(now)
-            if failure.connection_refused:
-                self.health(entry).refused_at = now
         elif not failure.may_have_run and target is not None:
             self.residency.record_refusal(entry.instance, target, now)
         elif failure.at_fault:
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING
 
-from loomwind.clock import MS_PER_SECOND
 from loomwind.http.server import Exchange
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import OutgoingRequest
@@ -117,9 +116,9 @@
         replacement = self.new(chosen, is_replacement=True)
         return MoveDecision("another server can run it", replacement)
 
-    def has_ended(self, silent: ServerEntry, silent_since_ms: float) -> bool:
+    def has_ended(self, silent: ServerEntry) -> bool:
         """Whether the process of a silent server has certainly ended."""
-        return self._handler.pool.has_ended(silent, silent_since_ms / MS_PER_SECOND)
+        return self._handler.pool.directory.is_replaced(silent)
 
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
