--- a/features/steps/running_stream_steps.py
+++ b/features/steps/running_stream_steps.py
@@ -51,3 +51,8 @@
     )
     reported = context.tracker.running_streams(context.entries.values())
     assert reported == expected, reported
+
+
+@then("its report has no streams")
+def step_no_streams(context: Any) -> None:
+    assert context.tracker.running_streams(context.entries.values()) == ()
