Plan one more copy at a software version for each server that joins to replace one of its own

A server that joins announces that one of another version is about to leave, so that the version needs a copy more than servers that joined lately. Further copies evict less and less.

The scenario failed before (no order).

--- a/features/release_placement.feature
+++ b/features/release_placement.feature
@@ -18,6 +18,15 @@
     And a server of v1 that holds m0 drains
     Then m0 is held at v1
 
+  Scenario: both holders drained at once, as two servers of the new version had taken their places
+    Given servers of v1 hold m0 and m1, m0 and m2, m3 and m4, m5 and m6, each with room for 2 models
+    And 20 streams of m0 run at v1
+    When 2 empty servers of v1.1 join
+    And 6.0 s pass without requests
+    And a server of v1 that holds m0 drains
+    And a server of v1 that holds m0 drains
+    Then m0 is held at v1
+
   Scenario: the last copy of a version was evicted while its streams ran at a server that drains
     Given servers of v1 hold m0 and m1, m0 and m2, each with room for 2 models
     And 10 streams of m0 run at v1
--- a/features/support/simulated_pool.py
+++ b/features/support/simulated_pool.py
@@ -222,7 +222,8 @@
                     ServerState.READY,
                     software_version=server.software_version,
                 )
-                tracker = ServerTracker(entry, self._profile, self._announced_loads.get(name))
+                announced_load = self._announced_loads.get(name)
+                tracker = ServerTracker(entry, self._profile, announced_load, self.now)
                 self._trackers[name] = tracker
             elif self._random.random() < 0.5:
                 tracker.record_report(server.report(), self.now)
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -168,7 +168,7 @@
                 tracker = self._trackers.get(entry.instance)
                 if tracker is None:
                     announced_load = self._residency.announced_load(entry.instance)
-                    tracker = ServerTracker(entry, service.engine, announced_load)
+                    tracker = ServerTracker(entry, service.engine, announced_load, self._now())
                     self._inherit_orders(tracker)
                     self._trackers[entry.instance] = tracker
                 tracker.entry = entry
--- a/loomwind/placement/model_planner.py
+++ b/loomwind/placement/model_planner.py
@@ -131,14 +131,14 @@
         """Plan the copies that running streams need at their software version.
 
         A first copy may evict models that are worth less than the streams that cannot be resumed
-        without it, a second one only models of much lower value.
+        without it, each further one only models of much lower value.
         """
         for copy in self._version_copies.missing:
             name, version = copy.key.model, copy.key.software_version
             if self._draft.plans_load_at(name, version):
                 continue
-            ratio = 1.0 if copy.is_first else MAX_EVICTED_VALUE_RATIO
-            self._plan_copy(name, ratio * copy.streams, version)
+            max_evicted_value = copy.streams * MAX_EVICTED_VALUE_RATIO**copy.copies
+            self._plan_copy(name, max_evicted_value, version)
 
     def plan_second_copies(self) -> None:
         """Plan second copies of frequently requested models, since a server may fail."""
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -5,6 +5,8 @@
 revision that the order expects; accepting any other order invalidates it.
 """
 
+import math
+
 from msgspec.structs import replace
 
 from loomwind.placement.report_changes import with_adapter_order, with_loaded, with_loaded_adapter
@@ -50,6 +52,7 @@
     :ivar in_flight: the order that was sent and is not answered yet.
     :ivar recheck_due: whether to read the server soon because a daemon may not reach it.
     :ivar staged: loads ordered before any demand was seen.
+    :ivar tracked_since: loop time at which this leader first found it listed.
     :ivar no_orders_until: loop time before which the planner sends no order.
     """
 
@@ -58,11 +61,14 @@
         entry: ServerEntry,
         profile: EngineProfile,
         announced_load: AnnouncedLoad | None = None,
+        tracked_since: float = -math.inf,
     ) -> None:
         """Start tracking a server.
 
         :param announced_load: a load that an earlier leader ordered and announced.
+        :param tracked_since: the current loop time.
         """
+        self.tracked_since = tracked_since
         self.entry = entry
         self.profile = profile
         self.report: ServerReport | None = None
--- a/loomwind/placement/version_demand.py
+++ b/loomwind/placement/version_demand.py
@@ -15,6 +15,9 @@
 from loomwind.serving.demand import VersionedModel
 
 MIN_COPIES = 2
+# A server that joins during a release replaces one of another version, which drains within seconds.
+# Until then the other version needs a copy more, since it may be the holder that leaves.
+REPLACEMENT_SECONDS = 10.0
 # A load delays others at the weight store, so that a single stream does not warrant one.
 MIN_STREAMS_FOR_LOAD = 2
 # A model that is loaded gives way to another of the same version only for this many times as many
@@ -43,19 +46,19 @@
 class MissingCopy:
     """A copy that a version should get.
 
-    :ivar is_first: whether no server of the version has the model.
+    :ivar copies: the number of copies that the version has.
     """
 
     key: VersionedModel
     streams: int
-    is_first: bool
+    copies: int
 
 
 @attrs.frozen
 class VersionCopies:
     """The copies that the servers of each version have room for.
 
-    :ivar missing: the copies to load, by priority, first copies before second ones.
+    :ivar missing: the copies to load, fewest copies first, then by priority.
     :ivar kept: pairs of instance and model name that are not evicted for a further copy.
     :ivar last: those of them that are the only copy at their version; not evicted at all.
     """
@@ -102,9 +105,12 @@
         version: _Room(servers, [each for each in demand if each.key.software_version == version])
         for version, servers in _servers_by_version(inputs).items()
     }
+    wanted = {version: _wanted_copies(inputs, version) for version in rooms}
     placed: dict[VersionedModel, list[ServerTracker]] = {each.key: [] for each in demand}
-    for _ in range(MIN_COPIES):
+    for copies in range(max(wanted.values(), default=0)):
         for each in demand:
+            if copies >= wanted[each.key.software_version]:
+                continue
             server = rooms[each.key.software_version].place(each, placed[each.key])
             if server is not None:
                 placed[each.key].append(server)
@@ -115,6 +121,16 @@
     )
 
 
+def _wanted_copies(inputs: PlanInput, software_version: str) -> int:
+    """Return how many copies of a model a version needs, so that one stays when servers leave."""
+    joined = sum(
+        not server.has_version(software_version)
+        and inputs.now - server.tracked_since < REPLACEMENT_SECONDS
+        for server in inputs.servers
+    )
+    return max(MIN_COPIES, 1 + joined)
+
+
 class _Room:
     """The memory of a version's servers while copies are placed on them.
 
@@ -173,12 +189,11 @@
 
 
 def _missing(demand: Sequence[VersionDemand], placed: Placed) -> Iterator[MissingCopy]:
-    """Yield the copies to load: first copies, then second ones."""
+    """Yield the copies to load: first copies, then second ones, then further ones."""
     worthwhile = [each for each in demand if each.streams >= MIN_STREAMS_FOR_LOAD]
-    for copies in range(MIN_COPIES):
-        for each in worthwhile:
-            if len(each.copies) == copies < len(placed[each.key]):
-                yield MissingCopy(each.key, each.streams, is_first=copies == 0)
+    lacking = [each for each in worthwhile if len(each.copies) < len(placed[each.key])]
+    for each in sorted(lacking, key=lambda each: len(each.copies)):
+        yield MissingCopy(each.key, each.streams, len(each.copies))
 
 
 def _kept(demand: Sequence[VersionDemand], placed: Placed) -> Iterator[tuple[str, str]]:
