--- a/loomwind/placement/model_planner.py
+++ b/loomwind/placement/model_planner.py
@@ -57,7 +57,8 @@
             model = server.profile.model(name) if name is not None else None
             if name is None or model is None or server.free_mb() < model.memory_mb:
                 continue
-            if self._draft.can_use_reserved_memory(server, name):
+            is_further_copy = (server.entry.instance, name) in self._version_copies.kept
+            if self._draft.can_use_reserved_memory(server, name, is_further_copy):
                 purpose = (
                     OrderPurpose.FURTHER_COPY if self._inputs.holders(name) else OrderPurpose.WANTED
                 )
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -180,14 +180,20 @@
         """Return the models that need a copy, highest priority first."""
         return self._admission.models_needing_copy()
 
-    def can_use_reserved_memory(self, server: ServerTracker, name: str) -> bool:
+    def can_use_reserved_memory(
+        self, server: ServerTracker, name: str, is_further_copy: bool
+    ) -> bool:
         """Return whether a model may be loaded into the memory reserved for it.
 
         Its store slot was taken by the unload. A model that is loading at another server of the
-        same software version no longer needs the memory.
+        same software version no longer needs the memory, unless the version needs more copies.
+
+        :param is_further_copy: whether the version needs this copy beside those at other servers.
         """
         if not server.loads_from_store(name):
             return True
+        if is_further_copy:
+            return self._inputs.store_load_allowed
         version = server.entry.software_version
         elsewhere = any(other.has_version(version) for other in self._inputs.index.loading[name])
         return (
