Count and place second copies for new requests at the versions that stay during a release

New requests run at any version. Their second copies are counted and placed at versions that no newer one replaces; the leader takes for newer what it has found listed later. Copies beyond the second one load in turn, since many loads at once slow each other. With one version nothing changes. The scenario failed before (no copy at the new version).

--- a/features/release_placement.feature
+++ b/features/release_placement.feature
@@ -27,6 +27,13 @@
     And a server of v1 that holds m0 drains
     Then m0 is held at v1
 
+  Scenario: new requests crowded at the old version, which had enough copies
+    Given servers of v1 hold m0 and m1, m0 and m2, m3 and m4, each with room for 2 models
+    And 20 streams of m0 run at v1
+    When 2 empty servers of v1.1 join
+    And 8.0 s pass with requests for m0
+    Then m0 is held at v1.1
+
   Scenario: memory freed for a second copy was not used while the first one was loading
     Given servers of v1 hold m1 and m2, m3 and m4, each with room for 2 models
     And 20 streams of m0 run at v1
--- a/loomwind/placement/model_planner.py
+++ b/loomwind/placement/model_planner.py
@@ -8,7 +8,7 @@
 from loomwind.placement.cost_model import CostModel, LoadOption
 from loomwind.placement.plan import DraftPlan, OrderPurpose, PlanInput
 from loomwind.placement.server_tracker import ServerTracker
-from loomwind.placement.version_demand import MIN_COPIES, VersionCopies
+from loomwind.placement.version_demand import MIN_COPIES, VersionCopies, staying_servers
 from loomwind.serving.views import ModelKey
 
 SECOND_COPY_MIN_RATE = 0.25
@@ -139,19 +139,27 @@
             if self._draft.plans_load_at(name, version):
                 continue
             max_evicted_value = copy.streams * MAX_EVICTED_VALUE_RATIO**copy.copies
-            self._plan_copy(name, max_evicted_value, version)
+            self._plan_copy(name, max_evicted_value, self._inputs.of_version(version).servers)
 
     def plan_second_copies(self) -> None:
-        """Plan second copies of frequently requested models, since a server may fail."""
+        """Plan second copies of frequently requested models, since a server may fail.
+
+        During a release, copies at servers that are about to leave do not count, and those at
+        the others load in turn.
+        """
+        staying = staying_servers(self._inputs)
+        is_release = len(staying) < len(self._inputs.servers)
         for model in self._inputs.models():
             key = ModelKey(model.name)
             rate = self._inputs.rate(key)
             if rate < SECOND_COPY_MIN_RATE or self._draft.plans_load(model.name):
                 continue
             index = self._inputs.index
-            copies = len(index.holders[model.name]) + len(index.loading[model.name])
-            if 0 < copies < MIN_COPIES:
-                self._plan_further_copy(model.name, rate)
+            if is_release and any(server in staying for server in index.loading[model.name]):
+                continue
+            copies = index.holders[model.name] + index.loading[model.name]
+            if copies and sum(server in staying for server in copies) < MIN_COPIES:
+                self._plan_copy(model.name, MAX_EVICTED_VALUE_RATIO * rate, staying)
 
     def plan_overload_copies(self, overloaded: Mapping[str, float]) -> None:
         """Plan one more copy of each model whose servers are full, largest excess first.
@@ -160,7 +168,8 @@
         """
         for name in sorted(overloaded, key=lambda name: -overloaded[name]):
             if not self._inputs.index.loading[name] and not self._draft.plans_load(name):
-                self._plan_further_copy(name, self._inputs.rate(ModelKey(name)))
+                rate = self._inputs.rate(ModelKey(name))
+                self._plan_copy(name, MAX_EVICTED_VALUE_RATIO * rate, self._inputs.servers)
             if not self._draft.plans_load(name):
                 self._draft.skip(name)
 
@@ -175,17 +184,14 @@
         queued = {load.name for load in self.queued}
         return [name for name in self._draft.models_needing_copy() if name in queued]
 
-    def _plan_further_copy(self, name: str, rate: float) -> None:
-        """Plan one more copy of a model, at the software version that lacks one if any does."""
-        version = self._version_copies.lacking_version(name)
-        self._plan_copy(name, MAX_EVICTED_VALUE_RATIO * rate, version)
-
-    def _plan_copy(self, name: str, max_evicted_value: float, software_version: str | None) -> None:
+    def _plan_copy(
+        self, name: str, max_evicted_value: float, candidates: Iterable[ServerTracker]
+    ) -> None:
         """Plan one more copy of a model if the evicted models have a lower value."""
         servers = [
             server
-            for server in self._draft.free_servers()
-            if server.has_version(software_version) and not server.holds(ModelKey(name))
+            for server in candidates
+            if self._draft.is_free(server) and not server.holds(ModelKey(name))
         ]
         options = [self._load_option(server, name) for server in servers]
         worthwhile = [
--- a/loomwind/placement/version_demand.py
+++ b/loomwind/placement/version_demand.py
@@ -13,6 +13,7 @@
 from loomwind.placement.plan import PlanInput
 from loomwind.placement.server_tracker import ServerTracker
 from loomwind.serving.demand import VersionedModel
+from loomwind.serving.views import ModelKey
 
 MIN_COPIES = 2
 # A server that joins during a release replaces one of another version, which drains within seconds.
@@ -36,6 +37,12 @@
     streams: int
     copies: tuple[ServerTracker, ...]
 
+    @property
+    def may_load(self) -> bool:
+        """Whether one more copy may be loaded; those beyond the second one load in turn."""
+        target = ModelKey(self.key.model)
+        return len(self.copies) < MIN_COPIES or all(copy.holds(target) for copy in self.copies)
+
     @property
     def priority(self) -> float:
         """Return the streams, weighted so that loaded models stay."""
@@ -67,11 +74,6 @@
     kept: frozenset[tuple[str, str]] = frozenset()
     last: frozenset[tuple[str, str]] = frozenset()
 
-    def lacking_version(self, name: str) -> str | None:
-        """Return the version that lacks a copy of a model most; None for no version."""
-        versions = (copy.key.software_version for copy in self.missing if copy.key.model == name)
-        return next(versions, None)
-
 
 def version_demand(
     inputs: PlanInput, pending_demand: Sequence[PendingDemand] = ()
@@ -123,12 +125,35 @@
 
 def _wanted_copies(inputs: PlanInput, software_version: str) -> int:
     """Return how many copies of a model a version needs, so that one stays when servers leave."""
-    joined = sum(
-        not server.has_version(software_version)
-        and inputs.now - server.tracked_since < REPLACEMENT_SECONDS
-        for server in inputs.servers
+    return max(MIN_COPIES, 1 + _replacements(inputs, software_version))
+
+
+def staying_servers(inputs: PlanInput) -> list[ServerTracker]:
+    """Return the servers of versions that no other version replaces.
+
+    New requests run at any version, so that their models belong where servers stay.
+    """
+    return [
+        server
+        for version, servers in _servers_by_version(inputs).items()
+        if not _replacements(inputs, version)
+        for server in servers
+    ]
+
+
+def _replacements(inputs: PlanInput, software_version: str) -> int:
+    """Return how many servers have joined lately at versions that are newer to this leader."""
+    by_version = _servers_by_version(inputs)
+    listed_since = {
+        version: min(server.tracked_since for server in servers)
+        for version, servers in by_version.items()
+    }
+    return sum(
+        inputs.now - server.tracked_since < REPLACEMENT_SECONDS
+        for version, servers in by_version.items()
+        if listed_since[version] > listed_since[software_version]
+        for server in servers
     )
-    return max(MIN_COPIES, 1 + joined)
 
 
 class _Room:
@@ -191,7 +216,9 @@
 def _missing(demand: Sequence[VersionDemand], placed: Placed) -> Iterator[MissingCopy]:
     """Yield the copies to load: first copies, then second ones, then further ones."""
     worthwhile = [each for each in demand if each.streams >= MIN_STREAMS_FOR_LOAD]
-    lacking = [each for each in worthwhile if len(each.copies) < len(placed[each.key])]
+    lacking = [
+        each for each in worthwhile if each.may_load and len(each.copies) < len(placed[each.key])
+    ]
     for each in sorted(lacking, key=lambda each: len(each.copies)):
         yield MissingCopy(each.key, each.streams, len(each.copies))
 
