--- a/features/release_placement.feature
+++ b/features/release_placement.feature
@@ -107,6 +107,6 @@
     When a request for a at server one ends
     Then its report has 2 streams of a at v1 and 1 at v1.1
 
-  Scenario: running requests are not reported by version while one version serves
+  Scenario: running requests are reported before a second version is known
     Given a daemon with 2 requests for a and 1 for its adapter x at server one of v1
-    Then its report has no streams
+    Then its report has 3 streams of a at v1 only
--- a/features/steps/running_stream_steps.py
+++ b/features/steps/running_stream_steps.py
@@ -53,6 +53,7 @@
     assert reported == expected, reported
 
 
-@then("its report has no streams")
-def step_no_streams(context: Any) -> None:
-    assert context.tracker.running_streams(context.entries.values()) == ()
+@then("its report has {count:d} streams of a at {version} only")
+def step_one_version(context: Any, count: int, version: str) -> None:
+    reported = context.tracker.running_streams(context.entries.values())
+    assert reported == (RunningStreams(VersionedModel(SERVICE, MODEL.model, version), count),)
--- a/loomwind/messages/serving.py
+++ b/loomwind/messages/serving.py
@@ -20,8 +20,7 @@
     :param store_answers: whether the daemon reaches the store.
     :param next_report_in_ms: the time until the daemon's next report; longer in a large fleet.
     :param unreachable_services: the services whose servers the daemon cannot connect to.
-    :param streams: the running requests by model and software version, for services of which
-        several versions serve.
+    :param streams: the running requests by model and software version.
     """
 
     sender: str
--- a/loomwind/serving/demand.py
+++ b/loomwind/serving/demand.py
@@ -198,7 +198,7 @@
         return tuple(RunningCount(i, target, n) for (i, target), n in self._running.items())
 
     def running_streams(self, entries: Iterable[ServerEntry]) -> tuple[RunningStreams, ...]:
-        """Return the running requests of services with several software versions.
+        """Return the running requests at servers that publish a software version.
 
         A server that is no longer listed keeps the version of its last entry while requests run.
 
@@ -207,15 +207,12 @@
         in_use = {instance for instance, _ in self._running}
         known = self._entries_in_use | {entry.instance: entry for entry in entries}
         self._entries_in_use = {name: known[name] for name in in_use if name in known}
-        versions: dict[str, set[str]] = {}
-        for entry in known.values():
-            versions.setdefault(entry.service, set()).add(entry.software_version)
         totals: Counter[VersionedModel] = Counter()
         for (instance, target), count in self._running.items():
-            running_at = self._entries_in_use.get(instance)
-            if running_at is not None and len(versions[running_at.service]) > 1:
-                service, version = running_at.service, running_at.software_version
-                totals[VersionedModel(service, target.model, version)] += count
+            entry = self._entries_in_use.get(instance)
+            if entry is not None and entry.software_version:
+                key = VersionedModel(entry.service, target.model, entry.software_version)
+                totals[key] += count
         return tuple(RunningStreams(key, totals[key]) for key in sorted(totals))
 
     def wake(self) -> None:
