--- a/features/release_placement.feature
+++ b/features/release_placement.feature
@@ -18,6 +18,29 @@
     And a server of v1 that holds m0 drains
     Then m0 is held at v1
 
+  Scenario: both holders drained at once, as two servers of the new version had taken their places
+    Given servers of v1 hold m0 and m1, m0 and m2, m3 and m4, m5 and m6, each with room for 2 models
+    And 20 streams of m0 run at v1
+    When 2 empty servers of v1.1 join
+    And 6.0 s pass without requests
+    And a server of v1 that holds m0 drains
+    And a server of v1 that holds m0 drains
+    Then m0 is held at v1
+
+  Scenario: new requests crowded at the old version, which had enough copies
+    Given servers of v1 hold m0 and m1, m0 and m2, m3 and m4, each with room for 2 models
+    And 20 streams of m0 run at v1
+    When 2 empty servers of v1.1 join
+    And 8.0 s pass with requests for m0
+    Then m0 is held at v1.1
+
+  Scenario: memory freed for a second copy was not used while the first one was loading
+    Given servers of v1 hold m1 and m2, m3 and m4, each with room for 2 models
+    And 20 streams of m0 run at v1
+    When 1 empty servers of v1.1 join
+    And 5.0 s pass without requests
+    Then m0 is held by 2 servers of v1
+
   Scenario: the last copy of a version was evicted while its streams ran at a server that drains
     Given servers of v1 hold m0 and m1, m0 and m2, each with room for 2 models
     And 10 streams of m0 run at v1
@@ -83,3 +106,7 @@
     Then its report has 3 streams of a at v1 and 1 at v1.1
     When a request for a at server one ends
     Then its report has 2 streams of a at v1 and 1 at v1.1
+
+  Scenario: running requests are reported before a second version is known
+    Given a daemon with 2 requests for a and 1 for its adapter x at server one of v1
+    Then its report has 3 streams of a at v1 only
--- a/loomwind/placement/version_demand.py
+++ b/loomwind/placement/version_demand.py
@@ -13,8 +13,12 @@
 from loomwind.placement.plan import PlanInput
 from loomwind.placement.server_tracker import ServerTracker
 from loomwind.serving.demand import VersionedModel
+from loomwind.serving.views import ModelKey
 
 MIN_COPIES = 2
+# A server that joins during a release replaces one of another version, which drains within seconds.
+# Until then the other version needs a copy more, since it may be the holder that leaves.
+REPLACEMENT_SECONDS = 10.0
 # A load delays others at the weight store, so that a single stream does not warrant one.
 MIN_STREAMS_FOR_LOAD = 2
 # A model that is loaded gives way to another of the same version only for this many times as many
@@ -33,6 +37,12 @@
     streams: int
     copies: tuple[ServerTracker, ...]
 
+    @property
+    def may_load(self) -> bool:
+        """Whether one more copy may be loaded; those beyond the second one load in turn."""
+        target = ModelKey(self.key.model)
+        return len(self.copies) < MIN_COPIES or all(copy.holds(target) for copy in self.copies)
+
     @property
     def priority(self) -> float:
         """Return the streams, weighted so that loaded models stay."""
@@ -43,19 +53,19 @@
 class MissingCopy:
     """A copy that a version should get.
 
-    :ivar is_first: whether no server of the version has the model.
+    :ivar copies: the number of copies that the version has.
     """
 
     key: VersionedModel
     streams: int
-    is_first: bool
+    copies: int
 
 
 @attrs.frozen
 class VersionCopies:
     """The copies that the servers of each version have room for.
 
-    :ivar missing: the copies to load, by priority, first copies before second ones.
+    :ivar missing: the copies to load, fewest copies first, then by priority.
     :ivar kept: pairs of instance and model name that are not evicted for a further copy.
     :ivar last: those of them that are the only copy at their version; not evicted at all.
     """
@@ -64,11 +74,6 @@
     kept: frozenset[tuple[str, str]] = frozenset()
     last: frozenset[tuple[str, str]] = frozenset()
 
-    def lacking_version(self, name: str) -> str | None:
-        """Return the version that lacks a copy of a model most; None for no version."""
-        versions = (copy.key.software_version for copy in self.missing if copy.key.model == name)
-        return next(versions, None)
-
 
 def version_demand(
     inputs: PlanInput, pending_demand: Sequence[PendingDemand] = ()
@@ -102,9 +107,12 @@
         version: _Room(servers, [each for each in demand if each.key.software_version == version])
         for version, servers in _servers_by_version(inputs).items()
     }
+    wanted = {version: _wanted_copies(inputs, version) for version in rooms}
     placed: dict[VersionedModel, list[ServerTracker]] = {each.key: [] for each in demand}
-    for _ in range(MIN_COPIES):
+    for copies in range(max(wanted.values(), default=0)):
         for each in demand:
+            if copies >= wanted[each.key.software_version]:
+                continue
             server = rooms[each.key.software_version].place(each, placed[each.key])
             if server is not None:
                 placed[each.key].append(server)
@@ -115,6 +123,39 @@
     )
 
 
+def _wanted_copies(inputs: PlanInput, software_version: str) -> int:
+    """Return how many copies of a model a version needs, so that one stays when servers leave."""
+    return max(MIN_COPIES, 1 + _replacements(inputs, software_version))
+
+
+def staying_servers(inputs: PlanInput) -> list[ServerTracker]:
+    """Return the servers of versions that no other version replaces.
+
+    New requests run at any version, so that their models belong where servers stay.
+    """
+    return [
+        server
+        for version, servers in _servers_by_version(inputs).items()
+        if not _replacements(inputs, version)
+        for server in servers
+    ]
+
+
+def _replacements(inputs: PlanInput, software_version: str) -> int:
+    """Return how many servers have joined lately at versions that are newer to this leader."""
+    by_version = _servers_by_version(inputs)
+    listed_since = {
+        version: min(server.tracked_since for server in servers)
+        for version, servers in by_version.items()
+    }
+    return sum(
+        inputs.now - server.tracked_since < REPLACEMENT_SECONDS
+        for version, servers in by_version.items()
+        if listed_since[version] > listed_since[software_version]
+        for server in servers
+    )
+
+
 class _Room:
     """The memory of a version's servers while copies are placed on them.
 
@@ -173,12 +214,13 @@
 
 
 def _missing(demand: Sequence[VersionDemand], placed: Placed) -> Iterator[MissingCopy]:
-    """Yield the copies to load: first copies, then second ones."""
+    """Yield the copies to load: first copies, then second ones, then further ones."""
     worthwhile = [each for each in demand if each.streams >= MIN_STREAMS_FOR_LOAD]
-    for copies in range(MIN_COPIES):
-        for each in worthwhile:
-            if len(each.copies) == copies < len(placed[each.key]):
-                yield MissingCopy(each.key, each.streams, is_first=copies == 0)
+    lacking = [
+        each for each in worthwhile if each.may_load and len(each.copies) < len(placed[each.key])
+    ]
+    for each in sorted(lacking, key=lambda each: len(each.copies)):
+        yield MissingCopy(each.key, each.streams, len(each.copies))
 
 
 def _kept(demand: Sequence[VersionDemand], placed: Placed) -> Iterator[tuple[str, str]]:
--- a/loomwind/serving/demand.py
+++ b/loomwind/serving/demand.py
@@ -198,7 +198,7 @@
         return tuple(RunningCount(i, target, n) for (i, target), n in self._running.items())
 
     def running_streams(self, entries: Iterable[ServerEntry]) -> tuple[RunningStreams, ...]:
-        """Return the number of running requests by model and software version.
+        """Return the running requests at servers that publish a software version.
 
         A server that is no longer listed keeps the version of its last entry while requests run.
 
@@ -210,7 +210,7 @@
         totals: Counter[VersionedModel] = Counter()
         for (instance, target), count in self._running.items():
             entry = self._entries_in_use.get(instance)
-            if entry is not None:
+            if entry is not None and entry.software_version:
                 key = VersionedModel(entry.service, target.model, entry.software_version)
                 totals[key] += count
         return tuple(RunningStreams(key, totals[key]) for key in sorted(totals))
