Soaks: servers that fail new streams while another one is suspended

The soak of pauses never had a second server that fails, so it could not find that a stream is moved from a server that pauses to one that fails.

- pause_faults: beside a share of the faults a model server is suspended for 1.5 to 2.2 s, while one or all of the others that run fail each new stream 0.3 to 0.8 s late (500, close, reset, rejection, silence, trickle; before a byte, after the head or after an event).

--- a/features/support/pause_faults.py
+++ b/features/support/pause_faults.py
@@ -1,5 +1,6 @@
 """Pauses of sound servers and of daemons, beside configuration changes, restarts and releases."""
 
+import functools
 import math
 import random
 import signal
@@ -134,19 +135,19 @@
                 self._suspend(name, process, seconds, [])
 
     def _suspend_beside_failures(self) -> None:
-        """Suspend a model server while another one, that runs, fails new streams."""
+        """Suspend a model server while one or all of the others that run fail new streams."""
         source, now = self._failure_source, time.monotonic()
         busy = {*self._suspended, *self._failing}
         sound = (n for n in self._model_servers() if now >= self._sound_from.get(n, 0.0))
         names = [name for name in sound if name not in busy]
         if len(names) < 2:
             return
-        paused, failing = source.sample(names, 2)
+        paused, *others = source.sample(names, len(names))
         seconds = source.uniform(*FAILURE_PAUSES_SECONDS)
-        self._fail_new_streams(failing)
-        outlasts_seconds = source.uniform(*FAILURE_OUTLASTS_SECONDS)
-        ends = now + seconds + outlasts_seconds
-        self._due.append((ends, lambda: self._end_failures(failing)))
+        ends = now + seconds + source.uniform(*FAILURE_OUTLASTS_SECONDS)
+        for name in others[: source.choice((1, MAX_SERVERS))]:
+            self._fail_new_streams(name)
+            self._due.append((ends, functools.partial(self._end_failures, name)))
         self._sound_from[paused] = now + seconds + MIN_SOUND_SECONDS
         self._suspend(paused, self._site.servers[paused].process, seconds, [])
 
@@ -169,7 +170,7 @@
         if name not in self._failing:
             return
         if name in self._suspended:
-            self._due.append((time.monotonic(), lambda: self._end_failures(name)))
+            self._due.append((time.monotonic(), functools.partial(self._end_failures, name)))
             return
         self._failing.discard(name)
         if name in self._site.servers:
