Evict no copy that streams need for a model loaded ahead of requests

What callers saw: nothing yet; found in a review and shown on the simulated pool. A leader that has seen no request loads models ahead, and evicted copies that running streams need at their version during a release. They were then loaded again as further copies, which evicted others in turn.

Cause: plan_staging checked only that a victim is cached and rarely requested, not whether a version needs it, as the other loads that nobody waits for do.

Evidence: "copies that streams need were evicted for models loaded ahead of requests" ended with one of two copies before the change, after 2 evictions of the model in 12 simulated seconds; with two copies and no eviction of the model now.

--- a/features/release_placement.feature
+++ b/features/release_placement.feature
@@ -68,6 +68,15 @@
     And 8.0 s pass without requests
     Then m0 was held at v1 after each step
 
+  Scenario: copies that streams need were evicted for models loaded ahead of requests
+    Given servers of v1 hold m10 and m11, m10 and m11, each with room for 2 models
+    And 10 streams of m10 run at v1
+    When 1 server of v1.1 that holds m8 and m9 joins
+    And the leader loads models ahead, in place of those that servers have on disk
+    And 12.0 s pass without requests
+    Then m10 is held by 2 servers of v1
+    And m10 was not evicted
+
   Scenario: a version with one server left keeps the models of most streams
     Given servers of v1 hold m2 and m3, each with room for 2 models
     And 9 streams of m0 run at v1
--- a/features/steps/release_placement_steps.py
+++ b/features/steps/release_placement_steps.py
@@ -67,6 +67,12 @@
     run_steps(context, STEPS_TO_READ_ALL // 4, plans=False)
 
 
+@when("the leader loads models ahead, in place of those that servers have on disk")
+def step_staging(context: Any) -> None:
+    context.simulated_pool.cache_held_models()
+    context.simulated_pool.staging_allowed = True
+
+
 @when("{seconds:f} s pass without requests")
 def step_time_passes(context: Any, seconds: float) -> None:
     run_steps(context, round(seconds / STEP_SECONDS))
@@ -124,6 +130,13 @@
     assert len(evictions) == count, evictions
 
 
+@then("{model:w} was not evicted")
+def step_not_evicted(context: Any, model: str) -> None:
+    orders = context.simulated_pool.orders
+    evictions = [order for order in orders if order.kind is OrderKind.UNLOAD]
+    assert evictions and model not in {order.target.model for order in evictions}, orders
+
+
 @then("no load was ordered")
 def step_no_load(context: Any) -> None:
     assert not context.simulated_pool.orders, context.simulated_pool.orders
--- a/features/support/simulated_pool.py
+++ b/features/support/simulated_pool.py
@@ -123,6 +123,7 @@
         self.admissions: list[StoreAdmissionRecord] = []
         self.orders: list[PlannedOrder] = []
         self._running: dict[tuple[str, ModelKey], int] = {}
+        self.staging_allowed = False
         self._concurrency_limit = StoreConcurrencyLimit()
         self.change_leader()
 
@@ -139,6 +140,11 @@
         """Put models on a server, without a copy on its disk."""
         self._servers[name].held = list(models)
 
+    def cache_held_models(self) -> None:
+        """Put a copy of each held model on the disk of its server."""
+        for server in self._servers.values():
+            server.on_disk.update(server.held)
+
     def drain_server(self, name: str) -> None:
         """Let a server accept no new requests and no orders; its streams are still reported."""
         del self._servers[name]
@@ -250,7 +256,7 @@
             self._running,
             self.now,
             self._rate_limiter.allows(self.now),
-            False,
+            self.staging_allowed,
             max(0, self._concurrency_limit.limit - in_progress),
         )
         requested = {pending.key.target.model for pending in self._demand.pending_demand(self.now)}
@@ -259,6 +265,8 @@
             self._record_admission(order, requested)
             if order.from_store:
                 self._rate_limiter.record(self.now)
+            if self.staging_allowed and order.kind is OrderKind.LOAD:
+                self._trackers[order.instance].staged += 1
             self._send_order(order)
         self._demand.reset_unserved(SERVICE, inputs.index.holders)
 
--- a/loomwind/placement/model_planner.py
+++ b/loomwind/placement/model_planner.py
@@ -212,7 +212,7 @@
                 continue
             name = self._next_to_stage()
             option = self._load_option(server, name) if name is not None else None
-            if name is None or option is None:
+            if name is None or option is None or self._cost_model.evicts_kept_copy(option):
                 continue
             if all(self._can_evict_for_staging(server, victim) for victim in option.victims):
                 self._order_load(option, name, OrderPurpose.STAGED)
