Move a stream only with a retry left for a failure of its new server

A move now needs room for two retries. The second is reserved, spent anew if the new server fails, and returned once its first event was relayed, when the move fails, or when the request ends.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -103,6 +103,8 @@
       | 1       | 9       | one                                                     | no server   | no server         |
       | 2       | 9       | one                                                     | any server  | any server        |
       | 2       | 0       | one                                                     | no server   | no server         |
+      | 2       | 1       | one                                                     | no server   | any server        |
+      | 2       | 2       | one                                                     | any server  | any server        |
       | 2       | 9       | one, two in vain                                        | two         | one or two        |
       | 2       | 0       | one, two in vain                                        | no server   | no server         |
       | 2       | 9       | one, two in vain, two in vain                           | two         | one or two        |
@@ -114,6 +116,17 @@
       | 3       | 9       | one, two in vain, three in vain                         | three or two | one or three or two |
       | 3       | 9       | one which failed, two, three in vain                    | one or three | one or three or two |
 
+  Scenario: a request that was moved is not denied a retry that others have spent meanwhile
+    Given a request that 2 servers may run, and a retry budget of 3
+    When it is moved from one to two, and others spend all retries that are left
+    Then others have spent 1 retry
+    And when its server fails, it may be sent to one or two
+
+  Scenario: the retry that was kept for a moved request is returned once it goes on
+    Given a request that 2 servers may run, and a retry budget of 3
+    When it is moved from one to two, which goes on, and others spend all retries that are left
+    Then others have spent 2 retries
+
   Scenario Outline: a silent server counts as <state> when <evidence>
     Given a server that is silent since 2000 ms
     When <evidence>
--- a/features/silent_requests.feature
+++ b/features/silent_requests.feature
@@ -13,6 +13,13 @@
     When streams run at server one, and it is suspended for 1.0 s
     Then every stream that ran there is complete, and ran once
 
+  Scenario: streams of a server that pauses are not cut by moves that spend the last retries
+    Given the daemons may retry 10 times together
+    And 3 pool daemons
+    And every event of a stream takes 0.02 s
+    When streams run at server one, server two fails more by close after its head after 0.3 s, and server one is suspended for 1.7 s
+    Then every stream that ran there is complete
+
   Scenario: a stream that another server refuses goes on at its server after a pause
     Given 3 pool daemons
     And every event of a stream takes 0.02 s
--- a/features/steps/retry_limit_steps.py
+++ b/features/steps/retry_limit_steps.py
@@ -27,10 +27,11 @@
         "drill", "h", "/", kind, weighted, 10.0, 0.6, max_attempts=count, resumable=True
     )
     context.progress = RequestProgress()
+    context.budget = RetryBudget(0.0, float(retries), WINDOW_SECONDS)
     context.policy = RetryPolicy(
         CallerRequest("id-1", "h", 10.0),
         route,
-        RetryBudget(0.0, float(retries), WINDOW_SECONDS),
+        context.budget,
         cast(PromptGuard, NoBannedPrompts()),
         Metrics(),
         context.progress,
@@ -47,6 +48,37 @@
         _apply(context.progress, server, what)
 
 
+@when("it is moved from {one:w} to {two:w}, and others spend all retries that are left")
+def step_moved(context: Any, one: str, two: str) -> None:
+    run_in_virtual_time(_move(context, one, two, goes_on=False))
+
+
+@when(
+    "it is moved from {one:w} to {two:w}, which goes on, and others spend all retries that are left"
+)
+def step_moved_on(context: Any, one: str, two: str) -> None:
+    run_in_virtual_time(_move(context, one, two, goes_on=True))
+
+
+async def _move(context: Any, one: str, two: str, goes_on: bool) -> None:
+    policy, progress = context.policy, context.progress
+    _apply(progress, one, "")
+    assert policy.move_obstacle(one) is None and policy.try_spend_for_move()
+    _apply(progress, two, "and moved there")
+    policy.record_sent()
+    if goes_on:
+        policy.release_reserve()
+    context.others_spent = 0
+    while context.budget.try_spend(0.0):
+        context.others_spent += 1
+
+
+@then("others have spent {count:d} retry")
+@then("others have spent {count:d} retries")
+def step_others_spent(context: Any, count: int) -> None:
+    assert context.others_spent == count
+
+
 def _apply(progress: RequestProgress, server: str, what: str) -> None:
     if what in ("", "in vain", "and moved there"):
         previous, dropped = progress.server, what == "in vain"
--- a/features/steps/silent_request_steps.py
+++ b/features/steps/silent_request_steps.py
@@ -24,6 +24,11 @@
     pool(context).forbid_retries()
 
 
+@given("the daemons may retry {count:d} times together")
+def step_few_retries(context: Any, count: int) -> None:
+    pool(context).retry_settings = f"retry_ratio = 0.0\nretry_allowance = {float(count)}"
+
+
 @given("every plain answer takes {seconds:f} s")
 def step_work_seconds(context: Any, seconds: float) -> None:
     for server in pool(context).servers.values():
--- a/loomwind/serving/budget.py
+++ b/loomwind/serving/budget.py
@@ -44,10 +44,10 @@
         self._retry_times.append(now)
         return True
 
-    def has_room(self, now: float) -> bool:
-        """Return whether a retry could be spent."""
+    def has_room(self, now: float, retries: int = 1) -> bool:
+        """Return whether a number of retries could be spent."""
         self._evict_expired(now)
-        return len(self._retry_times) + 1 <= (
+        return len(self._retry_times) + retries <= (
             self._ratio * len(self._request_times) + self._allowance
         )
 
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -47,6 +47,7 @@
         # A request may also be at a peer, which is no server.
         self._servers: set[str] = set()
         self._preferred = ""
+        self._events_at_move = 0
 
     def new(
         self, entry: ServerEntry, is_replacement: bool = False, has_permit: bool = False
@@ -111,7 +112,7 @@
         chosen = self._selector.choose_replacement(silent, silence, now, self._preferred)
         if chosen is None:
             return MoveDecision("no other server that can run it has answered since")
-        if not self._retries.try_spend():
+        if not self._retries.try_spend_for_move():
             return MoveDecision(BUDGET_EXHAUSTED)
         replacement = self.new(chosen, is_replacement=True)
         return MoveDecision("another server can run it", replacement)
@@ -123,6 +124,7 @@
     def record_unsent(self, replacement: Attempt, failure: SendFailed | None) -> None:
         """Record that nothing was sent to a replacement, which costs no retry."""
         self._retries.refund_unsent()
+        self._retries.release_reserve()
         if failure is not None and not failure.no_permit:
             entry = replacement.entry
             target = self._outgoing.caller.target
@@ -137,6 +139,7 @@
         That is no failure of the request: its server still has it.
         """
         entry = replacement.entry
+        self._retries.release_reserve()
         if failure is None or failure.may_have_run:
             self._progress.record_run(entry.instance)
         if failure is not None:
@@ -150,9 +153,15 @@
         """Record that the request was taken over from a silent server."""
         if not self.is_at_peer(silent):
             self._handler.pool.health(silent).record_left(self._handler.now())
+        self._events_at_move = self._stream.events
         self._progress.record_run(silent.instance)
         self._handler.count_send(silent, "left")
 
+    def record_progress(self) -> None:
+        """Return the retry that a move reserved, once its server's first event was relayed."""
+        if self._stream.events > self._events_at_move:
+            self._retries.release_reserve()
+
     def check(self, answer: Answer, entry: ServerEntry) -> SendFailed | None:
         """Return why the beginning of a response cannot take the place of the current one."""
         status = answer.response.head.status
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -163,6 +163,7 @@
         finally:
             self._handler.timeouts.discard(timeout)
             self._retries.refund_unsent()
+            self._retries.release_reserve()
 
     def _log_end(self, end: str) -> None:
         self._log.end(
@@ -395,6 +396,7 @@
 
         :raises Moved: the server was silent, and another one has taken the stream over.
         """
+        self._attempts.record_progress()
         timeout_ms = event_silence_ms(
             self._route, self._stream.events, self._attempts.is_at_peer(entry)
         )
--- a/loomwind/serving/retry_policy.py
+++ b/loomwind/serving/retry_policy.py
@@ -11,6 +11,8 @@
 from loomwind.serving.views import CallerRequest, RouteRule
 
 MAX_EXTRA_SENDS = 3
+# A move needs one retry for its send, and one should the server that the request moved to fail.
+RETRIES_PER_MOVE = 2
 BUDGET_EXHAUSTED = "the retry budget is exhausted"
 SERVERS_EXHAUSTED = "it may have run on as many servers as its route allows"
 
@@ -48,6 +50,8 @@
         self.is_unpaid = False
         # When a retry was spent that has not been sent yet.
         self._unsent_since: float | None = None
+        # When a retry was reserved for a failure of the server that the request was moved to.
+        self._reserved_since: float | None = None
 
     def may_retry(self, failure: SendFailed) -> bool:
         """Whether the request may be sent again; spends a retry from the budget where one is due.
@@ -70,14 +74,15 @@
     def move_obstacle(self, silent: str) -> str | None:
         """Return why a request that a server has may not be sent to another one too.
 
-        One send is left for a failure of the server that has it.
+        One send, and one retry of the budget, are left for a failure of the server that gets it.
         """
         if self._prompts.banned_for_ms(self._caller) > 0:
             return "it, or a part of its prompt, is banned"
         obstacle = self._obstacle(may_have_run=True, reserved_sends=1)
         if obstacle is None and self.allowed_servers(silent) == {silent}:
             obstacle = SERVERS_EXHAUSTED
-        if obstacle is None and not self._budget.has_room(_now()):
+        missing = RETRIES_PER_MOVE - (self._reserved_since is not None)
+        if obstacle is None and not self._budget.has_room(_now(), missing):
             obstacle = BUDGET_EXHAUSTED
         return obstacle
 
@@ -110,14 +115,33 @@
         return None
 
     def try_spend(self) -> bool:
-        """Spend one retry; returns False when the budget is exhausted."""
+        """Spend one retry, the reserved one first; returns False when the budget is exhausted.
+
+        The reserved one is spent anew, so that it counts in the window in which it is sent.
+        """
         now = _now()
+        self.release_reserve()
         allowed = self._budget.try_spend(now)
         self._repeats.labels("allowed" if allowed else "over-budget").inc()
         if allowed:
             self._unsent_since = now
         return allowed
 
+    def try_spend_for_move(self) -> bool:
+        """Spend a retry for a move and reserve another; returns False without room for both."""
+        self.release_reserve()
+        has_room = self._budget.has_room(_now(), RETRIES_PER_MOVE)
+        if has_room and self.try_spend():
+            self._reserved_since = _now()
+            return self._budget.try_spend(self._reserved_since)
+        return False
+
+    def release_reserve(self) -> None:
+        """Return the reserved retry to the budget, if there is one."""
+        if self._reserved_since is not None:
+            self._budget.refund(self._reserved_since)
+            self._reserved_since = None
+
     def record_sent(self) -> None:
         """Record that the request is sent, with the retry that was spent for it, if any."""
         self._unsent_since = None
