Move what a connection's close is reported with into a recorder of its own

The times are taken from the clock in milliseconds. Steps that read the connection's private count of requests and time of the last byte read them from the recorder.

--- a/features/steps/connection_close_steps.py
+++ b/features/steps/connection_close_steps.py
@@ -50,7 +50,7 @@
         """Send bytes, and wait until the daemon has read them."""
         self.writer.write(data if isinstance(data, bytes) else data.encode())
         (connection,) = self.daemon.callers.connections
-        while connection._last_byte_at is None:
+        while connection._recorder is None or not connection._recorder.has_read:
             await asyncio.sleep(0)
 
     async def begin_request(self) -> None:
--- a/features/steps/idle_close_steps.py
+++ b/features/steps/idle_close_steps.py
@@ -20,6 +20,7 @@
 from features.support.raw_client import RawReply, parse_replies
 from loomwind.http.messages import Headers
 from loomwind.http.server import Exchange, HttpServer, ServerLimits
+from loomwind.http.server_connection import ServerConnection
 from loomwind.serving.daemon import PoolDaemon
 
 MS = 1000
@@ -202,15 +203,19 @@
     if drains:
         server.start_draining()
     client.sendall(request)
-    while not any(each._request_count and each.is_idle for each in server.connections):
-        if not server.connections:
-            break
+    while server.connections and not any(map(_has_responded, server.connections)):
         await asyncio.sleep(0)
     server.close()
     (reply,) = await _read_replies([client])
     return reply
 
 
+def _has_responded(connection: ServerConnection) -> bool:
+    """Return whether a connection is idle after a request."""
+    recorder = connection._recorder
+    return connection.is_idle and recorder is not None and recorder.requests > 0
+
+
 @then("its response announces that the connection is kept for {seconds:d} s")
 def step_announced(context: Any, seconds: int) -> None:
     (reply,) = context.replies
--- a/loomwind/http/connection_close.py
+++ b/loomwind/http/connection_close.py
@@ -34,6 +34,19 @@
     LOST = "lost"
 
 
+@frozen
+class ConnectionPhase:
+    """What a connection is doing.
+
+    :ivar is_request_open: whether a request is in progress: being read, or without its response.
+    :ivar buffered_bytes: bytes that were read and belong to no request that was handled.
+    """
+
+    name: str
+    is_request_open: bool
+    buffered_bytes: int
+
+
 @frozen
 class ConnectionClose:
     """The close of a client's connection.
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -8,8 +8,9 @@
 import h11
 
 from loomwind import constants
-from loomwind.clock import MS_PER_SECOND
-from loomwind.http.connection_close import ClosedBy, CloseReason, ConnectionClose
+from loomwind.clock import Clock
+from loomwind.http.close_recorder import CloseRecorder
+from loomwind.http.connection_close import ClosedBy, CloseReason, ConnectionPhase
 from loomwind.http.errors import RESPONSE_EXCEPTIONS, ClientDisconnected, map_exceptions
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import Headers, HttpRequest
@@ -47,14 +48,6 @@
     return tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers)
 
 
-def _format_address(address: tuple[str, int] | None) -> str:
-    return "" if address is None else f"{address[0]}:{address[1]}"
-
-
-def _milliseconds(seconds: float) -> float:
-    return round(seconds * MS_PER_SECOND, 1)
-
-
 class ServerConnection(asyncio.Protocol):
     """A connection from a client."""
 
@@ -75,12 +68,8 @@
         self._is_unreadable = False
         self._waiting_bytes = 0
         self._is_paused = False
-        self._opened_at = 0.0
-        self._last_byte_at: float | None = None
-        self._request_count = 0
-        self._request_id = ""
         self._has_left_request = False
-        self._is_close_recorded = False
+        self._recorder: CloseRecorder | None = None
         self._linger_reason = CloseReason.UNREADABLE_REQUEST
         self._writable = asyncio.Event()
         self._writable.set()
@@ -154,7 +143,7 @@
         """Register the connection and start the idle timer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._opened_at = self._now()
+        self._recorder = CloseRecorder(self._server.close_observer, transport, Clock())
         self._server.connections.add(self)
         self._start_idle_timer()
 
@@ -162,11 +151,11 @@
         """Cancel the handler, since nobody can receive its response."""
         error = "" if exc is None else repr(exc)
         if error and not self._has_client_closed:
-            self._record_close(ClosedBy.ERROR, CloseReason.LOST, error)
+            self._report_close(ClosedBy.ERROR, CloseReason.LOST, error)
         elif self._state is ConnectionState.LINGERING:
-            self._record_close(ClosedBy.SERVER, self._linger_reason)
+            self._report_close(ClosedBy.SERVER, self._linger_reason)
         else:
-            self._record_close(ClosedBy.CLIENT, CloseReason.CLIENT_END, error)
+            self._report_close(ClosedBy.CLIENT, CloseReason.CLIENT_END, error)
         self._has_client_closed |= not self._is_closing_here
         self._state = ConnectionState.CLOSED
         self._server.connections.discard(self)
@@ -204,7 +193,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed h11, and call the handler once a request is complete."""
-        self._last_byte_at = self._now()
+        if self._recorder is not None:
+            self._recorder.record_data()
         if self._state is ConnectionState.LINGERING:
             return
         if self._state is ConnectionState.IDLE:
@@ -267,7 +257,8 @@
         head = self._head
         assert head is not None
         headers = _decode_headers(head)
-        self._request_id = self._id_in(headers)
+        if self._recorder is not None:
+            self._recorder.record_head(headers)
         target = head.target.decode("latin-1")
         request = HttpRequest(head.method.decode("latin-1"), target, headers, bytes(self._body))
         self._handle(Exchange(self, request, None, request.method))
@@ -281,7 +272,8 @@
         self._state = ConnectionState.HANDLING
         self._cancel_timer()
         self._exchange = exchange
-        self._request_count += 1
+        if self._recorder is not None:
+            self._recorder.requests += 1
         self._waiting_bytes = len(self._h11.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._run(exchange))
 
@@ -407,9 +399,9 @@
     def _prepare_close(self, reason: CloseReason) -> asyncio.Transport | None:
         """Have the connection reset if an end in order would make its response look complete."""
         if self._has_client_closed:
-            self._record_close(ClosedBy.CLIENT, CloseReason.CLIENT_END)
+            self._report_close(ClosedBy.CLIENT, CloseReason.CLIENT_END)
         else:
-            self._record_close(ClosedBy.SERVER, reason)
+            self._report_close(ClosedBy.SERVER, reason)
         self._is_closing_here = True
         self._cancel_timer()
         cuts_response = self._exchange is not None and self._exchange.ends_with_reset
@@ -423,38 +415,19 @@
             reset_on_close(self._transport)
         self.close(CloseReason.RESPONSE_RESET)
 
-    def _record_close(self, closed_by: ClosedBy, reason: CloseReason, error: str = "") -> None:
+    def _report_close(self, closed_by: ClosedBy, reason: CloseReason, error: str = "") -> None:
         """Report the close to the server's observer, once."""
-        observer, transport = self._server.close_observer, self._transport
-        if observer is None or transport is None or self._is_close_recorded:
+        if self._recorder is None:
             return
-        self._is_close_recorded = True
         is_reading = self._state in READING_STATES
         if is_reading:
-            self._request_id = self._id_in(_decode_headers(self._head)) if self._head else ""
-        now, last_byte_at = self._now(), self._last_byte_at
-        last_byte_age_ms = None if last_byte_at is None else _milliseconds(now - last_byte_at)
-        observer.on_close(
-            ConnectionClose(
-                closed_by,
-                reason,
-                error,
-                client=_format_address(transport.get_extra_info("peername")),
-                phase=self._state.name.lower(),
-                requests=self._request_count,
-                request_id=self._request_id,
-                is_request_open=is_reading or self._exchange is not None or self._has_left_request,
-                buffered_bytes=len(self._h11.trailing_data[0]) + is_reading * len(self._body),
-                unread_bytes=unread_bytes(transport),
-                unsent_bytes=transport.get_write_buffer_size(),
-                last_byte_age_ms=last_byte_age_ms,
-                age_ms=_milliseconds(now - self._opened_at),
-            )
+            self._recorder.record_head(_decode_headers(self._head) if self._head else ())
+        phase = ConnectionPhase(
+            self._state.name.lower(),
+            is_reading or self._exchange is not None or self._has_left_request,
+            len(self._h11.trailing_data[0]) + is_reading * len(self._body),
         )
-
-    def _id_in(self, headers: Headers) -> str:
-        observer = self._server.close_observer
-        return "" if observer is None else observer.request_id(headers)
+        self._recorder.report(closed_by, reason, phase, error)
 
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
