Move a stream only once the other server has brought an event

What callers saw (LOST): a stream cut although its own server had gone on. Cause: the head of a response counted as its beginning; a server sends it before the work is done. The other server closed after its head, the retry budget was spent, so the request could not go back. The same class: what works is given up before its replacement is certain.

A replacement is read up to its first complete event, which is then passed on with the rest; until then the silent server's connection is kept, whatever the budget says.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -147,3 +147,16 @@
     Given a request that may go to servers one and two again, and has failed at two
     When server one was silent, and server three is idle
     Then it is sent to server one
+
+  Scenario Outline: a replacement whose stream <brings> after its head counts as <state>
+    When a replacement's stream <brings> after its head
+    Then the replacement counts as <state>
+
+    Examples: streams
+      | brings                               | state                                |
+      | brings an event                      | begun, and the whole event is read   |
+      | brings an event in two parts         | begun, and the whole event is read   |
+      | breaks                               | failed, and its connection is closed |
+      | breaks in an event                   | failed, and its connection is closed |
+      | brings part of an event, and nothing | not begun                            |
+      | ends                                 | begun, and no event is read          |
--- a/loomwind/serving/hand_over.py
+++ b/loomwind/serving/hand_over.py
@@ -1,9 +1,9 @@
 """Waits for a server that has fallen silent, and hands its request over to another server.
 
-The connection to a silent server is closed only once another server has begun a valid response, or
-once the silent one is gone for certain. Until then it is read on; what comes from it first keeps
-the request there, and ends the other attempt. So does the end of the time for which two servers may
-have the request together; it is then sent again later.
+The connection to a silent server is closed only once another server has begun a valid response (of
+a stream: its first event), or once the silent one is gone for certain. Until then it is read on;
+what comes from it first keeps the request there, and ends the other attempt. So does the end of the
+time for which two servers may have the request together; it is then sent again later.
 """
 
 import asyncio
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -386,7 +386,7 @@
                 self._exchange.extra_headers, entry.software_version
             )
         attempt.is_read = True
-        await self._stream.relay(entry, answer.response, attempt.health)
+        await self._stream.relay(entry, answer.response, attempt.health, answer.stream)
         is_by_one_server = attempt.events_before == 0 and self._caller.last_event_id is None
         self._handler.prompts.record_answered(self._caller, is_by_one_server)
         self._handler.forwarder.release(answer.response.connection)
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -10,9 +10,11 @@
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.client_connection import ClientConnection
+from loomwind.http.errors import HttpError
 from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS, ServerHealth
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
+from loomwind.serving.stream_start import StreamStart
 from loomwind.serving.views import ServerEntry
 
 if TYPE_CHECKING:
@@ -23,11 +25,13 @@
 class Answer:
     """The beginning of a server's response.
 
-    :ivar body: the full body; None for a stream, whose body is still unread.
+    :ivar body: the full body; None for a stream.
+    :ivar stream: what was read ahead of a stream; None if its body is still unread.
     """
 
     response: OpenResponse
     body: bytes | None
+    stream: StreamStart | None = None
 
 
 class Attempt(ABC):
@@ -169,10 +173,29 @@
                 connection, self._outgoing, self.entry, self._handler.now(), last_event_id
             )
         self.health.record_received(self._handler.now())
-        body = None if response.streamed else await forwarder.read_full_body(response)
+        if response.streamed:
+            stream = await self._read_ahead(response) if self._is_replacement else None
+            return Answer(response, None, stream)
+        body = await forwarder.read_full_body(response)
         self.health.record_received(self._handler.now())
         return Answer(response, body)
 
+    async def _read_ahead(self, response: OpenResponse) -> StreamStart:
+        """Read the first event: a head alone does not show that the stream goes on.
+
+        :raises SendFailed: the connection broke before.
+        """
+        stream = StreamStart(response.connection)
+        try:
+            await stream.read_first_event()
+        except HttpError as error:
+            response.connection.close()
+            raise SendFailed(
+                f"{self.entry.instance}: {error}", may_have_run=True, broken=True
+            ) from error
+        self.health.record_received(self._handler.now())
+        return stream
+
     @contextlib.contextmanager
     def _probe_when_silent(self) -> Iterator[None]:
         """Have the connectivity to the servers probed when no response begins for a while."""
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -15,6 +15,7 @@
 from loomwind.serving.forwarder import OpenResponse
 from loomwind.serving.ports import Dialect
 from loomwind.serving.stream_gaps import StreamGaps
+from loomwind.serving.stream_start import StreamStart
 from loomwind.serving.views import CallerRequest, RouteRule, ServerEntry
 
 
@@ -56,9 +57,16 @@
         """Return the number of relayed events."""
         return self._event_buffer.event_count
 
-    async def relay(self, entry: ServerEntry, response: OpenResponse, health: ServerHealth) -> None:
+    async def relay(
+        self,
+        entry: ServerEntry,
+        response: OpenResponse,
+        health: ServerHealth,
+        start: StreamStart | None = None,
+    ) -> None:
         """Relay complete events as they arrive, until the stream ends.
 
+        :param start: what was read ahead of the stream; None for nothing.
         :raises SendFailed: the stream was interrupted; its connection is closed.
         """
         try:
@@ -68,7 +76,8 @@
             stream_gaps = StreamGaps()
             events_before = self.events
             is_first = events_before == 0
-            while complete := await self._next_events(entry, response, health):
+            read_body = response.connection.read_body if start is None else start.read_body
+            while complete := await self._next_events(entry, read_body, health):
                 stream_gaps.record_event(self._now() * MS_PER_SECOND)
                 if is_first:
                     self._on_first_event(entry)
@@ -84,7 +93,10 @@
             raise
 
     async def _next_events(
-        self, entry: ServerEntry, response: OpenResponse, health: ServerHealth
+        self,
+        entry: ServerEntry,
+        read_body: Callable[[], Awaitable[bytes]],
+        health: ServerHealth,
     ) -> bytes:
         """Return the next complete events; empty at the end of the body.
 
@@ -92,7 +104,7 @@
         """
 
         async def read() -> bytes:
-            while chunk := await response.connection.read_body():
+            while chunk := await read_body():
                 health.record_received(self._now())
                 complete = self._complete_events(entry, chunk)
                 del chunk  # Would be kept while the next one is waited for.
