Take no server for replaced since it lacks what an order was for

What callers saw: nothing yet; found in a review. A server answers an order with 421 also if it lacks what the order refers to: an adapter's model that was just unloaded. The leader took any 421 for the answer of another instance, and left the server out for as long as its row stood; since such an instance counts as ended, its requests could run elsewhere as well.

Cause: the status alone decided, while responses to requests are checked for the instance that they name.

Change: another instance responded if the response names one. Any other 421 is `missing-target`: the server is read again.

Evidence: the three examples of "a server was taken for replaced since it lacked what an order was for" failed before (one order, and then none for the rest of 1 s) and pass now. The three examples of a 421 by another instance, and "orders went on to a server whose address another instance had taken over", passed before and pass now.

--- a/features/release_placement.feature
+++ b/features/release_placement.feature
@@ -125,6 +125,28 @@
     When requests wait for c for 1.0 s
     Then one was sent one order, and then two was ordered to load c
 
+  Scenario Outline: a server was taken for replaced since it lacked what an order was for
+    Given a leader with a server one that holds a and answers its first order with 421, naming <named>
+    When requests wait for <target> for 1.0 s
+    Then the server is ordered to load <target> again, and stays usable
+
+    Examples:
+      | target | named       |
+      | a/a1   | no instance |
+      | a/a1   | one         |
+      | c      | one         |
+
+  Scenario Outline: a 421 for <target> that names <named> is from another instance
+    Given a leader with a server one that holds a and answers its first order with 421, naming <named>
+    When requests wait for <target> for 1.0 s
+    Then the server is sent no further order, and is not usable
+
+    Examples:
+      | target | named       |
+      | a/a1   | three       |
+      | c      | three       |
+      | c      | no instance |
+
   Scenario: running requests are reported at the version of their server, also once it is not listed
     Given a daemon with 2 requests for a and 1 for its adapter x at server one of v1
     And 1 request for a at server two of v1.1
--- a/loomwind/platform/engine.py
+++ b/loomwind/platform/engine.py
@@ -10,13 +10,19 @@
 from loomwind.http.errors import ConnectFailed, HttpError
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.logs import log_state
-from loomwind.platform.dialect import EXPECT_INSTANCE, INSTANCE, parse_rejection_limit
+from loomwind.platform.dialect import (
+    EXPECT_INSTANCE,
+    INSTANCE,
+    MISDIRECTED_STATUS,
+    parse_rejection_limit,
+)
 from loomwind.platform.documents import Count, WireHeldModel, convert_held_models
 from loomwind.serving.ports import EngineControl, MalformedDocument
 from loomwind.serving.views import (
     ModelKey,
     Order,
     OrderAnswer,
+    OrderKind,
     ServerEntry,
     ServerReport,
 )
@@ -29,7 +35,6 @@
     202: OrderAnswer.ACCEPTED,
     409: OrderAnswer.CONFLICT,
     412: OrderAnswer.FENCED,
-    421: OrderAnswer.OTHER_INSTANCE,
     400: OrderAnswer.REJECTED,
 }
 
@@ -110,6 +115,8 @@
             return OrderAnswer.REJECTED
         except HttpError:
             return OrderAnswer.UNKNOWN
+        if response.status == MISDIRECTED_STATUS:
+            return _misdirected_answer(response, entry, order)
         return ORDER_ANSWER_BY_STATUS.get(response.status, OrderAnswer.UNKNOWN)
 
 
@@ -118,6 +125,20 @@
     return response.header(INSTANCE) not in (None, entry.name)
 
 
+def _misdirected_answer(response: HttpResponse, entry: ServerEntry, order: Order) -> OrderAnswer:
+    """Return whether another instance responded, or the listed one lacks the order's target.
+
+    If the response does not name an instance, only the load of a model's weights is certain: it
+    needs nothing that the server could lack.
+    """
+    if _is_other_server(response, entry):
+        return OrderAnswer.OTHER_INSTANCE
+    loads_weights = order.kind is OrderKind.LOAD and not order.target.adapter
+    if loads_weights and response.header(INSTANCE) is None:
+        return OrderAnswer.OTHER_INSTANCE
+    return OrderAnswer.MISSING_TARGET
+
+
 def _was_restarted(report: ServerReport, entry: ServerEntry) -> bool:
     """Whether the server's process is not the listed one, but one of the same name."""
     if report.started_at_ms is None or entry.started_at_ms is None:
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -293,12 +293,17 @@
 
 
 class OrderAnswer(enum.Enum):
-    """A model server's response to an order."""
+    """A model server's response to an order.
+
+    OTHER_INSTANCE: another server responded. MISSING_TARGET: the server does not hold what the
+    order refers to, such as the model of an adapter.
+    """
 
     ACCEPTED = "accepted"
     ALREADY = "already"
     CONFLICT = "conflict"
     FENCED = "fenced"
     OTHER_INSTANCE = "other-instance"
+    MISSING_TARGET = "missing-target"
     REJECTED = "rejected"
     UNKNOWN = "unknown"
