Keep in the store which servers must not reject many; grant alone only what all daemons may

Causes, by reading and by the trials: a daemon that starts while no other knows the limit sent without permits until the first answer; and daemons that reach no owner granted themselves a permit each in the same moment, whatever their number.

Change: the leader keeps a row for each such service, which a starting daemon reads with the table of daemons; a daemon that is in no list yet grants itself nothing for 2 s; without an owner, a daemon begins at a random moment of its interval, and keeps to its share of what the server has shown to take.

The scenario shows that the limit is read from the store; it failed before, as no row was written.

--- a/features/brittle_servers.feature
+++ b/features/brittle_servers.feature
@@ -39,3 +39,8 @@
     And at least 0.9 of the requests that they could hold were served
     And every rejected request may come back at a given time
     And no request ended in another way
+
+  Scenario: a daemon that starts while no other runs knows which servers must not reject many
+    Given a server with one place that must not reject many, and a daemon
+    When the daemon is killed once the store has the limit, and starts again
+    Then it has the limit from the store
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -4,8 +4,10 @@
 
 from behave import given, then, when
 
-from features.steps.pool_steps import pool
+from features.steps.pool_steps import first_daemon, pool
 from features.support.overload import NOTICE_LOAD, NOTICE_SECONDS, Load, OverloadRig
+from features.support.pool_site import PoolDaemonProcess
+from features.support.processes import wait_until
 
 
 @given("{count:d} model servers with few places")
@@ -32,6 +34,32 @@
     print(context.load.summary())
 
 
+@when("the daemon is killed once the store has the limit, and starts again")
+def step_kill_daemon(context: Any) -> None:
+    daemon = first_daemon(context)
+    wait_until(lambda: bool(_limit_lines(daemon, "stored")), "the limit is stored")
+    assert daemon.process is not None
+    daemon.process.kill()
+    daemon.start()
+
+
+@then("it has the limit from the store")
+def step_limit_from_store(context: Any) -> None:
+    daemon = first_daemon(context)
+    known = "the limit is known again"
+    wait_until(lambda: len(_limit_lines(daemon, "known")) > 1, known)
+    assert _limit_lines(daemon, "known")[1]["teller"] == "the store"
+
+
+def _limit_lines(daemon: PoolDaemonProcess, state: str) -> list[dict[str, Any]]:
+    """Return the log lines of changes of the limits."""
+    return [
+        line
+        for line in daemon.log_lines()
+        if line.get("message_type") == "loomwind:rejection-limit" and line.get("state") == state
+    ]
+
+
 @then("the servers fell over at most {count:d} times")
 def step_falls(context: Any, count: int) -> None:
     load: Load = context.load
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -44,6 +44,7 @@
 from loomwind.serving.ports import Dialect, DocumentParser, EngineControl, Snapshot, Store
 from loomwind.serving.prompt_guard import PromptGuard
 from loomwind.serving.rejection_limit_gossip import RejectionLimitGossip
+from loomwind.serving.rejection_limit_records import RejectionLimitRecords
 from loomwind.serving.relay_service import RelayService
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.resumption import Resumption
@@ -190,6 +191,7 @@
         self._peers.on_rows(snapshot, is_full)
         self._registrar.on_rows(snapshot, is_full)
         self._ban_records.on_rows(snapshot, is_full)
+        self._limit_records.on_rows(snapshot, is_full)
 
     def _create_peer_protocols(self) -> None:
         """Create the components that communicate with peers."""
@@ -260,6 +262,9 @@
         self._rejection_limits = RejectionLimitGossip(
             self._transport, self._peers, self._pool.rejection_limits, clock
         )
+        self._limit_records = RejectionLimitRecords(
+            self._store, PEER_TABLE, self._pool.rejection_limits, self._peers, clock
+        )
         self._permit_owners = PermitOwners(
             self._own, self._transport, self._peers, self.metrics, clock
         )
@@ -354,6 +359,7 @@
         self._spawn(self._peers.register())
         self._spawn(self._registrar.run())
         self._spawn(self._ban_records.run())
+        self._spawn(self._limit_records.run())
         self._spawn(self._origins.run())
         self._spawn(self._peer_origins.run())
         self._spawn(self._permit_owners.run())
--- a/loomwind/serving/permit_owners.py
+++ b/loomwind/serving/permit_owners.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
@@ -32,6 +33,8 @@
 SILENT_MS = 1000.0
 REFUSED_MS = 3000.0
 RANKING_VALID_MS = 1000.0
+# A daemon that has just started is in its peers' lists within a few calls of the store.
+LISTED_AFTER_MS = 2000.0
 # Paused servers, and limits that rise, have places without a word from any daemon.
 REVIEW_INTERVAL_MS = 100.0
 
@@ -69,6 +72,7 @@
         self._rankings: dict[str, _Ranking] = {}
         self._passed_over_until_ms: dict[str, float] = {}
         self._lone_next_ms: dict[str, float] = {}
+        self._started_ms = clock.now_ms()
         self.on_grant: Callable[[PermitGrant], None] = lambda grant: None
 
     @property
@@ -138,7 +142,9 @@
         """Grant this daemon's share of what the server is known to take, or else of rejections."""
         daemon_count = len(self._peers.others()) + 1
         share = min(statement.slots, statement.shown) // daemon_count
-        if share or statement.held or not statement.wanted:
+        if self._is_starting():
+            count = 0
+        elif share or statement.held or not statement.wanted:
             count = max(0, min(statement.wanted, share - statement.held))
         else:
             count = self._grant_paced(statement, daemon_count)
@@ -146,11 +152,21 @@
         number = statement.noticed + 1
         return PermitGrant(statement.instance, number, count, max(1, share), statement.wanted)
 
+    def _is_starting(self) -> bool:
+        """Whether the number of daemons is not known yet."""
+        is_new = self._clock.now_ms() - self._started_ms < LISTED_AFTER_MS
+        return is_new and not self._peers.is_listed
+
     def _grant_paced(self, statement: PermitStatement, daemon_count: int) -> int:
+        """Grant one permit at a time; the first one at random, as other daemons may begin too."""
         now_ms = self._clock.now_ms()
-        if now_ms < self._lone_next_ms.get(statement.instance, 0.0):
-            return 0
         pause_ms = MS_PER_SECOND * daemon_count / max(1, statement.max_rejections)
+        next_ms = self._lone_next_ms.get(statement.instance, float("-inf"))
+        if next_ms < now_ms - pause_ms:
+            self._lone_next_ms[statement.instance] = now_ms + random.uniform(0.0, pause_ms)
+            return 0
+        if now_ms < next_ms:
+            return 0
         self._lone_next_ms[statement.instance] = now_ms + pause_ms
         return 1
 
--- a/loomwind/serving/rejection_limits.py
+++ b/loomwind/serving/rejection_limits.py
@@ -48,8 +48,11 @@
 
     def is_active(self, now_ms: float) -> bool:
         """Whether servers that have not answered yet are taken to have the limit."""
-        is_withdrawn = self.unsaid_ms > self.said_ms + OVERLAP_MS
-        return not is_withdrawn and now_ms - self.said_ms < FORGET_AFTER_MS
+        return not self.is_withdrawn() and now_ms - self.said_ms < FORGET_AFTER_MS
+
+    def is_withdrawn(self) -> bool:
+        """Whether servers have answered without a limit since they last stated one."""
+        return self.unsaid_ms > self.said_ms + OVERLAP_MS
 
 
 class RejectionLimits:
@@ -101,6 +104,15 @@
             return state.by_instance[entry.instance]
         return state.max_per_second if state.is_active(now_ms) else None
 
+    def is_known(self, service: str) -> bool:
+        """Whether a limit of a service was ever heard."""
+        return service in self._services
+
+    def is_withdrawn(self, service: str) -> bool:
+        """Whether the servers of a service state no limit any more."""
+        state = self._services.get(service)
+        return state is not None and state.is_withdrawn()
+
     def known_for_ms(self, service: str, now_ms: float) -> float:
         """Return the time since a limit of a service was first heard; 0 if there is none."""
         state = self._services.get(service)
