Grant few permits at a time beside a ledger whose owner was silent for a moment

Cause: a daemon whose question is not answered in 150 ms goes to the next owner for a second, and that one's ledger lacks what the first has granted: it granted all places of a server at once.

Change: a ledger that isn't kept by the first in the ranking grants so few at a time that the server stands their rejection, and warms up again whenever nobody has stated anything to it.

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -91,3 +91,10 @@
     Then it had 0.5 of its places in use on average
     When it rejects no more, 5 s pass
     Then its limit is 8
+
+  Scenario: a daemon that keeps a ledger for a silent one grants no burst beside it
+    Given a ledger for a server of 8 slots, kept for a daemon that is silent
+    When daemon two wants 4 more
+    Then daemon two is granted 1
+    When 360 ms pass
+    Then daemon two is granted 1
--- a/features/steps/permit_steps.py
+++ b/features/steps/permit_steps.py
@@ -49,6 +49,7 @@
     slots: int
     is_taken_over: bool
     shown: int
+    is_substitute: bool = False
     ledger: PermitLedger = field(factory=PermitLedger)
     now_ms: float = 0.0
     number: int = 0
@@ -77,7 +78,8 @@
             refused=refused,
             shown=self.shown,
         )
-        self.ledger.record(PermitHolder(daemon, "life"), statement, 1.0, self.now_ms)
+        holder = PermitHolder(daemon, "life")
+        self.ledger.record(holder, statement, 1.0, self.now_ms, self.is_substitute)
         self.grant()
 
     def grant(self) -> None:
@@ -102,6 +104,11 @@
     context.rig = LedgerRig(slots, is_taken_over=True, shown=slots)
 
 
+@given("a ledger for a server of {slots:d} slots, kept for a daemon that is silent")
+def step_substitute(context: Any, slots: int) -> None:
+    context.rig = LedgerRig(slots, is_taken_over=True, shown=slots, is_substitute=True)
+
+
 @when("daemon {name:w} states {held:d} requests and daemon {other:w} wants {wanted:d} more")
 def step_state_both(context: Any, name: str, held: int, other: str, wanted: int) -> None:
     context.rig.state(name, held)
--- a/loomwind/serving/learned_limit.py
+++ b/loomwind/serving/learned_limit.py
@@ -49,6 +49,7 @@
     :ivar first_full_ms: when it first did.
     :ivar full_since_ms: since when it has had so many; None if it has fewer.
     :ivar refuted: the lowest limit that was too high; None if there is none.
+    :ivar is_substitute: whether another ledger may grant permits for the server too.
     """
 
     slots: int
@@ -59,6 +60,7 @@
     first_full_ms: float = 0.0
     full_since_ms: float | None = None
     refuted: int | None = None
+    is_substitute: bool = False
     _shown: deque[_Shown] = field(factory=deque)
     _rejected_ms: deque[float] = field(factory=deque)
     _granted: deque[_Granted] = field(factory=deque)
@@ -156,7 +158,7 @@
             self._shown.popleft()
         if self.limit > self.shown:
             self._raise_interval_ms = min(2 * self._raise_interval_ms, MAX_RAISE_INTERVAL_MS)
-        else:
+        if self.limit <= self.shown or self.is_substitute:
             self._unexplained_ms = now_ms
         self.refuted = self.limit
         self._change(max(1, min(self.limit - 1, in_progress)), now_ms)
@@ -174,15 +176,16 @@
     def room(self, permits: int, now_ms: float) -> int:
         """Return how many more permits may be granted now.
 
-        After a rejection, so few that the server stands it if all their requests are rejected too;
-        half as many if the limit does not explain it.
+        After a rejection, or beside another ledger, so few that the server stands it if all their
+        requests are rejected too; half as many if the limit does not explain the rejection.
 
         :param permits: those that are granted already.
         """
         self._expire(now_ms)
         room = self.limit - permits
-        if self._rejected_ms:
-            is_explained = now_ms - self._unexplained_ms >= MS_PER_SECOND
+        if self._rejected_ms or self.is_substitute:
+            is_recent = now_ms - self._unexplained_ms < MS_PER_SECOND
+            is_explained = not (is_recent or self.is_substitute)
             tolerated = self.max_rejections if is_explained else (self.max_rejections + 1) // 2
             at_risk = sum(each.count for each in self._granted)
             room = min(room, tolerated - len(self._rejected_ms) - at_risk)
--- a/loomwind/serving/permit_ledger.py
+++ b/loomwind/serving/permit_ledger.py
@@ -164,14 +164,24 @@
         return 0 if server is None else server.total()
 
     def record(
-        self, daemon: PermitHolder, statement: PermitStatement, interval_scale: float, now_ms: float
+        self,
+        daemon: PermitHolder,
+        statement: PermitStatement,
+        interval_scale: float,
+        now_ms: float,
+        is_substitute: bool = False,
     ) -> None:
         """Record what a daemon states; an older statement than the last one is ignored.
 
         :param interval_scale: by how much daemons stretch the intervals between renewals.
+        :param is_substitute: whether another daemon would keep the ledger if it answered, which
+            may do so for some of the daemons still.
         """
         server = self._server(statement, interval_scale, now_ms)
         server.expire(now_ms)
+        server.learned.is_substitute = is_substitute
+        if is_substitute and not server.holdings and statement.is_settled:
+            server.warm_until_ms = now_ms + WARM_UP_MS * interval_scale
         expires_ms = now_ms + EXPIRY_RENEWALS * RENEWAL_MS * interval_scale
         holding = server.holdings.get(daemon)
         if holding is None:
--- a/loomwind/serving/permit_owners.py
+++ b/loomwind/serving/permit_owners.py
@@ -206,7 +206,13 @@
         """
         instance = statement.instance
         before = self._ledger.limit_of(instance)
-        self._ledger.record(daemon, statement, self.interval_scale, self._clock.now_ms())
+        self._ledger.record(
+            daemon,
+            statement,
+            self.interval_scale,
+            self._clock.now_ms(),
+            is_substitute=self._ranking(instance).addresses[:1] != [self._own.address],
+        )
         granted = self._grant(instance, but=daemon)
         self._log_limit(instance, before, statement, daemon.address)
         return granted if granted is not None else self._ledger.no_grant(instance)
@@ -259,13 +265,17 @@
 
         Empty while this daemon is in nobody's list, since others would not ask it either.
         """
+        now_ms, passed_over = self._clock.now_ms(), self._passed_over_until_ms
+        addresses = self._ranking(instance).addresses
+        return [each for each in addresses if passed_over.get(each, 0.0) <= now_ms]
+
+    def _ranking(self, instance: str) -> _Ranking:
         now_ms = self._clock.now_ms()
         ranking = self._rankings.get(instance)
         if ranking is None or ranking.expires_ms <= now_ms:
             ranking = _Ranking(self._rank(instance), now_ms + RANKING_VALID_MS)
             self._rankings[instance] = ranking
-        passed_over = self._passed_over_until_ms
-        return [each for each in ranking.addresses if passed_over.get(each, 0.0) <= now_ms]
+        return ranking
 
     def _rank(self, instance: str) -> list[str]:
         if not self._peers.is_listed:
