Send a request of a silent server to one not asked yet before a mute one

With a free choice, servers that have not been asked come first; a dropped one counts as suspect for this request, also when it is idle. Where max-attempts allows no other, the one that was asked last is asked again, as before.

The new scenario failed before (the mute server was chosen 40 times of 40) and passes.

--- a/features/hand_over.feature
+++ b/features/hand_over.feature
@@ -74,6 +74,13 @@
     Then no server takes its stream over
     But one does when a server of version v1 is heard as well
 
+  Scenario: a stream is not sent again to a mute server while another one has not been asked
+    Given a silent server of version v1, and servers of versions v1 and v1 that were heard since
+    When the stream has been sent to server s1 in vain
+    Then server s0 takes its stream over, whether s1 has requests or is idle
+    But server s1 does when the route allows no further server
+    And the stream is sent to server s0 when the silent server fails
+
   Scenario: a stream whose head named a software version is not taken over by another one before its first event
     Given a silent server of version v1, and servers of versions v2 and v2 that were heard since
     When its stream has no event yet
--- a/features/steps/hand_over_steps.py
+++ b/features/steps/hand_over_steps.py
@@ -31,6 +31,8 @@
 SERVICE = "tutor"
 EVENT = b"id: 2\ndata: two\n\n"
 FOR_EVER_MS = 60_000.0
+# Choices among equal servers are random; each sample would be another server half of the time.
+SAMPLES = 20
 NUMBER = re.compile(r"\d+")
 
 
@@ -314,7 +316,14 @@
     :param version: the required software version; None before the first event.
     :param has_begun: whether the caller has got the head of the response.
     """
-    pool = ServerPool(BoundSettings())
+    selector = new_selector(ServerPool(BoundSettings()), silent, others, version)
+    return selector.choose_replacement(silent, Silence(1000.0, has_begun=has_begun), 2.0)
+
+
+def new_selector(
+    pool: ServerPool, silent: ServerEntry, others: list[ServerEntry], version: str | None
+) -> ServerSelector:
+    """Return a selector of servers, of which the silent one sent data at 0.9 s, others at 1.9 s."""
     for entry in (silent, *others):
         pool.directory.put(entry)
         pool.health(entry).record_received(0.9 if entry is silent else 1.9)
@@ -322,7 +331,44 @@
     caller = CallerRequest("id-1", "h", 30.0, None)
     selector = ServerSelector(pool, forwarder, "zone-a", SERVICE, caller)
     selector.software_version = version
-    return selector.choose_replacement(silent, Silence(1000.0, has_begun=has_begun), 2.0)
+    return selector
+
+
+@when("the stream has been sent to server {name:w} in vain")
+def step_in_vain(context: Any, name: str) -> None:
+    context.pool_of_servers = ServerPool(BoundSettings())
+    context.selector = new_selector(context.pool_of_servers, context.silent, context.servers, "v1")
+    context.selector.dropped.append(name)
+
+
+@then("server {name:w} takes its stream over, whether {other:w} has requests or is idle")
+def step_other_asked(context: Any, name: str, other: str) -> None:
+    selector, silence = context.selector, Silence(1000.0, has_begun=True)
+    chosen = [selector.choose_replacement(context.silent, silence, 2.0) for _ in range(SAMPLES)]
+    context.pool_of_servers.health(server(name)).record_sent(2.0)
+    chosen += [selector.choose_replacement(context.silent, silence, 2.0) for _ in range(SAMPLES)]
+    names = {each.name for each in chosen if each is not None}
+    assert None not in chosen and names == {name}, names
+
+
+@then("server {name:w} does when the route allows no further server")
+def step_asked_again(context: Any, name: str) -> None:
+    context.selector.allowed = {context.silent.instance, name}
+    chosen = context.selector.choose_replacement(context.silent, Silence(1000.0), 2.0)
+    context.selector.allowed = None
+    assert chosen is not None and chosen.name == name, chosen
+
+
+@then("the stream is sent to server {name:w} when the silent server fails")
+def step_chosen_next(context: Any, name: str) -> None:
+    context.selector.tried.add(context.silent.instance)
+    chosen = [run_in_virtual_time(_choose(context.selector)) for _ in range(SAMPLES)]
+    names = {each.name for each in chosen if each is not None}
+    assert None not in chosen and names == {name}, names
+
+
+async def _choose(selector: ServerSelector) -> ServerEntry | None:
+    return selector.choose(2.0)
 
 
 @then("no server takes its stream over")
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -46,7 +46,6 @@
         self._log = log
         # A request may also be at a peer, which is no server.
         self._servers: set[str] = set()
-        self._preferred = ""
         self._events_at_move = 0
 
     def new(
@@ -109,7 +108,7 @@
         silence = Silence(silent_since_ms, has_begun=self._exchange.started)
         self._selector.allowed = self._retries.allowed_servers(silent.instance)
         now = self._handler.now()
-        chosen = self._selector.choose_replacement(silent, silence, now, self._preferred)
+        chosen = self._selector.choose_replacement(silent, silence, now)
         if chosen is None:
             return MoveDecision("no other server that can run it has answered since")
         if not self._retries.try_spend_for_move():
@@ -145,7 +144,7 @@
         if failure is not None:
             self._note_failure(replacement, failure)
         else:
-            self._preferred = entry.instance
+            self._selector.dropped.append(entry.instance)
             self._handler.count_send(entry, "left")
         self._progress.server = silent.instance
 
--- a/loomwind/serving/server_selector.py
+++ b/loomwind/serving/server_selector.py
@@ -19,6 +19,8 @@
 
     :ivar tried: instances at which an attempt has failed.
     :ivar allowed: the only instances that the request may be sent to; None for no limit.
+    :ivar dropped: instances that have not responded to the request in time, in the order of the
+        attempts; each counts as suspect, although no request is in progress there.
     :ivar full: the servers that could run the request at the last choice, if all were full.
     :ivar software_version: the version that the server must have; None for any.
     """
@@ -51,6 +53,7 @@
         self.tried: set[str] = set()
         self.allowed: set[str] | None = None
         self.full: list[ServerEntry] = []
+        self.dropped: list[str] = []
         self.software_version: str | None = None
 
     def choose(self, now: float) -> ServerEntry | None:
@@ -61,13 +64,12 @@
         return self._lowest_cost(with_place, now)
 
     def choose_replacement(
-        self, silent: ServerEntry, silence: Silence, now: float, preferred: str = ""
+        self, silent: ServerEntry, silence: Silence, now: float
     ) -> ServerEntry | None:
         """Return the server that may take the request over from a silent one; None for none.
 
-        A response that has begun named its software version, also before its first event.
-
-        :param preferred: the instance to return if it is among those that may.
+        A response that has begun named its software version, also before its first event. Servers
+        that have not responded to the request come last, the one that was asked last before others.
         """
         entries = [
             entry
@@ -77,7 +79,9 @@
             and (not silence.has_begun or entry.software_version == silent.software_version)
             and silence.may_be_taken_over(self._liveness(entry, now))
         ]
-        again = [entry for entry in entries if entry.instance == preferred]
+        again = [entry for entry in entries if self.dropped[-1:] == [entry.instance]]
+        if self.allowed is None:
+            again = [entry for entry in entries if entry.instance not in self.dropped] or again
         return self._lowest_cost(again or entries, now)
 
     def _liveness(self, entry: ServerEntry, now: float) -> Liveness:
@@ -132,11 +136,13 @@
 
     def _candidate(self, entry: ServerEntry, now: float) -> Candidate:
         health = self._pool.health(entry)
+        is_suspect = health.is_open(now) or health.is_suspect(now)
+        is_suspect = is_suspect or entry.instance in self.dropped
         return Candidate(
             entry,
             health.in_flight,
             health.error_rate,
-            health.is_open(now) or health.is_suspect(now),
+            is_suspect,
             entry.instance in self.tried,
             self._forwarder.has_idle_connection(entry),
         )
