--- a/loomwind/placement/load_rate_limiter.py
+++ b/loomwind/placement/load_rate_limiter.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-# Loads that the previous leader may have started without this daemon having been told.
+# Loads that the previous leader may have started without announcing them to this daemon.
 UNREPORTED_LOADS = 2
 
 
@@ -16,7 +16,7 @@
         """Initialize the window with the loads announced by the previous leader.
 
         :param per_second: the maximum rate of load starts.
-        :param seen: the times at which this daemon was told of those loads.
+        :param seen: the times at which those loads were announced.
         """
         self._max_loads = max(1, int(per_second * window_seconds))
         self._window = window_seconds
