--- a/features/__main__.py
+++ b/features/__main__.py
@@ -18,6 +18,7 @@
 
 from features.support.processes import (
     FIRST_PORT,
+    PARALLEL_RUNS,
     PORT_BASE_VARIABLE,
     PORTS_PER_RUN,
     end_with_parent,
@@ -25,11 +26,8 @@
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-PARALLEL_FEATURES = 3
-
-
 PORT_BASES: queue.SimpleQueue[int] = queue.SimpleQueue()
-for _number in range(PARALLEL_FEATURES):
+for _number in range(PARALLEL_RUNS):
     PORT_BASES.put(FIRST_PORT + _number * PORTS_PER_RUN)
 
 
@@ -127,7 +125,7 @@
     for name, arguments in STATIC_CHECKS.items():
         yield run_check(name, arguments)
     features = sorted((ROOT / "features").glob("*.feature"))
-    with ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+    with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
         for results in pool.map(run_feature, features):
             yield from results
 
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -17,7 +17,9 @@
 POLL_SECONDS = 0.02
 PORT_BASE_VARIABLE = "LOOMWIND_PORT_BASE"
 FIRST_PORT = 10_000
-PORTS_PER_RUN = 7_000
+# Runs side by side. Their ports stay below those that the kernel gives to outgoing connections.
+PARALLEL_RUNS = 4
+PORTS_PER_RUN = 5_600
 # From <linux/prctl.h>: the signal that a process gets when the thread that started it ends.
 PR_SET_PDEATHSIG = 1
 
@@ -48,7 +50,9 @@
 
 
 def _port_base() -> int:
-    return int(os.environ.get(PORT_BASE_VARIABLE, FIRST_PORT + os.getpid() % 3 * PORTS_PER_RUN))
+    return int(
+        os.environ.get(PORT_BASE_VARIABLE, FIRST_PORT + os.getpid() % PARALLEL_RUNS * PORTS_PER_RUN)
+    )
 
 
 _port_numbers = itertools.count()
