Answer a request that follows a response which ended while the server stops

What callers saw: nothing yet; found in a review. A stream whose head was sent before the stop does not announce that its connection closes. A client that sends its next request right after the end of the stream found the connection closed, with the request unread.

Cause: after a response the connection was closed if the server stops and no further data had been read. Data that had arrived and was not read did not count, as it does for idle connections when the server stops listening.

Change: the connection is kept if such data has arrived; the response to it announces the close.

Evidence: the new scenario sends a request on 200 connections between the end of the response and the close: 0 of 200 were answered before, 200 of 200 now.

--- a/features/idle_close.feature
+++ b/features/idle_close.feature
@@ -10,6 +10,11 @@
     When a request arrives on each just before the server stops listening
     Then all 200 requests are answered, and say that the connection closes
 
+  Scenario: a request that arrived as the response before it ended, while the server stops, is answered
+    Given an HTTP server and 200 connections that are about to be closed as idle
+    When a response on each, which left it open, ends as a request arrives after the server stopped
+    Then all 200 requests are answered, and say that the connection closes
+
   Scenario Outline: a stopping daemon waits for a request whose <part> has arrived
     Given a daemon whose configuration has an idle timeout of 15.0 s
     When the <part> of a request arrives as the stopping daemon looks for its last requests
--- a/features/steps/idle_close_steps.py
+++ b/features/steps/idle_close_steps.py
@@ -119,6 +119,48 @@
         server.close()
 
 
+@when("a response on each, which left it open, ends as a request arrives after the server stopped")
+def step_at_end_of_response(context: Any) -> None:
+    context.replies = asyncio.run(_send_at_end_of_response(context.count))
+
+
+async def _send_at_end_of_response(count: int) -> list[RawReply]:
+    """Send a second request on each connection in the pass of the loop that ends the first one.
+
+    Return the replies to the second requests.
+    """
+    clients: list[socket.socket] = []
+    begun = asyncio.Semaphore(0)
+    has_stopped = asyncio.Event()
+
+    async def respond(exchange: Exchange) -> None:
+        request = exchange.request
+        if request is None or request.method == "POST":
+            await exchange.respond(200, (), b"served")
+            return
+        await exchange.start(200, ())
+        begun.release()
+        await has_stopped.wait()
+        await exchange.finish()
+        clients[int(request.path.removeprefix("/"))].sendall(LAST_REQUEST)
+
+    server = HttpServer(respond)
+    clients += await _open_many(server, count)
+    for number, client in enumerate(clients):
+        client.sendall(f"GET /{number} HTTP/1.1\r\nhost: {HOST}\r\n\r\n".encode())
+    for _ in clients:
+        await begun.acquire()
+    server.stop_listening()
+    has_stopped.set()
+    try:
+        ends = await asyncio.gather(*(asyncio.to_thread(_read_to_end, each) for each in clients))
+    finally:
+        server.close()
+    replies = [parse_replies(data, ["GET", "POST"]) for data in ends]
+    assert all(first.is_complete for first, _ in replies)
+    return [second for _, second in replies]
+
+
 @then("all {count:d} requests are answered")
 def step_all_answered(context: Any, count: int) -> None:
     answered = sum(reply.is_complete for reply in context.replies)
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -106,10 +106,25 @@
     @property
     def _ends_after_response(self) -> bool:
         """Return whether the connection is closed after the response."""
-        if self._is_unreadable or self._has_client_closed:
+        if self._gets_no_more_requests:
             return True
         return self._server.closing and not self._has_pipelined_data
 
+    @property
+    def _ends_now(self) -> bool:
+        """Return whether the connection is closed after a response that has ended.
+
+        If it did not announce the close, the next request may have arrived already.
+        """
+        if not self._ends_after_response:
+            return False
+        return self._gets_no_more_requests or not self._has_unread_bytes
+
+    @property
+    def _gets_no_more_requests(self) -> bool:
+        """Return whether the client has closed its side, or has sent what cannot be read."""
+        return self._is_unreadable or self._has_client_closed
+
     @property
     def announced_idle_seconds(self) -> int:
         """Return the time in the ``Keep-Alive`` field of responses; 0 if they have none.
@@ -135,7 +150,12 @@
         """Return whether a part of a request has arrived, read or not, but not the whole."""
         if self._state in READING_STATES:
             return True
-        return self.is_idle and self._transport is not None and bool(unread_bytes(self._transport))
+        return self.is_idle and self._has_unread_bytes
+
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return whether data has arrived that was not read from the socket."""
+        return self._transport is not None and bool(unread_bytes(self._transport))
 
     @property
     def is_handling(self) -> bool:
@@ -311,7 +331,7 @@
         has_unread_data = self._is_unreadable or self._is_paused
         self._waiting_bytes = 0
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if not reusable or self._ends_after_response:
+        if not reusable or self._ends_now:
             reason = self._reason_to_close(exchange)
             if has_unread_data and not self._has_client_closed:
                 self._linger(reason)
