Wait until another voter is known before one is killed in the scenarios of membership

By reading, a daemon says so once it has adopted the register's newest stamp (RegisterService), which the wait for a ready site does not ask for. The step waits for the condition now; nothing that the scenario asserts is changed, and it still fails where no such voter comes up.

--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -36,8 +36,13 @@
 def step_kill_voter(context: Any) -> None:
     site: Site = context.site
     controller = controller_of(context)
-    victims = [d for d in voters(site) if d is not controller and d.process and d.process.alive]
-    context.killed = victims[0]
+
+    def victims() -> list[DaemonProcess]:
+        others = [d for d in voters(site) if d is not controller]
+        return [d for d in others if d.process and d.process.alive]
+
+    wait_until(lambda: bool(victims()), "another daemon has adopted that it is a voter")
+    context.killed = victims()[0]
     context.killed.kill()
 
 
