--- a/review/3/play.py
+++ b/review/3/play.py
@@ -12,14 +12,15 @@
 
 from harness import WITH_TROUBLE, Case, Daemon, call, route, run_case  # noqa: E402
 
-SERVERS = 3
+SERVERS = 5
+FAULTY = 3
 # Some clients send one request after the other; many send one at the same moment, now and then.
 STEADY_CLIENTS = 4
 STEADY_PAUSE_SECONDS = 0.03
-BURST_CLIENTS = 24
+BURST_CLIENTS = 40
 BURST_PERIOD_SECONDS = 1.0
 SECONDS = 56.0
-# Largest dose of the site: "extra late", share 0.6, x 0.03, for 5 s. Of three servers that is one.
+# Largest dose of the site: "extra late", share 0.6, x 0.03, for 5 s. Of five servers that is three.
 SURPLUS_SHARE = 0.03
 SPANS = "2-7,10-15,18-23,26-31,34-39,42-47,50-55"
 
@@ -32,7 +33,7 @@
     logs = []
     for number in range(SERVERS):
         logs.append(case.folder / f"runs-{number}.txt")
-        faulty = WITH_TROUBLE and number == 0
+        faulty = WITH_TROUBLE and number < FAULTY
         arguments = ["orders", store, str(logs[-1])]
         arguments += [str(SURPLUS_SHARE if faulty else 0), SPANS]
         program = str(FOLDER.parent / "common" / "plain_server.py")
