--- a/features/silent_requests.feature
+++ b/features/silent_requests.feature
@@ -79,7 +79,6 @@
     Given links between daemon-1 and all servers
     And 3 pool daemons
     And every event of a stream takes 0.02 s
-    And most requests are sent to the first daemon
     When the links to the servers become refuse_new
     And streams run at server one, server two fails more by errors after 0.6 s, and server one is suspended for 1.7 s
     Then a peer has relayed some of them
--- a/features/steps/silent_request_steps.py
+++ b/features/steps/silent_request_steps.py
@@ -36,13 +36,6 @@
             server.fault(work_seconds=seconds)
 
 
-@given("most requests are sent to the first daemon")
-def step_most_to_first(context: Any) -> None:
-    daemons = list(pool(context).daemons.values())
-    total = len(daemons) * REQUESTS_PER_DAEMON
-    context.request_daemons = [*daemons, *daemons[:1] * (total - len(daemons))]
-
-
 @when("streams run at server {name:w}, and it is suspended for {seconds:f} s")
 def step_streams_paused(context: Any, name: str, seconds: float) -> None:
     server = begin_at(context, ROUTE, name, LONG_STREAM_EVENTS)
@@ -115,10 +108,7 @@
     site = pool(context)
     target = "m1" if route == ROUTE else ""
     context.silent_ids = set()
-    daemons = list(site.daemons.values()) * REQUESTS_PER_DAEMON
-    if "request_daemons" in context:
-        daemons = context.request_daemons
-    for daemon in daemons:
+    for daemon in list(site.daemons.values()) * REQUESTS_PER_DAEMON:
         site.callers.begin([site.request(daemon, route, target, events, TIMEOUT_SECONDS)])
     wait_until(lambda: _begun(context) == len(site.callers.pending), "all requests run")
     server = site.servers[name]
