--- a/loomwind/serving/response_buffers.py
+++ b/loomwind/serving/response_buffers.py
@@ -8,9 +8,9 @@
 # A body of a declared length up to this, the limit of requests, has an end: it is not limited.
 MAX_UNLIMITED_BYTES = constants.MAX_BODY_BYTES
 # A daemon with 50 servers that all send a body without end has to stay below 64 MiB. It takes
-# 38 MiB itself and 256 KiB for each last read, which leaves 13 MiB for all bodies, the spare
-# capacity of their buffers (an eighth), and what the allocator can't return at once.
-MAX_TOTAL_BYTES = 8 * constants.MEBIBYTE
+# 36 MiB itself and 256 KiB for each last read, which leaves 15 MiB for all bodies and the spare
+# capacity of their buffers (an eighth).
+MAX_TOTAL_BYTES = 12 * constants.MEBIBYTE
 
 
 class BodyTooLarge(LoomwindError):
