Log which response was read: its id, and the connection of a failed send

A head whose id is not the request's now has a line (response-mismatch: id, status, whether it was taken for the answer), and send-failed names the connection by its local port and the number of the exchange on it.

--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -52,6 +52,7 @@
     :ivar expires_at: loop time from which the connection is not reused, since the server may close
         it; None if the server has announced no keep-alive timeout.
     :ivar on_idle_connection_error: see :class:`HttpClient`.
+    :ivar exchange_count: the number of requests that were sent on it.
     """
 
     def __init__(self, address: str, user_timeout_ms: float | None = None) -> None:
@@ -59,6 +60,7 @@
         self.state = ClientState.IDLE
         self.expires_at: float | None = None
         self.on_idle_connection_error: Callable[[str], None] | None = None
+        self.exchange_count = 0
         self._user_timeout_ms = user_timeout_ms
         self._h11 = _new_parser()
         self._transport: asyncio.Transport | None = None
@@ -81,6 +83,12 @@
         """Return the transport; None before the connection is made."""
         return self._transport
 
+    @property
+    def label(self) -> str:
+        """Return the local port and the number of the exchange, for the log."""
+        socket_name = self._transport.get_extra_info("sockname") if self._transport else None
+        return f"{socket_name[1] if socket_name else '-'}#{self.exchange_count}"
+
     def data_received(self, data: bytes) -> None:
         """Feed h11 and wake the reader; pause reading above the high-water mark.
 
@@ -125,6 +133,7 @@
         with map_exceptions(REQUEST_EXCEPTIONS):
             head = _head_event(request, self.address)
         self.state = ClientState.ACTIVE
+        self.exchange_count += 1
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -121,6 +121,7 @@
             missing_target=misdirected,
             other_instance=head.header(INSTANCE) not in (None, server_name),
             max_rejections_per_second=parse_rejection_limit(head),
+            response_id=head.header(REQUEST_ID) or "",
         )
 
     def response_headers(self, head: HttpResponse) -> Headers:
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -22,6 +22,7 @@
     :param no_permit: whether nothing was sent, because the server has no place.
     :param rejected: whether the server had no place for the request, or is loading or unloading
         what it needs.
+    :param connection: label of the connection that the request was sent on; empty for none.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         broken: bool = False,
         rejected: bool = False,
         no_permit: bool = False,
+        connection: str = "",
     ) -> None:
         super().__init__(detail)
         self.may_have_run = may_have_run
@@ -47,6 +49,7 @@
         self.broken = broken
         self.rejected = rejected
         self.no_permit = no_permit
+        self.connection = connection
 
 
 class RelayDeclined(ServingError):
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -12,6 +12,7 @@
 from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ConnectFailed, HttpError, UnsendableRequest
 from loomwind.http.messages import HttpRequest, HttpResponse
+from loomwind.logs import log_decision
 from loomwind.serving.connectivity import ServiceConnectivity
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.ports import Dialect, ResponseCheck
@@ -128,13 +129,16 @@
         except HttpError as error:
             connection.close()
             raise SendFailed(
-                f"{entry.instance}: {error}", may_have_run=True, broken=True
+                f"{entry.instance}: {error}",
+                may_have_run=True,
+                broken=True,
+                connection=connection.label,
             ) from error
         except BaseException:
             connection.close()
             raise
         if not check.may_have_run:
-            raise _refusal_error(entry, head, check)
+            raise _refusal_error(entry, head, check, connection)
         return OpenResponse(connection, head)
 
     async def open_connection(self, entry: ServerEntry) -> ClientConnection:
@@ -176,6 +180,8 @@
             head = await connection.read_head()
             check = self._dialect.check_response(request_id, entry.name, head)
             connection.note_keep_alive(head)
+            if check.response_id != request_id:
+                _log_mismatch(request_id, entry, connection, head, check)
             if not check.other_instance:
                 self._observe_response(entry, check)
             if check.matches_request:
@@ -251,7 +257,29 @@
         self._client.release(connection)
 
 
-def _refusal_error(entry: ServerEntry, head: HttpResponse, check: ResponseCheck) -> SendFailed:
+def _log_mismatch(
+    request_id: str,
+    entry: ServerEntry,
+    connection: ClientConnection,
+    head: HttpResponse,
+    check: ResponseCheck,
+) -> None:
+    """Log a response that names another request than the one that was sent."""
+    log_decision(
+        "response-mismatch",
+        request_id,
+        server=entry.instance,
+        connection=connection.label,
+        response_id=check.response_id,
+        status=head.status,
+        ran=check.may_have_run,
+        taken=check.matches_request,
+    )
+
+
+def _refusal_error(
+    entry: ServerEntry, head: HttpResponse, check: ResponseCheck, connection: ClientConnection
+) -> SendFailed:
     return SendFailed(
         f"{entry.instance}: refused unstarted with {head.status}",
         may_have_run=False,
@@ -259,4 +287,5 @@
         other_instance=check.other_instance,
         at_fault=not check.missing_target,
         rejected=not check.missing_target,
+        connection=connection.label,
     )
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -150,6 +150,7 @@
     :param other_instance: whether a server other than the intended one responded at the address.
     :param max_rejections_per_second: the server falls over when it rejects more requests than this;
         None for one that does not say so.
+    :param response_id: the id of the request that it says it responds to; empty if it has none.
     """
 
     matches_request: bool
@@ -158,6 +159,7 @@
     missing_target: bool = False
     other_instance: bool = False
     max_rejections_per_second: int | None = None
+    response_id: str = ""
 
 
 class Dialect(ABC):
--- a/loomwind/serving/request_log.py
+++ b/loomwind/serving/request_log.py
@@ -147,6 +147,7 @@
             reason=str(failure),
             ran=failure.may_have_run,
             broken=failure.broken,
+            connection=failure.connection,
             rejected_for=cause,
             in_flight=attempt.health.in_flight,
             slots=entry.slots,
