Read on after a skipped response that has no body

Callers got 502 ("closed before the body's end") for a request that its server had run and answered, where a response to another request came first and had no data before its end: Content-Length: 0, 204, or a last chunk in a read of its own. For such a response read_body has ended the exchange already, so that the connection was idle or closed when skip_answer went on.

skip_answer now reads with _read_data, which leaves the exchange open; only the end of the answer itself ends it.

--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -219,11 +219,10 @@
             is worth.
         """
         skipped_bytes = 0
-        while not self._body_complete:
-            skipped_bytes += len(await self.read_body())
+        while data := await self._read_data():
+            skipped_bytes += len(data)
             if skipped_bytes > constants.MAX_BODY_BYTES:
                 raise ConnectionBroken("the response to another request is too large")
-        self._body_complete = False
         trailing_data, closed = self._h11.trailing_data
         self._h11 = _new_parser()
         with map_exceptions(PROTOCOL_EXCEPTIONS):
@@ -241,8 +240,15 @@
         :raises BodyTruncated: the connection ended before the end of the body.
         :raises ExchangeTimeout: the read was aborted.
         """
-        if self._body_complete:
+        data = await self._read_data()
+        if not data:
             self._finish_exchange()
+        return data
+
+    async def _read_data(self) -> bytes:
+        """Return the part of a body that has arrived; empty at its end, which changes no state."""
+        if self._body_complete:
+            self._body_complete = False
             return b""
         chunks: list[bytes] = []
         while True:
@@ -255,11 +261,8 @@
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._body_complete = True
-                if chunks:
-                    return b"".join(chunks)
-                self._finish_exchange()
-                return b""
+                self._body_complete = bool(chunks)
+                return b"".join(chunks)
             elif event is h11.NEED_DATA:
                 if chunks:
                     return b"".join(chunks)
@@ -271,7 +274,6 @@
                 raise BodyTruncated("closed before the body's end")
 
     def _finish_exchange(self) -> None:
-        self._body_complete = False
         reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if reusable and not self._disconnected and not self._h11.trailing_data[0]:
             self._h11.start_next_cycle()
