Match responses to requests in the connection, by the id that they repeat

Callers of requests that may run once got 503, "has not run and never will", though their server ran them, or had them run twice. A refusal counted as the answer whatever request it named: PlatformDialect.check_response took each head with X-Not-Executed, or 421, for the present request's. Servers may send a response a second time, late, where the next one is due; so the refusal of an earlier request ended the next one on that connection.

What a response belongs to was decided in each caller, by part of what is known. Now the connection decides it: HttpClient is told which header of a request its response repeats, read_head skips responses that name another request, at most 16, and a connection on which one came is not reused. Nothing is learned from a skipped head: no keep-alive time, no limit of rejections. Requests to servers have a client of their own; the store, orders, reports and peers, whose responses name no request, share none of its connections.

Skipped responses are counted (loomwind_surplus_responses_total) and logged (surplus-response, which replaces response-mismatch).

The endless response that has to be skipped now comes through read_head; the bound on its size is as before.

--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -130,18 +130,16 @@
 
 async def _feed_stale_response(write_bytes: int) -> int:
     """Return the bytes accepted before the response was no longer skipped, less the last write."""
-    connection = ClientConnection("a:1")
+    connection = ClientConnection("a:1", id_header="x-id")
     connection.connection_made(DiscardingTransport())
-    request = HttpRequest("GET", "/")
-    connection.send_request(request)
-    connection.data_received(HEAD + b"\r\n")
-    await connection.read_head()
-    skip_task = asyncio.ensure_future(connection.skip_answer(request))
+    connection.send_request(HttpRequest("GET", "/", (("x-id", "sent"),)))
+    connection.data_received(HEAD + b"x-id: earlier\r\n\r\n")
+    read_task = asyncio.ensure_future(_read_response(connection))
     accepted = 0
-    while not await _has_failed(skip_task) and accepted < 2 * constants.MAX_BODY_BYTES:
+    while not await _has_failed(read_task) and accepted < 2 * constants.MAX_BODY_BYTES:
         connection.data_received(b"d" * write_bytes)
         accepted += write_bytes
-    skip_task.cancel()
+    read_task.cancel()
     return accepted - write_bytes
 
 
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from loomwind.http.client_connection import ClientConnection, ClientState
+from loomwind.http.client_connection import ClientConnection, ClientState, SurplusResponse
 from loomwind.http.errors import (
     CONNECT_EXCEPTIONS,
     ConnectionBroken,
@@ -37,9 +37,10 @@
         host, _, port = self._overrides.get(address, address).rpartition(":")
         return host, int(port)
 
-    async def open(self, address: str, timeout: float) -> ClientConnection:
+    async def open(self, address: str, timeout: float, id_header: str = "") -> ClientConnection:
         """Open one HTTP connection.
 
+        :param id_header: see :class:`HttpClient`.
         :raises ConnectFailed: it could not be opened within ``timeout`` seconds.
         """
         host, port = self.resolve(address)
@@ -47,7 +48,7 @@
         with map_exceptions(CONNECT_EXCEPTIONS):
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(address, self.user_timeout_ms), host, port
+                    lambda: ClientConnection(address, self.user_timeout_ms, id_header), host, port
                 )
         return connection
 
@@ -57,13 +58,24 @@
 
     :ivar on_idle_connection_error: called with the address of an idle connection that is reset or
         whose peer stops acknowledging; not called for an orderly close.
+    :ivar on_surplus_response: called with each response that belongs to another request.
     """
 
-    def __init__(self, connector: Connector, max_idle_per_address: int = 64) -> None:
+    def __init__(
+        self, connector: Connector, max_idle_per_address: int = 64, id_header: str = ""
+    ) -> None:
+        """Create a pool.
+
+        :param max_idle_per_address: 0 gives each exchange a connection of its own.
+        :param id_header: the header, in lower case, of a request that its response repeats; empty
+            if responses name no request.
+        """
         self._connector = connector
+        self._id_header = id_header
         self._max_idle_per_address = max_idle_per_address
         self._idle: dict[str, deque[ClientConnection]] = {}
         self.on_idle_connection_error: Callable[[str], None] | None = None
+        self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
 
     async def acquire(self, address: str, timeout: float) -> ClientConnection:
         """Return an idle connection, or open one.
@@ -77,7 +89,9 @@
 
         :raises ConnectFailed: it could not be opened within ``timeout`` seconds.
         """
-        return await self._connector.open(address, timeout)
+        connection = await self._connector.open(address, timeout, self._id_header)
+        connection.on_surplus_response = self.on_surplus_response
+        return connection
 
     def take_idle(self, address: str) -> ClientConnection | None:
         """Remove and return an idle connection that has not expired, or None."""
@@ -127,7 +141,6 @@
             async with asyncio.timeout(timeout):
                 connection.send_request(request)
                 head = await connection.read_head()
-                connection.note_keep_alive(head)
                 body = bytearray()
                 while data := await connection.read_body():
                     body += data
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 client connections, each with one exchange at a time.
 
-A connection whose exchange did not complete is closed and never reused, so that no caller can
-receive the response to another caller's request.
+A server may send a response more than once, also late: where the response to the next request is
+due. If responses repeat an id of their request, those to other requests are skipped here. A
+connection is closed and never reused after an exchange that did not complete, or in which a surplus
+response came.
 """
 
 import asyncio
@@ -9,6 +11,7 @@
 from collections.abc import Callable
 
 import h11
+from attrs import frozen
 
 from loomwind import constants
 from loomwind.http.errors import (
@@ -27,6 +30,8 @@
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
 # Ends a server's repetitions of them; one that reports progress sends one every few seconds.
 MAX_INFORMATIONAL_RESPONSES = 64
+# A new connection costs less than to go on after so many.
+MAX_SURPLUS_RESPONSES = 16
 
 
 def parse_keep_alive_timeout(head: HttpResponse) -> float | None:
@@ -46,21 +51,49 @@
     CLOSED = enum.auto()
 
 
+@frozen
+class SurplusResponse:
+    """A response that was skipped, since it does not belong to the request that was sent.
+
+    :ivar connection: label of the connection.
+    :ivar request_id: the id of the request.
+    :ivar response_id: the id in the response; empty if it has none.
+    """
+
+    address: str
+    connection: str
+    request_id: str
+    response_id: str
+    status: int
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
     :ivar expires_at: loop time from which the connection is not reused, since the server may close
         it; None if the server has announced no keep-alive timeout.
     :ivar on_idle_connection_error: see :class:`HttpClient`.
+    :ivar on_surplus_response: called with each response that is skipped.
     :ivar exchange_count: the number of requests that were sent on it.
     """
 
-    def __init__(self, address: str, user_timeout_ms: float | None = None) -> None:
+    def __init__(
+        self, address: str, user_timeout_ms: float | None = None, id_header: str = ""
+    ) -> None:
+        """Create a connection.
+
+        :param id_header: see :class:`HttpClient`.
+        """
         self.address = address
         self.state = ClientState.IDLE
         self.expires_at: float | None = None
         self.on_idle_connection_error: Callable[[str], None] | None = None
+        self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
         self.exchange_count = 0
+        self._id_header = id_header
+        self._request: HttpRequest | None = None
+        self._request_id = ""
+        self._had_surplus = False
         self._user_timeout_ms = user_timeout_ms
         self._h11 = _new_parser()
         self._transport: asyncio.Transport | None = None
@@ -134,6 +167,8 @@
             head = _head_event(request, self.address)
         self.state = ClientState.ACTIVE
         self.exchange_count += 1
+        self._request = request
+        self._request_id = request.header(self._id_header) or ""
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
@@ -175,7 +210,7 @@
         if self._reset and not self._h11.trailing_data[0]:
             raise ConnectionBroken("the connection was reset")
 
-    def note_keep_alive(self, head: HttpResponse) -> None:
+    def _note_keep_alive(self, head: HttpResponse) -> None:
         """Set the expiry from the keep-alive timeout in a response, if it has one."""
         seconds = parse_keep_alive_timeout(head)
         if seconds is not None:
@@ -188,13 +223,37 @@
         self._wake()
 
     async def read_head(self) -> HttpResponse:
-        """Return the response's status and headers, without its body.
+        """Return the status and headers of the response to the request, without its body.
 
         :raises ResponseMissing: the server closed the connection without a response.
-        :raises ConnectionBroken: the connection ended inside the head, the head is invalid, or too
-            many informational responses came before it.
+        :raises ConnectionBroken: the connection ended inside a head, a head is invalid, or too many
+            informational responses, or responses to other requests, came before it.
         :raises ExchangeTimeout: the read was aborted.
         """
+        for _ in range(MAX_SURPLUS_RESPONSES + 1):
+            head = await self._read_any_head()
+            if self._is_own(head):
+                self._note_keep_alive(head)
+                return head
+            self._report_surplus(head)
+            await self._skip_body()
+            self._expect_response()
+        raise ConnectionBroken("too many responses to other requests")
+
+    def _is_own(self, head: HttpResponse) -> bool:
+        return not self._id_header or (head.header(self._id_header) or "") == self._request_id
+
+    def _report_surplus(self, head: HttpResponse) -> None:
+        self._had_surplus = True
+        if self.on_surplus_response is not None:
+            response_id = head.header(self._id_header) or ""
+            self.on_surplus_response(
+                SurplusResponse(
+                    self.address, self.label, self._request_id, response_id, head.status
+                )
+            )
+
+    async def _read_any_head(self) -> HttpResponse:
         event = await self._next_event()
         informational_count = 0
         while not isinstance(event, h11.Response):
@@ -209,25 +268,25 @@
         )
         return HttpResponse(event.status_code, headers)
 
-    async def skip_answer(self, request: HttpRequest) -> None:
-        """Discard the rest of a response to another request; the next response can then be read.
-
-        A new h11 parser is put into the state after sending ``request``, and takes over the bytes
-        that have arrived already.
-
-        :raises ConnectionBroken: the response was not complete, or is longer than a new connection
-            is worth.
-        """
+    async def _skip_body(self) -> None:
         skipped_bytes = 0
         while data := await self._read_data():
             skipped_bytes += len(data)
             if skipped_bytes > constants.MAX_BODY_BYTES:
                 raise ConnectionBroken("the response to another request is too large")
+
+    def _expect_response(self) -> None:
+        """Make the next response readable after one that was skipped.
+
+        A new h11 parser is put into the state after sending the request, and takes over the bytes
+        that have arrived already.
+        """
+        assert self._request is not None
         trailing_data, closed = self._h11.trailing_data
         self._h11 = _new_parser()
         with map_exceptions(PROTOCOL_EXCEPTIONS):
-            self._h11.send(_head_event(request, self.address))
-            self._h11.send(h11.Data(data=request.body))
+            self._h11.send(_head_event(self._request, self.address))
+            self._h11.send(h11.Data(data=self._request.body))
             self._h11.send(h11.EndOfMessage())
         if trailing_data:
             self._h11.receive_data(trailing_data)
@@ -274,13 +333,19 @@
                 raise BodyTruncated("closed before the body's end")
 
     def _finish_exchange(self) -> None:
-        reusable = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if reusable and not self._disconnected and not self._h11.trailing_data[0]:
+        self._request = None
+        if self._is_reusable():
             self._h11.start_next_cycle()
             self.state = ClientState.IDLE
         else:
             self.close()
 
+    def _is_reusable(self) -> bool:
+        """Whether the exchange has ended such that nothing more of it can come."""
+        is_complete = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        has_more = self._disconnected or bool(self._h11.trailing_data[0])
+        return is_complete and not has_more and not self._had_surplus
+
     def close(self) -> None:
         """Close immediately, without sending buffered data."""
         self.state = ClientState.CLOSED
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -88,6 +88,11 @@
             "Streams that servers ended, by what marked the end of the body",
             ["framing"],
         )
+        self.surplus_responses = self._counter(
+            "loomwind_surplus_responses",
+            "Responses of servers that were skipped, since they belong to another request",
+            ["status"],
+        )
         self.resumed_streams = self._counter(
             "loomwind_resumed_streams",
             "Sends that continue a stream, by whether its caller or this daemon resumed it",
--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -107,21 +107,16 @@
         forwarded = ((name, value) for name, value in end_to_end_headers(request.headers))
         return headers + tuple((name, value) for name, value in forwarded if name not in replaced)
 
-    def check_response(
-        self, request_id: str, server_name: str, head: HttpResponse
-    ) -> ResponseCheck:
+    def check_response(self, server_name: str, head: HttpResponse) -> ResponseCheck:
         """Check the head of a response; see :meth:`Dialect.check_response`."""
-        matches_request = head.header(REQUEST_ID) == request_id
         misdirected = head.status == MISDIRECTED_STATUS
         refused = misdirected or head.header(NOT_EXECUTED) is not None
         return ResponseCheck(
-            matches_request=matches_request or refused,
             may_have_run=not refused,
             from_server=head.header(RESPONSE_STAMP) is not None,
             missing_target=misdirected,
             other_instance=head.header(INSTANCE) not in (None, server_name),
             max_rejections_per_second=parse_rejection_limit(head),
-            response_id=head.header(REQUEST_ID) or "",
         )
 
     def response_headers(self, head: HttpResponse) -> Headers:
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -49,6 +49,7 @@
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.resumption import Resumption
 from loomwind.serving.server_list import ServerListFollower
+from loomwind.serving.surplus_log import SurplusLog
 from loomwind.serving.version_registrar import VersionRegistrar
 from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
 
@@ -102,15 +103,23 @@
     :ivar callers: the HTTP server for callers.
     """
 
-    def __init__(self, settings: Settings, deployment: Deployment, client: HttpClient) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        deployment: Deployment,
+        client: HttpClient,
+        peer_client: HttpClient,
+    ) -> None:
         """Create a daemon.
 
-        :param client: sends requests to servers and peers; closed when the daemon stops.
+        :param client: sends requests to servers; closed when the daemon stops.
+        :param peer_client: sends requests to peers; closed when the daemon stops.
         """
         self.settings = settings
         self.metrics = Metrics()
         self.stopping = False
         self._client = client
+        self._peer_client = peer_client
         self._tasks: set[asyncio.Task[None]] = set()
         self._create_store_access(deployment)
         self._create_peer_protocols()
@@ -306,6 +315,7 @@
             self._rejection_limits.observe_response,
         )
         self._client.on_idle_connection_error = self._pool.record_broken_connection
+        self._client.on_surplus_response = SurplusLog(self.metrics.surplus_responses).record
         self._probe = ConnectivityProbe(self._pool, forwarder)
         self._handler = RequestHandler(
             self.settings.zone,
@@ -317,7 +327,7 @@
             PeerRelay(
                 self.settings.zone,
                 self._peers,
-                self._client,
+                self._peer_client,
                 deployment.dialect,
                 self.metrics,
                 self._configuration_gossip.record_peer_version,
@@ -483,6 +493,7 @@
         self._admin_server.server.close()
         self._transport.close()
         self._client.close()
+        self._peer_client.close()
 
     @staticmethod
     def _now() -> float:
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -12,7 +12,6 @@
 from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ConnectFailed, HttpError, UnsendableRequest
 from loomwind.http.messages import HttpRequest, HttpResponse
-from loomwind.logs import log_decision
 from loomwind.serving.connectivity import ServiceConnectivity
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.ports import Dialect, ResponseCheck
@@ -21,7 +20,6 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 EVENT_STREAM = "text/event-stream"
-MAX_STALE_RESPONSES = 2
 # A refusal's body comes with its head; a new connection costs less than waiting for it, or reading
 # more than a problem description needs.
 REFUSAL_BODY_TIMEOUT_MS = 100.0
@@ -120,7 +118,8 @@
         request = self._server_request(outgoing, entry, now, last_event_id)
         try:
             connection.send_request(request)
-            head, check = await self._read_matching_head(connection, request, outgoing, entry)
+            head = await connection.read_head()
+            check = self._check_head(head, entry)
             if not check.may_have_run:
                 await self._drain_refusal(connection)
         except UnsendableRequest as error:
@@ -167,37 +166,18 @@
         )
         return HttpRequest(request.method, request.target, headers, request.body)
 
-    async def _read_matching_head(
-        self,
-        connection: ClientConnection,
-        request: HttpRequest,
-        outgoing: OutgoingRequest,
-        entry: ServerEntry,
-    ) -> tuple[HttpResponse, ResponseCheck]:
-        """Read response heads until one matches the request, skipping stale responses."""
-        request_id = outgoing.caller.request_id
-        for _ in range(1 + MAX_STALE_RESPONSES):
-            head = await connection.read_head()
-            check = self._dialect.check_response(request_id, entry.name, head)
-            connection.note_keep_alive(head)
-            if check.response_id != request_id:
-                _log_mismatch(request_id, entry, connection, head, check)
-            if not check.other_instance:
-                self._observe_response(entry, check)
-            if check.matches_request:
-                return self._check_genuine(head, check, entry), check
-            await connection.skip_answer(request)
-        raise SendFailed(f"{entry.instance}: answers to other requests only", may_have_run=True)
+    def _check_head(self, head: HttpResponse, entry: ServerEntry) -> ResponseCheck:
+        """Return what the head of the response tells.
 
-    @staticmethod
-    def _check_genuine(
-        head: HttpResponse, check: ResponseCheck, entry: ServerEntry
-    ) -> HttpResponse:
+        :raises SendFailed: it is not the server's.
+        """
+        check = self._dialect.check_response(entry.name, head)
+        if not check.other_instance:
+            self._observe_response(entry, check)
         if check.may_have_run and not check.from_server:
-            raise SendFailed(
-                f"{entry.instance}: an answer without the server's mark", may_have_run=True
-            )
-        return head
+            detail = f"{entry.instance}: an answer without the server's mark"
+            raise SendFailed(detail, may_have_run=True)
+        return check
 
     async def _drain_refusal(self, connection: ClientConnection) -> None:
         """Discard the body of a refusal, so that the connection can be reused, or close it.
@@ -257,26 +237,6 @@
         self._client.release(connection)
 
 
-def _log_mismatch(
-    request_id: str,
-    entry: ServerEntry,
-    connection: ClientConnection,
-    head: HttpResponse,
-    check: ResponseCheck,
-) -> None:
-    """Log a response that names another request than the one that was sent."""
-    log_decision(
-        "response-mismatch",
-        request_id,
-        server=entry.instance,
-        connection=connection.label,
-        response_id=check.response_id,
-        status=head.status,
-        ran=check.may_have_run,
-        taken=check.matches_request,
-    )
-
-
 def _refusal_error(
     entry: ServerEntry, head: HttpResponse, check: ResponseCheck, connection: ClientConnection
 ) -> SendFailed:
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -143,23 +143,19 @@
 class ResponseCheck(Struct, frozen=True):
     """What the head of a server's response tells about the request.
 
-    :param matches_request: whether it belongs to the request that was sent.
     :param may_have_run: whether the server may have run the request.
     :param from_server: whether it carries the server's identification header.
     :param missing_target: whether the server lacks the requested model, or is another instance.
     :param other_instance: whether a server other than the intended one responded at the address.
     :param max_rejections_per_second: the server falls over when it rejects more requests than this;
         None for one that does not say so.
-    :param response_id: the id of the request that it says it responds to; empty if it has none.
     """
 
-    matches_request: bool
     may_have_run: bool
     from_server: bool
     missing_target: bool = False
     other_instance: bool = False
     max_rejections_per_second: int | None = None
-    response_id: str = ""
 
 
 class Dialect(ABC):
@@ -191,10 +187,8 @@
         """Return the headers of a request relayed to a peer: like those of a caller."""
 
     @abstractmethod
-    def check_response(
-        self, request_id: str, server_name: str, head: HttpResponse
-    ) -> ResponseCheck:
-        """Check the head of a response against the request."""
+    def check_response(self, server_name: str, head: HttpResponse) -> ResponseCheck:
+        """Check the head of the response to a request."""
 
     @abstractmethod
     def response_headers(self, head: HttpResponse) -> Headers:
