Send no request twice over one connection

Callers of requests that may run once got 503 although their server ran them, or had them run twice, also once responses were matched by id: the id does not tell two sends of one request apart. A request that was refused goes to the same server again if no other one is left, and an idle connection to it is likely the one that it came over before. There a late copy of its own first refusal, with its own id, is taken for the answer to the second send.

A connection remembers the ids of the requests that it carried. HttpClient gives out no idle connection for a request that it has carried, and send_request refuses one; so each response with the id of a request answers the only send of it on that connection. That holds for whatever sends again: a retry, a move away from a silent server, a stream that goes on, a caller that uses an id again. A request without an id goes only over a connection that has carried nothing. A connection ends after 256 requests, which bounds the memory for their ids.

--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -59,7 +59,7 @@
 
     connection: CountedConnection = field(factory=CountedConnection)
 
-    async def connect(self, entry: ServerEntry) -> CountedConnection:
+    async def connect(self, entry: ServerEntry, request_id: str) -> CountedConnection:
         """Return the connection."""
         return self.connection
 
--- a/features/steps/departure_notice_steps.py
+++ b/features/steps/departure_notice_steps.py
@@ -111,7 +111,7 @@
         self._before = before
         self.kept: list[UnusableConnection] = []
 
-    def take_idle(self, address: str) -> None:
+    def take_idle(self, address: str, request_id: str) -> None:
         """Return no connection: none is idle."""
 
     async def open(self, address: str, timeout: float) -> "UnusableConnection":
@@ -157,7 +157,7 @@
         cast(HttpClient, client), PlatformDialect(), pool.connectivity_of, pool.accepts_requests
     )
     try:
-        connection = await forwarder.connect(entry)
+        connection = await forwarder.connect(entry, "id-1")
         await forwarder.send(connection, outgoing, entry, 0.0, None)
     except SendFailed as failure:
         return failure
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -63,7 +63,7 @@
         """Return that an idle connection is open."""
         return True
 
-    async def connect(self, entry: ServerEntry) -> ClientConnection:
+    async def connect(self, entry: ServerEntry, request_id: str) -> ClientConnection:
         """Return a connection that is not used."""
         return ClientConnection(entry.address)
 
--- a/features/steps/unanswered_steps.py
+++ b/features/steps/unanswered_steps.py
@@ -255,7 +255,7 @@
         """Return that none is open."""
         return False
 
-    async def connect(self, entry: ServerEntry) -> ClientConnection:
+    async def connect(self, entry: ServerEntry, request_id: str) -> ClientConnection:
         """Fail as a lost connection does."""
         raise ConnectionBroken(CAUSE)
 
@@ -263,7 +263,7 @@
 class CancelledForwarder(BreakingForwarder):
     """A forwarder that waits for something that another task cancels."""
 
-    async def connect(self, entry: ServerEntry) -> ClientConnection:
+    async def connect(self, entry: ServerEntry, request_id: str) -> ClientConnection:
         """Fail as a wait for a cancelled future does."""
         raise asyncio.CancelledError(CAUSE)
 
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -68,7 +68,8 @@
 
         :param max_idle_per_address: 0 gives each exchange a connection of its own.
         :param id_header: the header, in lower case, of a request that its response repeats; empty
-            if responses name no request.
+            if responses name no request. It has to be unique among the requests to an address,
+            except that a request may be sent again.
         """
         self._connector = connector
         self._id_header = id_header
@@ -77,12 +78,13 @@
         self.on_idle_connection_error: Callable[[str], None] | None = None
         self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
 
-    async def acquire(self, address: str, timeout: float) -> ClientConnection:
+    async def acquire(self, address: str, timeout: float, request_id: str = "") -> ClientConnection:
         """Return an idle connection, or open one.
 
+        :param request_id: see :meth:`take_idle`.
         :raises ConnectFailed: none could be opened within ``timeout`` seconds.
         """
-        return self.take_idle(address) or await self.open(address, timeout)
+        return self.take_idle(address, request_id) or await self.open(address, timeout)
 
     async def open(self, address: str, timeout: float) -> ClientConnection:
         """Open a new connection.
@@ -93,18 +95,28 @@
         connection.on_surplus_response = self.on_surplus_response
         return connection
 
-    def take_idle(self, address: str) -> ClientConnection | None:
-        """Remove and return an idle connection that has not expired, or None."""
-        idle = self._idle.get(address)
+    def take_idle(self, address: str, request_id: str = "") -> ClientConnection | None:
+        """Remove and return an idle connection that has not expired, or None.
+
+        :param request_id: the id of the request that is to be sent; a connection that has carried
+            the same request is not returned.
+        """
+        idle = self._idle.get(address, deque())
         now = asyncio.get_running_loop().time()
-        while idle:
+        unsuitable: list[ClientConnection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
             if connection.state is not ClientState.IDLE:
                 continue
-            if connection.expires_at is None or now < connection.expires_at:
-                return connection
-            connection.close()
-        return None
+            if connection.expires_at is not None and now >= connection.expires_at:
+                connection.close()
+            elif connection.has_carried(request_id):
+                unsuitable.append(connection)
+            else:
+                found = connection
+        idle.extend(reversed(unsuitable))
+        return found
 
     def has_idle(self, address: str) -> bool:
         """Return whether there is an open idle connection to an address."""
@@ -136,7 +148,8 @@
         :raises ConnectionBroken: the connection broke, or the body exceeds ``max_bytes``; the
             request may have run.
         """
-        connection = await self.acquire(address, timeout)
+        request_id = request.header(self._id_header) or ""
+        connection = await self.acquire(address, timeout, request_id)
         try:
             async with asyncio.timeout(timeout):
                 connection.send_request(request)
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -1,9 +1,9 @@
 """HTTP/1.1 client connections, each with one exchange at a time.
 
 A server may send a response more than once, also late: where the response to the next request is
-due. If responses repeat an id of their request, those to other requests are skipped here. A
-connection is closed and never reused after an exchange that did not complete, or in which a surplus
-response came.
+due. If responses repeat an id of their request, those to other requests are skipped here, and no
+connection carries the same request twice. A connection is closed and never reused after an exchange
+that did not complete, or in which a surplus response came.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
     BodyTruncated,
     ConnectionBroken,
     ExchangeTimeout,
+    RequestRepeated,
     ResponseMissing,
     map_exceptions,
 )
@@ -32,6 +33,8 @@
 MAX_INFORMATIONAL_RESPONSES = 64
 # A new connection costs less than to go on after so many.
 MAX_SURPLUS_RESPONSES = 16
+# Bounds the memory for the ids of a connection's requests; a new connection costs little then.
+MAX_IDENTIFIED_EXCHANGES = 256
 
 
 def parse_keep_alive_timeout(head: HttpResponse) -> float | None:
@@ -91,6 +94,7 @@
         self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
         self.exchange_count = 0
         self._id_header = id_header
+        self._request_ids: set[str] = set()
         self._request: HttpRequest | None = None
         self._request_id = ""
         self._had_surplus = False
@@ -158,8 +162,12 @@
         """Write a complete request in a single write.
 
         :raises UnsendableRequest: the request is invalid; the connection can still be used.
+        :raises RequestRepeated: it was sent on this connection before; nothing was sent.
         :raises ConnectionBroken: the connection is closed.
         """
+        request_id = request.header(self._id_header) or ""
+        if self.has_carried(request_id):
+            raise RequestRepeated(f"request {request_id} was sent on this connection before")
         if self._transport is None or self._disconnected or self._transport.is_closing():
             self.close()
             raise ConnectionBroken("the connection has ended")
@@ -167,13 +175,23 @@
             head = _head_event(request, self.address)
         self.state = ClientState.ACTIVE
         self.exchange_count += 1
-        self._request = request
-        self._request_id = request.header(self._id_header) or ""
+        self._request, self._request_id = request, request_id
+        if request_id:
+            self._request_ids.add(request_id)
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
         self._transport.write(b"".join(part for part in parts if part))
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a response that comes here might be an earlier one to the same request.
+
+        Of a request without an id, this cannot be told from responses to any other one.
+        """
+        if not self._id_header:
+            return False
+        return request_id in self._request_ids if request_id else self.exchange_count > 0
+
     async def _next_event(self) -> object:
         while True:
             try:
@@ -343,8 +361,9 @@
     def _is_reusable(self) -> bool:
         """Whether the exchange has ended such that nothing more of it can come."""
         is_complete = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        is_exhausted = self._had_surplus or len(self._request_ids) >= MAX_IDENTIFIED_EXCHANGES
         has_more = self._disconnected or bool(self._h11.trailing_data[0])
-        return is_complete and not has_more and not self._had_surplus
+        return is_complete and not is_exhausted and not has_more
 
     def close(self) -> None:
         """Close immediately, without sending buffered data."""
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -24,6 +24,10 @@
     """HTTP does not allow the request to be sent; nothing was sent."""
 
 
+class RequestRepeated(UnsendableRequest):
+    """The connection has carried the request before; nothing was sent."""
+
+
 class ConnectionBroken(HttpError):
     """The connection ended or violated the protocol after data may have been sent."""
 
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -81,12 +81,13 @@
         self._clock = Clock()
         self._buffers = ResponseBuffers()
 
-    async def connect(self, entry: ServerEntry) -> ClientConnection:
-        """Return an idle or new connection to a server.
+    async def connect(self, entry: ServerEntry, request_id: str) -> ClientConnection:
+        """Return an idle or new connection to a server, which has not carried the request.
 
         :raises SendFailed: no connection can be made, or the server may not get requests any more.
         """
-        connection = self._client.take_idle(entry.address) or await self.open_connection(entry)
+        connection = self._client.take_idle(entry.address, request_id)
+        connection = connection or await self.open_connection(entry)
         return self._check_accepts(entry, connection)
 
     async def connect_anew(self, entry: ServerEntry) -> ClientConnection:
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -133,7 +133,7 @@
             self.connected_at = self._handler.now()
             self._connection = await forwarder.connect_anew(self.entry)
         else:
-            self._connection = await forwarder.connect(self.entry)
+            self._connection = await forwarder.connect(self.entry, self._outgoing.caller.request_id)
 
     def send(self, last_event_id: str | None) -> asyncio.Task[Answer]:
         """Send the request to the connected server."""
