Test a late refusal that names no request

A server refuses a request without an id with 400, and can name none in it; a late copy of that refusal must not be taken for the answer to the next request.

--- a/features/steps/surplus_response_steps.py
+++ b/features/steps/surplus_response_steps.py
@@ -26,6 +26,7 @@
 OTHER_ID = "r0"
 ANSWER_BODY = b"served"
 REASONS = {200: "OK", 204: "No Content", 421: "Misdirected Request"}
+REFUSAL_STATUSES = (400, 421, 503)
 EARLY_HINT = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n"
 # Retries are allowed, so that a request that is taken for not run is sent again.
 RETRY_ALLOWANCE = 10.0
@@ -34,11 +35,12 @@
 
 
 def response_head(status: int, request_id: str, framing: str) -> bytes:
-    """Return the head of a response of a server; one with 503 or 421 is a refusal."""
-    refusal = "x-not-executed: 1\r\n" if status in (503, 421) else ""
+    """Return the head of a response of a server, with an id unless it is empty."""
+    id_line = f"x-request-id: {request_id}\r\n" if request_id else ""
+    refusal = "x-not-executed: 1\r\n" if status in REFUSAL_STATUSES else ""
     framing_line = f"{framing}\r\n" if framing else ""
     return (
-        f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nx-request-id: {request_id}\r\n"
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\n{id_line}"
         f"x-instance-id: i-1\r\nx-response-stamp: s\r\n{refusal}{framing_line}\r\n"
     ).encode()
 
@@ -65,6 +67,7 @@
     "a refusal with 503 in single bytes": _single_bytes(response(503, OTHER_ID, b"no")),
     "a refusal with 421": (response(421, OTHER_ID, b"no"),),
     "a refusal with 421 without a body": (response(421, OTHER_ID),),
+    "a refusal with 400 without an id": (response(400, "", b"no"),),
     "a 200 without a body": (response(200, OTHER_ID),),
     "a 500 without a body": (response(500, OTHER_ID),),
     "a 204": (response_head(204, OTHER_ID, ""),),
--- a/features/surplus_responses.feature
+++ b/features/surplus_responses.feature
@@ -14,6 +14,7 @@
       | a refusal with 503 in single bytes         |
       | a refusal with 421                         |
       | a refusal with 421 without a body          |
+      | a refusal with 400 without an id           |
 
   Scenario Outline: the answer after a late response without data at its end is lost
     Given a daemon and a server that sends <surplus> to another request before its answer
