Show that a late response to a request with another method costs the answer

A response that is skipped is parsed as one to the waiting request's method. A copy of a response to HEAD (a length, no body) takes the head of the answer as its body; a copy with a body before an answer to HEAD leaves its body where a status line is due. The caller gets 502 "illegal status line" and runs=[r1, r2]: 2 of 3 rows over sockets fail, the one with POST twice passes.

An answer to HEAD without a length is complete with its head: the model waited for the end of the connection.

--- a/features/response_order.feature
+++ b/features/response_order.feature
@@ -10,8 +10,8 @@
     And each surplus response that was skipped was reported once
     And the runs had exchanges on kept connections, repeated requests, skipped copies and ends
 
-  Scenario: a late copy of a response without the body that its length says, or with one, is misread
-    When the same happens to requests with and without HEAD, in 40 runs
+  Scenario: a late copy of a response to a request with another method is misread
+    When the same happens to requests with and without HEAD, in 80 runs
     Then no exchange was given the answer to another one, or an earlier answer to its request
     And each exchange whose answer had arrived has returned it
     And no exchange waits on a connection that has ended
--- a/features/steps/response_order_steps.py
+++ b/features/steps/response_order_steps.py
@@ -440,8 +440,7 @@
     wire = _choose([wire for wire in run.wires if wire.accepts_copies], event.index)
     sends: Iterable[Send] = wire.sends
     if event.from_elsewhere and wire.pending is not None and wire.pending.request_id:
-        ids = ("", wire.pending.request_id)
-        sends = [send for send in run.sends.values() if send.request_id not in ids]
+        sends = [send for send in run.sends.values() if _can_be_told(send, wire.pending)]
     answered = [send for send in sends if send.answer is not None]
     for _ in range(event.count):
         if answered and wire.accepts_copies:
@@ -489,6 +488,15 @@
     await run.let_read()
 
 
+def _can_be_told(send: Send, pending: Send) -> bool:
+    """Whether an answer from another connection can be told from that to the pending request.
+
+    Only the method of its request says whether a body follows its head.
+    """
+    has_other_id = send.request_id not in ("", pending.request_id)
+    return has_other_id and send.method == pending.method
+
+
 Item = TypeVar("Item")
 
 
--- a/features/steps/surplus_response_steps.py
+++ b/features/steps/surplus_response_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -23,6 +23,7 @@
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
 
 REQUEST_ID = "r1"
+SECOND_ID = "r2"
 OTHER_ID = "r0"
 ANSWER_BODY = b"served"
 REASONS = {200: "OK", 204: "No Content", 421: "Misdirected Request"}
@@ -83,6 +84,7 @@
 
     request_id: str
     connection: int
+    method: str = "POST"
 
 
 # Returns the pieces of the response to the last of the requests received so far.
@@ -107,11 +109,11 @@
         number = len(self._writers)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
-                request_id = await _read_request(reader)
-                self.requests.append(ReceivedRequest(request_id, number))
+                request = await _read_request(reader, number)
+                self.requests.append(request)
                 pieces = self.script(self.requests)
-                if pieces[-1] == _answer(request_id):
-                    self.runs.append(request_id)
+                if pieces[-1] == _answer(request):
+                    self.runs.append(request.request_id)
                 for piece in pieces:
                     writer.write(piece)
                     await _let_daemon_read()
@@ -124,12 +126,13 @@
                 await writer.wait_closed()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> str:
-    """Read a request with a length, and return its id."""
+async def _read_request(reader: asyncio.StreamReader, connection: int) -> ReceivedRequest:
+    """Read a request with a length."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-    headers = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+    first, *lines = head.split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines if line)
     await reader.readexactly(int(headers["content-length"]))
-    return headers["x-request-id"]
+    return ReceivedRequest(headers["x-request-id"], connection, first.split(" ")[0].upper())
 
 
 async def _let_daemon_read() -> None:
@@ -137,14 +140,15 @@
         await asyncio.sleep(0)
 
 
-def _answer(request_id: str) -> bytes:
-    return response(200, request_id, ANSWER_BODY)
+def _answer(request: ReceivedRequest) -> bytes:
+    answer = response(200, request.request_id, ANSWER_BODY)
+    return answer.removesuffix(ANSWER_BODY) if request.method == "HEAD" else answer
 
 
 @given("a daemon and a server that sends {surplus} to another request before its answer")
 def step_surplus(context: Any, surplus: str) -> None:
     def respond(requests: list[ReceivedRequest]) -> Pieces:
-        answer = _answer(requests[-1].request_id)
+        answer = _answer(requests[-1])
         return (*SURPLUS[surplus], answer) if len(requests) == 1 else (answer,)
 
     context.server = ScriptedServer(respond)
@@ -156,7 +160,7 @@
 def step_repeated_refusal(context: Any, status: int) -> None:
     def respond(requests: list[ReceivedRequest]) -> Pieces:
         *earlier, last = requests
-        refusal, answer = response(status, last.request_id, b"no"), _answer(last.request_id)
+        refusal, answer = response(status, last.request_id, b"no"), _answer(last)
         if not earlier:
             return (refusal,)
         return (refusal, answer) if last in earlier else (answer,)
@@ -164,16 +168,41 @@
     context.server = ScriptedServer(respond)
 
 
+@given("a daemon and a server that repeats its first answer on a connection before the second")
+def step_repeated_answer(context: Any) -> None:
+    def respond(requests: list[ReceivedRequest]) -> Pieces:
+        *earlier, last = requests
+        copies = [_answer(request) for request in earlier if request.connection == last.connection]
+        return (*copies, _answer(last))
+
+    context.server = ScriptedServer(respond)
+
+
 @when("a caller sends it a request that cannot be repeated")
 def step_send(context: Any) -> None:
+    _ask_daemon(context, [whole_request("/book/item")])
+    context.reply = context.replies[0]
+
+
+@when("a caller sends it {first:w}, and another one {second:w}")
+def step_send_two(context: Any, first: str, second: str) -> None:
+    requests = [whole_request("/book/item", first), whole_request("/book/item", second)]
+    requests[1] = requests[1].replace(REQUEST_ID.encode(), SECOND_ID.encode())
+    _ask_daemon(context, requests, (first, second))
+
+
+def _ask_daemon(context: Any, requests: list[bytes], methods: Sequence[str] = ("POST",)) -> None:
+    """Send requests to a daemon with a server, one after the other."""
     with captured_log() as context.lines:
-        received = asyncio.run(_ask_daemon(context.server))
-    context.reply = parse_replies(received, ["POST"])[0]
+        received = asyncio.run(_exchange_with_daemon(context.server, requests))
+    context.replies = [
+        parse_replies(data, [method])[0] for data, method in zip(received, methods, strict=True)
+    ]
 
 
-async def _ask_daemon(server: ScriptedServer) -> bytes:
+async def _exchange_with_daemon(server: ScriptedServer, requests: list[bytes]) -> list[bytes]:
     async with _daemon_port(server) as port:
-        return await exchange_bytes(port, whole_request("/book/item"))
+        return [await exchange_bytes(port, request) for request in requests]
 
 
 @asynccontextmanager
@@ -198,6 +227,13 @@
     assert (reply.status, reply.body) == (200, ANSWER_BODY), (reply, context.server, context.lines)
 
 
+@then("each caller gets the answer of the server")
+def step_answers(context: Any) -> None:
+    statuses = [(reply.status, reply.is_complete) for reply in context.replies]
+    assert statuses == [(200, True)] * 2, (context.replies, context.server, context.lines)
+    assert context.server.runs == [REQUEST_ID, SECOND_ID], context.server
+
+
 @then("the server ran the request once")
 def step_ran_once(context: Any) -> None:
     assert context.server.runs == [REQUEST_ID], (context.server, context.reply)
--- a/features/support/late_copies.py
+++ b/features/support/late_copies.py
@@ -233,9 +233,10 @@
         assert send is not None
         send.answer = kind
         send.copies, self.copies = self.copies, []
-        if kind.ends:
+        self._is_ending = kind.ends
+        if kind.ends and send.method != "HEAD":
             self._outgoing.append(Segment(send.answer_bytes()))
-            self._ends_with, self._is_ending = send, True
+            self._ends_with = send
         else:
             on_last = partial(_mark_delivered, send)
             self._outgoing.append(Segment(send.answer_bytes(), on_last=on_last))
--- a/features/surplus_responses.feature
+++ b/features/surplus_responses.feature
@@ -42,3 +42,14 @@
       | status |
       | 503    |
       | 421    |
+
+  Scenario Outline: the answer after a late response to a request with another method is lost
+    Given a daemon and a server that repeats its first answer on a connection before the second
+    When a caller sends it <first>, and another one <second>
+    Then each caller gets the answer of the server
+
+    Examples: methods
+      | first | second |
+      | POST  | POST   |
+      | HEAD  | POST   |
+      | POST  | HEAD   |
