Table of what callers are told by what came back from a server

Each row sends a request through a daemon to a server that answers with given bytes, over real connections: refusals of the request, refusals and answers of other requests in one piece, in several and beside the answer, late copies, answers without an id, closes, resets, silence and bytes that are no response.

The match of responses in loomwind/http and the dialect decides these rows.

--- /dev/null
+++ b/features/refusal_outcomes.feature
@@ -0,0 +1,138 @@
+Feature: Only the refusal of a request itself tells its caller that it has not run
+
+  Responses to other requests, copies and lost connections tell nothing about a request that was
+  sent. Without a refusal of its own, a once-only request is not sent again, and its caller is told
+  that its outcome is not known. A repeatable one may be sent to two servers.
+
+  Scenario Outline: a once-only request whose server first sends <answer>
+    Given a server that first sends <answer>, and serves a request that it gets again
+    When a once-only request is sent to it
+    Then its caller is told <status>, and servers got it <sends> times
+    And it has not run if its caller is told so
+    And it ran at most once
+
+    Examples:
+      | answer                                                        | status | sends |
+      | its refusal with 503                                          | 200    | 2     |
+      | its refusal with 429                                          | 200    | 2     |
+      | its refusal with 421                                          | 200    | 2     |
+      | its refusal with 400                                          | 200    | 2     |
+      | its refusal with 408                                          | 200    | 2     |
+      | its refusal without a body                                    | 200    | 2     |
+      | its refusal after an informational head                       | 200    | 2     |
+      | its refusal in pieces                                         | 200    | 2     |
+      | its refusal twice at once                                     | 200    | 2     |
+      | its refusal, and a copy before the next answer                | 200    | 2     |
+      | its refusal, and a copy without a body before the next answer | 200    | 2     |
+      | a foreign refusal and its own                                 | 200    | 2     |
+      | a foreign refusal and the answer                              | 200    | 1     |
+      | a foreign 421 and the answer                                  | 200    | 1     |
+      | a foreign 429 and the answer                                  | 200    | 1     |
+      | a foreign 200 and the answer                                  | 200    | 1     |
+      | a foreign refusal without a body and the answer               | 200    | 1     |
+      | a foreign refusal without a body with the answer              | 200    | 1     |
+      | a foreign refusal in chunks and the answer                    | 200    | 1     |
+      | a foreign refusal in pieces and the answer                    | 200    | 1     |
+      | a foreign refusal with the answer                             | 200    | 1     |
+      | the answer with a foreign refusal                             | 200    | 1     |
+      | the answer and a foreign refusal                              | 200    | 1     |
+      | a foreign refusal after an informational head and the answer  | 200    | 1     |
+      | two foreign refusals and the answer                           | 200    | 1     |
+      | three foreign refusals and the answer                         | 200    | 1     |
+      | a foreign refusal and a close                                 | 502    | 1     |
+      | a foreign refusal and a reset                                 | 502    | 1     |
+      | a foreign refusal and nothing                                 | 504    | 1     |
+      | a foreign refusal without a body and a close                  | 502    | 1     |
+      | a foreign refusal without a body and nothing                  | 504    | 1     |
+      | nothing                                                       | 504    | 1     |
+      | a close                                                       | 502    | 1     |
+      | a reset                                                       | 502    | 1     |
+      | a close within the head of its refusal                        | 502    | 1     |
+      | a close within the head                                       | 502    | 1     |
+      | a reset within the head                                       | 502    | 1     |
+      | a close within the body                                       | 502    | 1     |
+      | a reset within the body                                       | 502    | 1     |
+      | an informational head and a close                             | 502    | 1     |
+      | bytes that are no response                                    | 502    | 1     |
+      | a refusal without an id and a close                           | 502    | 1     |
+      | a refusal without an id and nothing                           | 504    | 1     |
+      | an answer without an id and a close                           | 502    | 1     |
+      | an answer without an id and nothing                           | 504    | 1     |
+      | an answer without a stamp                                     | 502    | 1     |
+      | a 503 without a stamp that does not say unstarted             | 502    | 1     |
+      | its answer with 500                                           | 500    | 1     |
+      | its answer with 504                                           | 504    | 1     |
+
+  Scenario Outline: a repeatable request whose server first sends <answer>
+    Given a server that first sends <answer>, and serves a request that it gets again
+    When a repeatable request is sent to it
+    Then its caller is told <status>, and servers got it <sends> times
+
+    Examples:
+      | answer                                                        | status | sends |
+      | its refusal with 503                                          | 200    | 2     |
+      | its refusal with 429                                          | 200    | 2     |
+      | its refusal with 421                                          | 200    | 2     |
+      | its refusal with 400                                          | 200    | 2     |
+      | its refusal with 408                                          | 200    | 2     |
+      | its refusal without a body                                    | 200    | 2     |
+      | its refusal after an informational head                       | 200    | 2     |
+      | its refusal in pieces                                         | 200    | 2     |
+      | its refusal twice at once                                     | 200    | 2     |
+      | its refusal, and a copy before the next answer                | 200    | 2     |
+      | its refusal, and a copy without a body before the next answer | 200    | 2     |
+      | a foreign refusal and its own                                 | 200    | 2     |
+      | a foreign refusal and the answer                              | 200    | 1     |
+      | a foreign 421 and the answer                                  | 200    | 1     |
+      | a foreign 429 and the answer                                  | 200    | 1     |
+      | a foreign 200 and the answer                                  | 200    | 1     |
+      | a foreign refusal without a body and the answer               | 200    | 1     |
+      | a foreign refusal without a body with the answer              | 200    | 1     |
+      | a foreign refusal in chunks and the answer                    | 200    | 1     |
+      | a foreign refusal in pieces and the answer                    | 200    | 1     |
+      | a foreign refusal with the answer                             | 200    | 1     |
+      | the answer with a foreign refusal                             | 200    | 1     |
+      | the answer and a foreign refusal                              | 200    | 1     |
+      | a foreign refusal after an informational head and the answer  | 200    | 1     |
+      | two foreign refusals and the answer                           | 200    | 1     |
+      | three foreign refusals and the answer                         | 200    | 1     |
+      | a foreign refusal and a close                                 | 200    | 2     |
+      | a foreign refusal and a reset                                 | 200    | 2     |
+      | a foreign refusal and nothing                                 | 504    | 1     |
+      | a foreign refusal without a body and a close                  | 200    | 2     |
+      | a foreign refusal without a body and nothing                  | 504    | 1     |
+      | nothing                                                       | 504    | 1     |
+      | a close                                                       | 200    | 2     |
+      | a reset                                                       | 200    | 2     |
+      | a close within the head of its refusal                        | 200    | 2     |
+      | a close within the head                                       | 200    | 2     |
+      | a reset within the head                                       | 200    | 2     |
+      | a close within the body                                       | 200    | 2     |
+      | a reset within the body                                       | 200    | 2     |
+      | an informational head and a close                             | 200    | 2     |
+      | bytes that are no response                                    | 200    | 2     |
+      | a refusal without an id and a close                           | 200    | 2     |
+      | a refusal without an id and nothing                           | 504    | 1     |
+      | an answer without an id and a close                           | 200    | 2     |
+      | an answer without an id and nothing                           | 504    | 1     |
+      | an answer without a stamp                                     | 200    | 2     |
+      | a 503 without a stamp that does not say unstarted             | 200    | 2     |
+      | its answer with 500                                           | 200    | 2     |
+      | its answer with 504                                           | 200    | 2     |
+
+  Scenario Outline: a once-only request whose server always sends <answer>
+    Given a server that always sends <answer>
+    When a once-only request is sent to it
+    Then its caller is told <status>, and servers got it <sends> times
+    And it has not run if its caller is told so
+    And it ran at most once
+
+    Examples:
+      | answer                                         | status | sends |
+      | its refusal with 503                           | 503    | 5     |
+      | its refusal with 429                           | 503    | 5     |
+      | its refusal with 421                           | 503    | 5     |
+      | its refusal with 400                           | 503    | 5     |
+      | its refusal with 408                           | 503    | 5     |
+      | a foreign refusal and its own                  | 503    | 5     |
+      | its refusal, and a copy before the next answer | 503    | 5     |
--- a/features/support/local_daemon.py
+++ b/features/support/local_daemon.py
@@ -21,10 +21,13 @@
 LIMITS = {"idle-timeout-ms": 15_000}
 
 
-def configuration(version: int, services: dict[str, str], **limits: int) -> bytes:
+def configuration(
+    version: int, services: dict[str, str], max_attempts: int = 1, **limits: int
+) -> bytes:
     """Return an encoded configuration.
 
     :param services: the service of each path prefix, named as the route.
+    :param max_attempts: the number of servers to which a request may be sent.
     """
     routes = [
         {
@@ -34,6 +37,7 @@
             "kind": "idempotent" if name == "look" else "non_idempotent",
             "timeout-ms": 8000,
             "target-latency-ms": 500,
+            "max-attempts": max_attempts,
             "service": service,
         }
         for name, service in services.items()
@@ -91,16 +95,30 @@
     :param name: name of the server in its entry.
     :param host: its host in its entry.
     """
-    server, daemon = HttpServer(serve), create_daemon()
+    server = HttpServer(serve)
     await server.start(LOCALHOST, 0)
+    try:
+        async with listening_daemon() as daemon:
+            apply_server(daemon, server.port, name, host)
+            yield LocalSite(daemon, server)
+    finally:
+        server.close()
+
+
+@asynccontextmanager
+async def listening_daemon(max_attempts: int = 1) -> AsyncIterator[PoolDaemon]:
+    """Run a daemon's listener for callers, with routes and no server.
+
+    :param max_attempts: the number of servers to which a request may be sent.
+    """
+    daemon = create_daemon()
     await daemon.callers.start(LOCALHOST, 0)
-    apply_configuration(daemon, configuration(1, {"look": SERVICE, "book": SERVICE}))
-    apply_server(daemon, server.port, name, host)
+    routes = {"look": SERVICE, "book": SERVICE}
+    apply_configuration(daemon, configuration(1, routes, max_attempts))
     try:
-        yield LocalSite(daemon, server)
+        yield daemon
     finally:
         daemon.close()
-        server.close()
 
 
 @contextmanager
