Table of what callers are told of requests that peers relayed

A daemon that reaches no server relays to a scripted peer, and a peer relays to a daemon before a scripted server, over real connections. A decline or a refusal counts only when its response is whole; after a close, a reset, silence or a response of the peer's HTTP layer the request may have run, and a once-only one is sent to no other peer and told 502 or 504.

--- a/features/refusal_outcomes.feature
+++ b/features/refusal_outcomes.feature
@@ -136,3 +136,84 @@
       | its refusal with 408                           | 503    | 5     |
       | a foreign refusal and its own                  | 503    | 5     |
       | its refusal, and a copy before the next answer | 503    | 5     |
+
+  Scenario Outline: a once-only request whose first peer <action>
+    Given a daemon that reaches no server, and a peer that <action>, before one that serves
+    When a once-only request is sent to the daemon
+    Then its caller is told <status>, and peers got it <sends> times
+    And it has not run if its caller is told so
+    And it ran at most once
+
+    Examples:
+      | action                              | status | sends |
+      | declines                            | 200    | 2     |
+      | declines in two segments            | 200    | 2     |
+      | refuses with 503                    | 503    | 1     |
+      | refuses with 502                    | 502    | 1     |
+      | refuses with 504                    | 504    | 1     |
+      | fails                               | 502    | 1     |
+      | fails with 503                      | 502    | 1     |
+      | closes the connection               | 502    | 1     |
+      | resets the connection               | 502    | 1     |
+      | closes within the head of a decline | 502    | 1     |
+      | closes within the body of a decline | 502    | 1     |
+      | closes within the body of a refusal | 502    | 1     |
+      | closes within the body of an answer | 502    | 1     |
+      | sends nothing                       | 504    | 1     |
+      | sends a part of a decline           | 504    | 1     |
+      | sends bytes that are no response    | 502    | 1     |
+      | sends a 503 of its HTTP layer       | 502    | 1     |
+      | sends a 408 of its HTTP layer       | 502    | 1     |
+      | passes on the answer                | 200    | 1     |
+      | passes on an answer with 500        | 500    | 1     |
+
+  Scenario Outline: a repeatable request whose first peer <action>
+    Given a daemon that reaches no server, and a peer that <action>, before one that serves
+    When a repeatable request is sent to the daemon
+    Then its caller is told <status>, and peers got it <sends> times
+
+    Examples:
+      | action                              | status | sends |
+      | declines                            | 200    | 2     |
+      | declines in two segments            | 200    | 2     |
+      | refuses with 503                    | 503    | 1     |
+      | refuses with 502                    | 502    | 1     |
+      | refuses with 504                    | 504    | 1     |
+      | fails                               | 200    | 2     |
+      | fails with 503                      | 200    | 2     |
+      | closes the connection               | 200    | 2     |
+      | resets the connection               | 200    | 2     |
+      | closes within the head of a decline | 200    | 2     |
+      | closes within the body of a decline | 200    | 2     |
+      | closes within the body of a refusal | 200    | 2     |
+      | closes within the body of an answer | 200    | 2     |
+      | sends nothing                       | 504    | 1     |
+      | sends a part of a decline           | 504    | 1     |
+      | sends bytes that are no response    | 200    | 2     |
+      | sends a 503 of its HTTP layer       | 200    | 2     |
+      | sends a 408 of its HTTP layer       | 200    | 2     |
+      | passes on the answer                | 200    | 1     |
+      | passes on an answer with 500        | 500    | 1     |
+
+  Scenario Outline: a relayed once-only request whose server always sends <answer>
+    Given a server that always sends <answer>
+    When a peer relays a once-only request to the daemon before it
+    Then the peer is told <status> by <speaker>, and servers got it <sends> times
+    And it has not run if its caller is told so
+    And it ran at most once
+
+    Examples:
+      | answer                                 | status | speaker    | sends |
+      | its refusal with 503                   | 503    | the daemon | 5     |
+      | its refusal with 421                   | 503    | the daemon | 5     |
+      | a foreign refusal and its own          | 503    | the daemon | 5     |
+      | a foreign refusal and the answer       | 200    | the server | 1     |
+      | a foreign refusal and a close          | 502    | the daemon | 1     |
+      | a foreign refusal and nothing          | 504    | the daemon | 1     |
+      | nothing                                | 504    | the daemon | 1     |
+      | a close                                | 502    | the daemon | 1     |
+      | a reset                                | 502    | the daemon | 1     |
+      | a close within the head of its refusal | 502    | the daemon | 1     |
+      | a close within the body                | 502    | the daemon | 1     |
+      | bytes that are no response             | 502    | the daemon | 1     |
+      | its answer with 500                    | 500    | the server | 1     |
