Promise no caller that a request has not run when its server answered 503

A caller of a route that must not repeat requests got a server's own 503, 429 or 408, which promises that the request has not run, although the answer names the request and does not say that it was left unstarted: the server ran it.

Cause: an answer that matches the request was passed on with any status. Only server errors of repeatable routes were looked at, for a retry.

For a route that must not repeat requests such an answer now ends in a 502 of the daemon's own, also when an older peer passes it on.

Seven rows of the tables failed before: status 503, 429 or 408 for a request that ran once, from a server, by a peer and to a peer. They hold now.

--- a/features/refusal_outcomes.feature
+++ b/features/refusal_outcomes.feature
@@ -62,6 +62,9 @@
       | a 503 without a stamp that does not say unstarted             | 502    | 1     |
       | its answer with 500                                           | 500    | 1     |
       | its answer with 504                                           | 504    | 1     |
+      | its answer with 503                                           | 502    | 1     |
+      | its answer with 429                                           | 502    | 1     |
+      | its answer with 408                                           | 502    | 1     |
 
   Scenario Outline: a repeatable request whose server first sends <answer>
     Given a server that first sends <answer>, and serves a request that it gets again
@@ -119,6 +122,9 @@
       | a 503 without a stamp that does not say unstarted             | 200    | 2     |
       | its answer with 500                                           | 200    | 2     |
       | its answer with 504                                           | 200    | 2     |
+      | its answer with 503                                           | 200    | 2     |
+      | its answer with 429                                           | 429    | 1     |
+      | its answer with 408                                           | 408    | 1     |
 
   Scenario Outline: a once-only request whose server always sends <answer>
     Given a server that always sends <answer>
@@ -166,6 +172,8 @@
       | sends a 408 of its HTTP layer       | 502    | 1     |
       | passes on the answer                | 200    | 1     |
       | passes on an answer with 500        | 500    | 1     |
+      | passes on an answer with 503        | 502    | 1     |
+      | passes on an answer with 429        | 502    | 1     |
 
   Scenario Outline: a repeatable request whose first peer <action>
     Given a daemon that reaches no server, and a peer that <action>, before one that serves
@@ -194,6 +202,8 @@
       | sends a 408 of its HTTP layer       | 200    | 2     |
       | passes on the answer                | 200    | 1     |
       | passes on an answer with 500        | 500    | 1     |
+      | passes on an answer with 503        | 503    | 1     |
+      | passes on an answer with 429        | 429    | 1     |
 
   Scenario Outline: a relayed once-only request whose server always sends <answer>
     Given a server that always sends <answer>
@@ -217,3 +227,5 @@
       | a close within the body                | 502    | the daemon | 1     |
       | bytes that are no response             | 502    | the daemon | 1     |
       | its answer with 500                    | 500    | the server | 1     |
+      | its answer with 503                    | 502    | the daemon | 1     |
+      | its answer with 429                    | 502    | the daemon | 1     |
--- a/features/steps/refusal_outcome_steps.py
+++ b/features/steps/refusal_outcome_steps.py
@@ -143,6 +143,9 @@
     # It has run, and its own answer says so.
     "its answer with 500": Script(lambda i: [response(i, 500)]),
     "its answer with 504": Script(lambda i: [response(i, 504)]),
+    "its answer with 503": Script(lambda i: [response(i, 503)]),
+    "its answer with 429": Script(lambda i: [response(i, 429)]),
+    "its answer with 408": Script(lambda i: [response(i, 408)]),
 }
 
 
--- a/features/steps/relay_outcome_steps.py
+++ b/features/steps/relay_outcome_steps.py
@@ -83,6 +83,8 @@
     "sends a 408 of its HTTP layer": Script(lambda i: [response(None, 408)]),
     "passes on the answer": Script(lambda i: [relayed(response(i))]),
     "passes on an answer with 500": Script(lambda i: [relayed(response(i, 500))]),
+    "passes on an answer with 503": Script(lambda i: [relayed(response(i, 503))]),
+    "passes on an answer with 429": Script(lambda i: [relayed(response(i, 429))]),
 }
 
 
--- a/loomwind/serving/final_errors.py
+++ b/loomwind/serving/final_errors.py
@@ -3,8 +3,18 @@
 from loomwind.http.server import Exchange
 from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, StreamTruncated
 from loomwind.serving.request_log import RequestProgress
+from loomwind.serving.views import RouteRule
 
-NOT_RUN_STATUSES = frozenset({503})
+# Those that promise callers that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+def is_false_promise(status: int, route: RouteRule) -> bool:
+    """Whether a server's answer to a request that ran would have its caller send it again.
+
+    A caller may do so for a request that can be repeated.
+    """
+    return status in NOT_RUN_STATUSES and not route.repeatable
 
 
 class FinalErrors:
--- a/loomwind/serving/peer_attempts.py
+++ b/loomwind/serving/peer_attempts.py
@@ -7,6 +7,7 @@
 from loomwind.logs import log_decision
 from loomwind.serving.breaker import ServerHealth
 from loomwind.serving.errors import SendFailed
+from loomwind.serving.final_errors import is_false_promise
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
 from loomwind.serving.peers import PeerEntry
 from loomwind.serving.relay_protocol import RelayMetadata
@@ -111,6 +112,8 @@
         status = response.head.status
         if self._exchange.started:
             raise SendFailed(f"{peer.address}: a resumed stream got {status}", may_have_run=True)
+        if is_false_promise(status, self._outgoing.route):
+            raise SendFailed(f"{peer.address}: status {status}", may_have_run=True)
         headers = self._handler.dialect.response_headers(response.head)
         await self._exchange.respond(status, headers, body)
 
--- a/loomwind/serving/request_attempts.py
+++ b/loomwind/serving/request_attempts.py
@@ -4,6 +4,7 @@
 
 from loomwind.http.server import Exchange
 from loomwind.serving.errors import SendFailed
+from loomwind.serving.final_errors import is_false_promise
 from loomwind.serving.forwarder import OutgoingRequest
 from loomwind.serving.hand_over import MoveDecision, MovePolicy
 from loomwind.serving.inactivity import Silence
@@ -164,7 +165,8 @@
     def check(self, answer: Answer, entry: ServerEntry) -> SendFailed | None:
         """Return why the beginning of a response cannot take the place of the current one."""
         status = answer.response.head.status
-        if status in SERVER_ERROR_STATUSES:
+        route = self._outgoing.route
+        if status in SERVER_ERROR_STATUSES or is_false_promise(status, route):
             return SendFailed(f"{entry.instance}: status {status}", may_have_run=True)
         if self._exchange.started and answer.body is not None:
             detail = f"{entry.instance}: a resumed stream got {status}"
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -21,7 +21,7 @@
     SendFailed,
     StreamTruncated,
 )
-from loomwind.serving.final_errors import FinalErrors
+from loomwind.serving.final_errors import FinalErrors, is_false_promise
 from loomwind.serving.forwarder import OutgoingRequest
 from loomwind.serving.hand_over import HandOver, Moved
 from loomwind.serving.inactivity import event_silence_ms, start_silence_ms
@@ -406,9 +406,10 @@
         failure = self._attempts.check(answer, entry)
         attempts = self._progress.failures + 1
         may_repeat = self._route.repeatable and attempts < self._route.max_attempts
-        if failure is not None and (self._exchange.started or may_repeat):
-            raise failure
         head = answer.response.head
+        is_unfit = self._exchange.started or is_false_promise(head.status, self._route)
+        if failure is not None and (is_unfit or may_repeat):
+            raise failure
         if head.status not in SERVER_ERROR_STATUSES:
             self._handler.prompts.record_answered(self._caller, is_by_one_server=True)
         await self._exchange.respond(
