Property: no sequence of answers has a once-only request run twice, or refused and run

One to three requests with the same id meet a server that answers each send by one of the table's scripts, drawn at random; at any point of an answer the daemon may end all requests, as at their deadline or at SIGTERM. Servers run them at most as often as callers were not told that they have not run.

Fails on: a refusal without an id is taken for the request's own, which then runs five times and is refused with 503.

--- a/features/refusal_outcomes.feature
+++ b/features/refusal_outcomes.feature
@@ -229,3 +229,9 @@
       | its answer with 500                    | 500    | the server | 1     |
       | its answer with 503                    | 502    | the daemon | 1     |
       | its answer with 429                    | 502    | the daemon | 1     |
+
+  Scenario: no sequence of answers has a once-only request run twice, or refused and run
+    When once-only requests that reuse an id meet 80 sequences of answers
+    Then each gets a whole response
+    And they ran at most as often as callers were not told that they have not
+    And some were served, some not run and some ended with an unknown outcome
--- a/features/support/scripted_server.py
+++ b/features/support/scripted_server.py
@@ -34,7 +34,12 @@
     data: bytes
 
 
-Part = bytes | Late | End
+@frozen
+class Deadline:
+    """Has the daemon end all requests, as at their deadlines, while the exchange goes on."""
+
+
+Part = bytes | Late | Deadline | End
 
 
 @frozen
@@ -54,11 +59,11 @@
     """Counts requests by their id, and follows one script for each send of a request.
 
     :ivar scripts: for the first sends of a request, in order; the last one is repeated.
-    :ivar on_silence: called when a request gets no answer, or no further part of it.
+    :ivar end_requests: ends all requests; called when one gets nothing, or nothing further.
     """
 
     scripts: Sequence[Script]
-    on_silence: Callable[[], None]
+    end_requests: Callable[[], None]
     port: int = 0
     sends: Counter[str] = field(factory=Counter)
     runs: Counter[str] = field(factory=Counter)
@@ -82,8 +87,11 @@
                             await _let_others_read()
                         case Late(data):
                             late = data
+                        case Deadline():
+                            self.end_requests()
+                            await _let_others_read()
                         case End.SILENCE:
-                            self.on_silence()
+                            self.end_requests()
                             await reader.read()
                             return
                         case End.RESET:
@@ -100,10 +108,10 @@
 
 @asynccontextmanager
 async def scripted_server(
-    scripts: Sequence[Script], on_silence: Callable[[], None] = lambda: None
+    scripts: Sequence[Script], end_requests: Callable[[], None] = lambda: None
 ) -> AsyncIterator[ScriptedServer]:
     """Run a server that follows the scripts."""
-    scripted = ScriptedServer(scripts, on_silence)
+    scripted = ScriptedServer(scripts, end_requests)
     server = await asyncio.start_server(scripted.serve, LOCALHOST, 0)
     scripted.port = server.sockets[0].getsockname()[1]
     try:
