End a request by the same knowledge of its sends, whatever ends it

Its deadline took a send whose outcome is not known into account; a failure and a peer's refusal did not, and would promise that the request has not run. No caller saw this: no path is known that ends a request by a failure while a send is out. Both now ask the same of the request's progress.

Two rows failed before: a request that is out, at first or after a refusal, was ended by a failure or a peer's refusal with 503 in place of 502.

--- a/features/refusal_outcomes.feature
+++ b/features/refusal_outcomes.feature
@@ -235,3 +235,19 @@
     Then each gets a whole response
     And they ran at most as often as callers were not told that they have not
     And some were served, some not run and some ended with an unknown outcome
+
+  Scenario Outline: a request that was <history> ends by what is known of all its sends
+    Given a request that was <history>
+    Then a failure, its deadline and a peer's refusal end it with <failure>, <deadline> and <refusal>
+
+    Examples:
+      | history                                | failure | deadline | refusal |
+      | not sent                               | 503     | 503      | 503     |
+      | sent                                   | 502     | 504      | 502     |
+      | sent, refused                          | 503     | 503      | 503     |
+      | sent, failed                           | 502     | 504      | 502     |
+      | sent, refused, sent                    | 502     | 504      | 502     |
+      | sent, refused, sent, refused           | 503     | 503      | 503     |
+      | sent, failed, sent, refused            | 502     | 504      | 502     |
+      | sent, left for another server          | 502     | 504      | 502     |
+      | sent, left for another server, refused | 502     | 504      | 502     |
--- a/features/steps/refusal_outcome_steps.py
+++ b/features/steps/refusal_outcome_steps.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, cast
 
 from attrs import frozen
 from behave import given, then, when
 
+from features.steps.refusal_steps import UnstartedExchange
 from features.support.local_daemon import (
     HOST,
     apply_server,
@@ -16,6 +17,10 @@
 )
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
 from features.support.scripted_server import End, Late, Part, Script, scripted_server
+from loomwind.http.server import Exchange
+from loomwind.serving.errors import Refused
+from loomwind.serving.final_errors import FinalErrors
+from loomwind.serving.request_log import RequestProgress
 from loomwind.settings import BoundSettings
 
 ROUTES = {"repeatable": "look", "once-only": "book"}
@@ -218,3 +223,28 @@
 @then("it ran at most once")
 def step_once(context: Any) -> None:
     assert context.outcome.runs <= 1, context.outcome
+
+
+@given("a request that was {history}")
+def step_history(context: Any, history: str) -> None:
+    progress = RequestProgress()
+    for event in history.split(", "):
+        if event == "sent":
+            progress.record_sent("i-1")
+        elif event == "left for another server":
+            progress.record_sent("i-2")
+            progress.record_run("i-1")
+        elif event != "not sent":
+            progress.record_failure(progress.server, may_have_run=event == "failed")
+    context.errors = FinalErrors(cast(Exchange, UnstartedExchange()), progress)
+
+
+@then(
+    "a failure, its deadline and a peer's refusal end it with "
+    "{failure:d}, {deadline:d} and {refusal:d}"
+)
+def step_final_errors(context: Any, failure: int, deadline: int, refusal: int) -> None:
+    errors: FinalErrors = context.errors
+    ends = (errors.failure(""), errors.timeout(), errors.peer_refusal(Refused(503, "")))
+    statuses = [end.status for end in ends if isinstance(end, Refused)]
+    assert statuses == [failure, deadline, refusal], statuses
--- a/loomwind/serving/final_errors.py
+++ b/loomwind/serving/final_errors.py
@@ -27,7 +27,7 @@
     @property
     def has_not_run(self) -> bool:
         """Whether no server can have run the request and no response has begun."""
-        return not (self._progress.may_have_run or self._exchange.started)
+        return self._progress.has_not_run and not self._exchange.started
 
     def failure(
         self, reason: str, retry_after_seconds: float | None = RETRY_SOON_SECONDS
@@ -35,18 +35,18 @@
         """Return the error after a failure: 503 with Retry-After only if it has not run."""
         if self._exchange.started:
             return StreamTruncated(reason)
-        if self._progress.may_have_run:
-            return Refused(502, reason)
-        return Refused(503, reason, retry_after_seconds)
+        if self._progress.has_not_run:
+            return Refused(503, reason, retry_after_seconds)
+        return Refused(502, reason)
 
     def timeout(self) -> Refused | StreamTruncated:
         """Return the error when the time is over; a server may still run the request."""
         if self._exchange.started:
             return StreamTruncated("the time is over")
-        if self._progress.may_have_run or self._progress.outcome_pending:
-            return Refused(504, "no answer in time")
-        detail = "no server could take the request in time"
-        return Refused(503, detail, RETRY_SOON_SECONDS)
+        if self._progress.has_not_run:
+            detail = "no server could take the request in time"
+            return Refused(503, detail, RETRY_SOON_SECONDS)
+        return Refused(504, "no answer in time")
 
     def peer_refusal(self, refusal: Refused) -> Refused | StreamTruncated:
         """Return the error for a peer's refusal: earlier attempts, unknown to it, may have run."""
--- a/loomwind/serving/request_log.py
+++ b/loomwind/serving/request_log.py
@@ -41,6 +41,11 @@
     is_waiting: bool = False
     server: str = ""
 
+    @property
+    def has_not_run(self) -> bool:
+        """Whether no server has run it or still may, since each one that got it refused it."""
+        return not (self.may_have_run or self.outcome_pending)
+
     @property
     def runs(self) -> int:
         """Return the number of servers that may have run it."""
