Test that once-only requests are never moved, and sent again only when refused

No silence of their servers counts, no second server may get them beside the first, and no failure with which they may have run allows a retry, for plain requests, model requests and streams that cannot be resumed.

--- a/features/refusal_outcomes.feature
+++ b/features/refusal_outcomes.feature
@@ -251,3 +251,15 @@
       | sent, failed, sent, refused            | 502     | 504      | 502     |
       | sent, left for another server          | 502     | 504      | 502     |
       | sent, left for another server, refused | 502     | 504      | 502     |
+
+  Scenario Outline: a once-only <kind> is sent again only when it was refused
+    Given a once-only <kind>, and a budget with room for retries
+    Then it is not sent again after any failure with which it may have run
+    And it waits for its server however long that is silent
+    And it is not sent to another server beside the one that has it
+
+    Examples:
+      | kind          |
+      | plain request |
+      | model request |
+      | stream        |
