Let no server's header pass for what a peer says of a relayed request

A daemon that relays requests for a peer passed a server's headers on, also the ones by which daemons tell each other that a request was declined or refused. With such a header in an answer the peer takes a request that ran for one that did not: it asks another peer, or refuses the request with the status of the answer. No caller was seen to be told so; servers would have to use the names.

They are now removed from each server's response, as they were from requests.

Two rows failed before: an answer of 200 with the header of a decline, and of a refusal, was no server's response to the peer.

--- a/features/refusal_outcomes.feature
+++ b/features/refusal_outcomes.feature
@@ -226,6 +226,8 @@
       | a close within the head of its refusal | 502    | the daemon | 1     |
       | a close within the body                | 502    | the daemon | 1     |
       | bytes that are no response             | 502    | the daemon | 1     |
+      | its answer with the header of a peer's decline| 200    | the server | 1     |
+      | its answer with the header of a peer's refusal| 200    | the server | 1     |
       | its answer with 500                    | 500    | the server | 1     |
       | its answer with 503                    | 502    | the daemon | 1     |
       | its answer with 429                    | 502    | the daemon | 1     |
--- a/features/steps/refusal_outcome_steps.py
+++ b/features/steps/refusal_outcome_steps.py
@@ -64,6 +64,11 @@
     return [head + f"x-request-id: {request_id}\r\n\r\n".encode() + b"2\r\nno\r\n", b"0\r\n\r\n"]
 
 
+def with_header(data: bytes, line: str) -> bytes:
+    """Return an encoded response with one more header."""
+    return data.replace(b"\r\n", f"\r\n{line}\r\n".encode(), 1)
+
+
 def in_pieces(data: bytes) -> list[bytes]:
     """Return data that comes in three segments."""
     return [data[:20], data[20:60], data[60:]]
@@ -147,6 +152,12 @@
     ),
     # It has run, and its own answer says so.
     "its answer with 500": Script(lambda i: [response(i, 500)]),
+    "its answer with the header of a peer's decline": Script(
+        lambda i: [with_header(response(i), "loomwind-end: declined")]
+    ),
+    "its answer with the header of a peer's refusal": Script(
+        lambda i: [with_header(response(i), "loomwind-end: refused")]
+    ),
     "its answer with 504": Script(lambda i: [response(i, 504)]),
     "its answer with 503": Script(lambda i: [response(i, 503)]),
     "its answer with 429": Script(lambda i: [response(i, 429)]),
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -13,7 +13,7 @@
 from loomwind.http.client import HttpClient
 from loomwind.http.client_connection import ClientConnection
 from loomwind.http.errors import ConnectFailed, HttpError
-from loomwind.http.messages import HttpRequest, HttpResponse
+from loomwind.http.messages import HttpRequest
 from loomwind.metrics import Metrics
 from loomwind.serving.errors import RelayDeclined, SendFailed
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
@@ -25,7 +25,7 @@
     decode_error,
     is_server_response,
     software_version_of,
-    strip_relay_headers,
+    strip_relay_head,
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -126,8 +126,7 @@
         version = configuration_version_of(head)
         self._newest_configuration = max(self._newest_configuration, version)
         self._on_configuration(peer.address, version)
-        stripped_head = HttpResponse(head.status, strip_relay_headers(head.headers))
-        return OpenResponse(connection, stripped_head, software_version_of(head))
+        return OpenResponse(connection, strip_relay_head(head), software_version_of(head))
 
     def _relay_request(
         self,
--- a/loomwind/serving/relay_protocol.py
+++ b/loomwind/serving/relay_protocol.py
@@ -74,6 +74,11 @@
     return tuple((name, value) for name, value in headers if name not in RELAY_HEADERS)
 
 
+def strip_relay_head(head: HttpResponse) -> HttpResponse:
+    """Return the head of a response without the headers used only between daemons."""
+    return HttpResponse(head.status, strip_relay_headers(head.headers))
+
+
 def outcome_headers(outcome: RelayOutcome, retry_after_seconds: float | None = None) -> Headers:
     """Return the headers of a response that does not come from a server."""
     headers: Headers = ((OUTCOME_HEADER, outcome.value),)
--- a/loomwind/serving/server_attempt.py
+++ b/loomwind/serving/server_attempt.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
+from msgspec.structs import replace
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.client_connection import ClientConnection
@@ -14,6 +15,7 @@
 from loomwind.serving.breaker import SUSPECT_AFTER_SECONDS, ServerHealth
 from loomwind.serving.errors import SendFailed
 from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
+from loomwind.serving.relay_protocol import strip_relay_head
 from loomwind.serving.stream_start import StreamStart
 from loomwind.serving.views import ServerEntry
 
@@ -172,6 +174,8 @@
             response = await forwarder.send(
                 connection, self._outgoing, self.entry, self._handler.now(), last_event_id
             )
+        # A peer would take a server's header of that name for one of this daemon's.
+        response = replace(response, head=strip_relay_head(response.head))
         self.health.record_received(self._handler.now())
         if response.streamed:
             stream = await self._read_ahead(response) if self._is_replacement else None
