--- a/features/steps/refusal_sequence_steps.py
+++ b/features/steps/refusal_sequence_steps.py
@@ -53,7 +53,7 @@
 
 @frozen
 class RequestSeries:
-    """What became of requests with one id, sent one after the other."""
+    """What became of requests with one id."""
 
     steps: Sequence[Step]
     replies: Sequence[RawReply]
@@ -77,23 +77,25 @@
 
     @seed(EXAMPLES_SEED)
     @settings(EXAMPLES, max_examples=count)
-    @given_examples(STEPS, st.integers(min_value=1, max_value=MAX_REQUESTS))
-    def run(steps: list[Step], requests: int) -> None:
-        context.series.append(asyncio.run(_send(steps, requests)))
+    @given_examples(STEPS, st.integers(min_value=1, max_value=MAX_REQUESTS), st.booleans())
+    def run(steps: list[Step], requests: int, at_once: bool) -> None:
+        context.series.append(asyncio.run(_send(steps, requests, at_once)))
 
     run()
 
 
-async def _send(steps: Sequence[Step], requests: int) -> RequestSeries:
+async def _send(steps: Sequence[Step], requests: int, at_once: bool) -> RequestSeries:
     async with listening_daemon(MAX_ATTEMPTS) as daemon:
         handler = request_handler(daemon)
         handler.pool.set_bounds(AMPLE_RETRIES)
         scripts = [step.script() for step in steps]
         async with scripted_server(scripts, handler.end_all_requests) as server:
             apply_server(daemon, server.port)
-            received = [
-                await exchange_bytes(daemon.callers.port, request("book")) for _ in range(requests)
-            ]
+            sends = [exchange_bytes(daemon.callers.port, request("book")) for _ in range(requests)]
+            if at_once:
+                received = await asyncio.gather(*sends)
+            else:
+                received = [await send for send in sends]
     replies = [parse_replies(each, ["POST"])[0] for each in received]
     return RequestSeries(steps, replies, server.runs[REQUEST_ID])
 
