Say "unknown" of a request that an earlier attempt may have run

On the project's own interface a repeatable request was told "not-run" although a back end had run it: its first attempt lost the answer, and the refusal of its second attempt, or of the queue before it, named only what is known of itself.

A request that ends with such a refusal while its progress says "unknown" now ends as a failure of the back end, with outcome unknown.

--- a/features/not_run.feature
+++ b/features/not_run.feature
@@ -38,3 +38,9 @@
     Then every request got exactly one final answer in time
     And nothing that was refused as not-run ran
     And nothing ran twice
+
+  Scenario: a refusal after an attempt whose answer was lost hides that it may have run
+    When the back end booking-1 has the fault lose_answers = true
+    And the back end booking-2 has the fault refuse = true
+    And 20 callers send each daemon a GET to /book/slot
+    Then nothing that was refused as not-run ran
--- a/features/steps/booking_steps.py
+++ b/features/steps/booking_steps.py
@@ -13,11 +13,15 @@
 
 
 def post(
-    context: Any, daemons: list[DaemonProcess], count: int, timeout_seconds: float = 10.0
+    context: Any,
+    daemons: list[DaemonProcess],
+    count: int,
+    timeout_seconds: float = 10.0,
+    method: str = "POST",
 ) -> None:
-    """Begin ``count`` POSTs without a key to each daemon."""
+    """Begin ``count`` requests without a key to each daemon."""
     requests = [
-        plain(daemon.address, "POST", SLOT, b"x", timeout_seconds)
+        plain(daemon.address, method, SLOT, b"x", timeout_seconds)
         for _ in range(count)
         for daemon in daemons
     ]
@@ -57,6 +61,12 @@
     finished(context)
 
 
+@when("{count:d} callers send each daemon a GET to /book/slot")
+def step_get(context: Any, count: int) -> None:
+    post(context, list(context.site.daemons.values()), count, method="GET")
+    finished(context)
+
+
 @when("{count:d} callers send each daemon a POST to /book/slot within {seconds:g} s")
 def step_post_within(context: Any, count: int, seconds: float) -> None:
     post(context, list(context.site.daemons.values()), count, seconds)
--- a/loomwind/pipeline/handler.py
+++ b/loomwind/pipeline/handler.py
@@ -62,6 +62,13 @@
         return Outcome.UNKNOWN if in_progress or self.may_have_run else Outcome.NOT_RUN
 
 
+def _refusal_after_unknown(refusal: RequestRefused) -> RequestRefused:
+    """Return the refusal of a request that an earlier attempt may have run."""
+    return RequestRefused(
+        Problem.BACKEND_FAILED, refusal.detail, Outcome.UNKNOWN, refusal.retry_after_seconds
+    )
+
+
 class RequestHandler:
     """Serves callers' requests."""
 
@@ -185,9 +192,13 @@
                     self._check_retry(admitted, failure, attempt_number)
                     self._metrics.retries.inc()
             raise AssertionError("the last attempt raises")
-        except BaseException:
-            if progress.claim is not None and progress.outcome is Outcome.NOT_RUN:
-                self._claims.release(progress.claim)
+        except BaseException as error:
+            if progress.outcome is Outcome.NOT_RUN:
+                if progress.claim is not None:
+                    self._claims.release(progress.claim)
+                raise
+            if isinstance(error, RequestRefused) and error.outcome is Outcome.NOT_RUN:
+                raise _refusal_after_unknown(error) from error
             raise
 
     def _check_retry(
