Keep orders and reports off the connections of other exchanges

Seen: a leader counted an order as already done, rejected or unanswered while the server carried it out, and a server that had reported as empty or silent.

Cause: a server may send any response a second time, where the next one on the connection is due. Orders and reports shared one pool of connections with requests, peers and the store, and took whatever response came; the answers to them carry no id to check.

Change: requests, reports, peers and the store have a client each (PoolClients), and an order has a connection of its own, which is closed afterwards. So the response to an order is the only one on its connection, and a surplus response to a report can be read as a later report only. The first report that a leader reads of a server comes over a new connection as well: nothing is known yet that would show its age, and a connection kept from an earlier term may carry a report of that term. An order is rare, and reports still reuse connections.

--- a/features/steps/replaced_server_steps.py
+++ b/features/steps/replaced_server_steps.py
@@ -55,7 +55,9 @@
         self.gone = gone
         self.orders: list[tuple[str, str]] = []
 
-    async def read_report(self, entry: ServerEntry, timeout: float) -> ServerReport:
+    async def read_report(
+        self, entry: ServerEntry, timeout: float, on_new_connection: bool = False
+    ) -> ServerReport:
         """Return the report of an empty server, whichever process answers."""
         await asyncio.sleep(ANSWER_SECONDS)
         now = asyncio.get_running_loop().time()
@@ -156,7 +158,8 @@
     context.server_names = ("one",)
     named = "" if name == "no instance" else name
     context.client = MisdirectedClient(1, named)
-    context.engine_control = PlatformEngineControl(cast(HttpClient, context.client))
+    client = cast(HttpClient, context.client)
+    context.engine_control = PlatformEngineControl(client, client)
 
 
 @when("requests wait for {target} for {seconds:f} s")
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -219,7 +219,9 @@
         return age >= IDLE_READ_SECONDS
 
     async def _read(self, tracker: ServerTracker) -> None:
-        report = await self._control.read_report(tracker.entry, REPORT_TIMEOUT_SECONDS)
+        report = await self._control.read_report(
+            tracker.entry, REPORT_TIMEOUT_SECONDS, on_new_connection=tracker.report is None
+        )
         tracker.reading = False
         tracker.recheck_due = False
         if report is None:
--- a/loomwind/platform/deployment.py
+++ b/loomwind/platform/deployment.py
@@ -6,6 +6,7 @@
 from loomwind.platform.documents import PlatformDocumentParser
 from loomwind.platform.engine import PlatformEngineControl
 from loomwind.platform.store import PlatformStore
+from loomwind.serving.clients import PoolClients
 from loomwind.serving.daemon import Deployment, PoolDaemon
 from loomwind.settings import Settings, StoreSettings
 
@@ -13,11 +14,17 @@
 def create_pool_daemon(settings: Settings, store: StoreSettings) -> PoolDaemon:
     """Return a pool daemon that uses the given store of the platform."""
     connector = Connector(settings.address_overrides, user_timeout_ms=constants.TCP_USER_TIMEOUT_MS)
-    client = HttpClient(connector)
+    clients = PoolClients(
+        requests=HttpClient(connector),
+        reports=HttpClient(connector),
+        unpooled=HttpClient(connector, max_idle_per_address=0),
+        peers=HttpClient(connector),
+        store=HttpClient(connector),
+    )
     deployment = Deployment(
-        store=PlatformStore(client, store.address, store.timeout_seconds),
+        store=PlatformStore(clients.store, store.address, store.timeout_seconds),
         documents=PlatformDocumentParser(),
         dialect=PlatformDialect(),
-        engine_control=PlatformEngineControl(client),
+        engine_control=PlatformEngineControl(clients.reports, clients.unpooled),
     )
-    return PoolDaemon(settings, deployment, client)
+    return PoolDaemon(settings, deployment, clients)
--- a/loomwind/platform/engine.py
+++ b/loomwind/platform/engine.py
@@ -72,16 +72,26 @@
 
 
 class PlatformEngineControl(EngineControl):
-    """Reads reports and sends orders over pooled HTTP connections."""
+    """Reads reports over connections of their own, and sends each order over a new connection."""
 
-    def __init__(self, http: HttpClient) -> None:
-        self._http = http
+    def __init__(self, reports: HttpClient, unpooled: HttpClient) -> None:
+        """Create the control of servers, whose responses do not name the order or report.
 
-    async def read_report(self, entry: ServerEntry, timeout: float) -> ServerReport | None:
+        :param reports: used for nothing else, so that a surplus response on a reused connection is
+            an earlier report.
+        :param unpooled: a client without idle connections.
+        """
+        self._reports = reports
+        self._unpooled = unpooled
+
+    async def read_report(
+        self, entry: ServerEntry, timeout: float, on_new_connection: bool = False
+    ) -> ServerReport | None:
         """Return a server's report; see :meth:`EngineControl.read_report`."""
         headers = ((EXPECT_INSTANCE, entry.name),)
+        client = self._unpooled if on_new_connection else self._reports
         try:
-            response = await self._http.request(
+            response = await client.request(
                 entry.address, HttpRequest("GET", "/report", headers), timeout, MAX_REPORT_BYTES
             )
             if response.status != 200 or _is_other_server(response, entry):
@@ -110,7 +120,9 @@
         headers = ((EXPECT_INSTANCE, entry.name), ("content-type", "application/json"))
         request = HttpRequest("POST", "/order", headers, msgspec.json.encode(body))
         try:
-            response = await self._http.request(entry.address, request, timeout, MAX_REPORT_BYTES)
+            response = await self._unpooled.request(
+                entry.address, request, timeout, MAX_REPORT_BYTES
+            )
         except ConnectFailed:
             return OrderAnswer.REJECTED
         except HttpError:
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -11,7 +11,7 @@
 from loomwind import constants
 from loomwind.admin import AdminServer
 from loomwind.clock import MS_PER_SECOND, Clock
-from loomwind.http.client import Connector, HttpClient
+from loomwind.http.client import Connector
 from loomwind.http.close_log import CloseLog
 from loomwind.http.server import Exchange, HttpServer
 from loomwind.leadership.election import Election
@@ -24,6 +24,7 @@
 from loomwind.serving.admission import Admission
 from loomwind.serving.anti_entropy import AntiEntropy
 from loomwind.serving.ban_records import BanRecords
+from loomwind.serving.clients import PoolClients
 from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.configuration_polling import ConfigurationPolling
 from loomwind.serving.connectivity_probe import ConnectivityProbe
@@ -102,15 +103,15 @@
     :ivar callers: the HTTP server for callers.
     """
 
-    def __init__(self, settings: Settings, deployment: Deployment, client: HttpClient) -> None:
+    def __init__(self, settings: Settings, deployment: Deployment, clients: PoolClients) -> None:
         """Create a daemon.
 
-        :param client: sends requests to servers and peers; closed when the daemon stops.
+        :param clients: closed when the daemon stops.
         """
         self.settings = settings
         self.metrics = Metrics()
         self.stopping = False
-        self._client = client
+        self._clients = clients
         self._tasks: set[asyncio.Task[None]] = set()
         self._create_store_access(deployment)
         self._create_peer_protocols()
@@ -299,13 +300,13 @@
     def _create_servers(self, deployment: Deployment) -> None:
         """Create request handling and the HTTP servers."""
         forwarder = Forwarder(
-            self._client,
+            self._clients.requests,
             deployment.dialect,
             self._pool.connectivity_of,
             self._pool.accepts_requests,
             self._rejection_limits.observe_response,
         )
-        self._client.on_idle_connection_error = self._pool.record_broken_connection
+        self._clients.watch_idle_server_connections(self._pool.record_broken_connection)
         self._probe = ConnectivityProbe(self._pool, forwarder)
         self._handler = RequestHandler(
             self.settings.zone,
@@ -317,7 +318,7 @@
             PeerRelay(
                 self.settings.zone,
                 self._peers,
-                self._client,
+                self._clients.peers,
                 deployment.dialect,
                 self.metrics,
                 self._configuration_gossip.record_peer_version,
@@ -482,7 +483,7 @@
         self._readiness_server.close()
         self._admin_server.server.close()
         self._transport.close()
-        self._client.close()
+        self._clients.close()
 
     @staticmethod
     def _now() -> float:
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -209,8 +209,14 @@
     """Reads the state of model servers and sends them orders."""
 
     @abstractmethod
-    async def read_report(self, entry: ServerEntry, timeout: float) -> ServerReport | None:
-        """Return a server's report; None when it did not respond."""
+    async def read_report(
+        self, entry: ServerEntry, timeout: float, on_new_connection: bool = False
+    ) -> ServerReport | None:
+        """Return a server's report; None when it did not respond.
+
+        :param on_new_connection: whether to open a connection for it. On one that is reused, an
+            earlier report may come a second time.
+        """
 
     @abstractmethod
     async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
