Ignore a report older than what is known of its server's process

Seen: after an order that failed, a leader took a report of an earlier revision as the state of the server.

Cause: an order that is answered with 409 or 4xx discards the known report and, with it, the known revision. A report that arrives next may be older: reports lag, one may have been read beside the order, and a reused connection may bring an earlier one a second time.

Change: KnownRevision keeps the revision that a process has at least, from reports and from orders that it accepted, as long as the start time of the process is the same. Without a start time a lower revision may be that of a restarted server, and is used as before.

A surplus report of the same revision is harmless: between two orders a server only goes from loading to idle.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -209,7 +209,7 @@
         if tracker.failed_reads:
             return age >= FAILED_READ_RETRY_SECONDS
         if tracker.report is None:
-            return True
+            return age >= BUSY_READ_SECONDS
         operation = tracker.operation
         if operation is not None:
             due = now >= operation.done_at - READ_BEFORE_END_SECONDS
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -1,14 +1,16 @@
 """The leader's state for one instance of a model server. No I/O; time is passed in.
 
-Reports arrive with a delay, so a report with a lower revision than the last accepted order is
-ignored. An unanswered order may be executed much later, but only while the server is still at the
-revision that the order expects; accepting any other order invalidates it.
+Reports arrive with a delay, or a second time, so a report with a lower revision than an earlier one
+or the last accepted order is ignored. An unanswered order may be executed much later, but only
+while the server is still at the revision that the order expects; accepting any other order
+invalidates it.
 """
 
 import math
 
 from msgspec.structs import replace
 
+from loomwind.placement.known_revision import KnownRevision
 from loomwind.placement.report_changes import with_adapter_order, with_loaded, with_loaded_adapter
 from loomwind.placement.server_operation import Operation
 from loomwind.placement.server_state import has_copy, load_seconds, used_mb
@@ -72,6 +74,7 @@
         self.entry = entry
         self.profile = profile
         self.report: ServerReport | None = None
+        self._known_revision = KnownRevision()
         self.read_at = -1e9
         self.operation: Operation | None = None
         self.in_flight: Order | None = None
@@ -102,6 +105,9 @@
         known = self.report
         if known is not None and report.revision < known.revision:
             return False
+        if self._known_revision.is_outdated(report):
+            return False
+        self._known_revision.record_report(report)
         if report.busy and now - self._completed_at < STALE_REPORT_SECONDS:
             return False
         if known is None and report.busy and self.operation is None:
@@ -275,6 +281,7 @@
         :param in_use: whether requests for its target may be running on the server.
         """
         self.in_flight = None
+        self._known_revision.record_answer(order, answer)
         report = self.report
         if report is None:
             return
