Give engines' orders and fences connections of their own

Cause: EngineClient and the clients of the platform's services shared one pool of connections with requests, and took whatever response came. An engine that repeats a response made the next order done, or the next inventory an old one.

Change: a fence and an order have a connection each; probes, requests, the table, the objects and the machine list have a client each.

Evidence: "an order to an engine is not answered by the surplus response to another order" (done, done instead of done, no-memory) and the same for fences (generations 1, 1 instead of 1, 2) failed before the change.

--- a/features/control_exchanges.feature
+++ b/features/control_exchanges.feature
@@ -73,6 +73,16 @@
     And a report of one at 14.8 s still shows the load
     Then the plan is empty
 
+  Scenario: an order to an engine is not answered by the surplus response to another order
+    Given it answers an engine's orders as done, and then as out of memory
+    When two orders are sent to the engine
+    Then the engine's answers are done, no-memory
+
+  Scenario: a fence of an engine is not answered by the surplus response to another fence
+    Given it answers fences with the generations 1 and 2
+    When two fences are raised
+    Then the inventories have the generations 1, 2
+
   Scenario: a daemon that has ended has closed its connections
     Given it has the revision 5, and answers requests with 200
     When a request is served, a report is read, and the daemon ends
--- a/loomwind/daemon.py
+++ b/loomwind/daemon.py
@@ -77,14 +77,24 @@
         self.metrics = Metrics()
         self.stopping = False
         self._connector = Connector(settings.address_overrides)
-        self._client = HttpClient(self._connector)
-        self._engines = EngineClient(self._client)
+        self._clients: list[HttpClient] = []
+        unpooled = HttpClient(self._connector, max_idle_per_address=0)
+        self._engines = EngineClient(self._new_client(), unpooled)
         self._dispatch: PeerDispatch | None = None
         self._controller: Controller | None = None
         self._controller_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.transport = PeerTransport(self._on_message, self._connector, self.metrics)
 
+    def _new_client(self) -> HttpClient:
+        """Return a client that reuses no connection of another; closed with the daemon.
+
+        A back end may repeat a response later, where the next one on that connection is due.
+        """
+        client = HttpClient(self._connector)
+        self._clients.append(client)
+        return client
+
     async def _on_message(self, message: AnyMessage) -> AnyMessage | None:
         return None if self._dispatch is None else await self._dispatch.handle(message)
 
@@ -126,15 +136,19 @@
         if platform.table is None:
             log_state("platform", "no-table-service", warning="state is lost when the process ends")
             return LocalTableService()
-        return HttpTableService(self._client, platform.table, platform.timeout_seconds)
+        return HttpTableService(self._new_client(), platform.table, platform.timeout_seconds)
 
     def _make_control(self) -> None:
         settings = self.settings
         platform = settings.platform
         timeout = platform.timeout_seconds
         table = self._table_service()
-        objects = platform.objects and HttpObjectStore(self._client, platform.objects, timeout)
-        machines = platform.machines and HttpMachineList(self._client, platform.machines, timeout)
+        objects = platform.objects and HttpObjectStore(
+            self._new_client(), platform.objects, timeout
+        )
+        machines = platform.machines and HttpMachineList(
+            self._new_client(), platform.machines, timeout
+        )
         retention = settings.limits.idempotency_retention_seconds
         self.claims = ClaimStore(self.membership.own.identity, retention)
         self.register = RegisterService(
@@ -165,7 +179,7 @@
             lambda: self.catalog.catalog,
             self.membership,
             self.transport,
-            self._client,
+            self._new_client(),
             lambda router: ClaimService(
                 self.membership, self.transport, self.claims, lambda: router.table.update
             ),
@@ -402,4 +416,5 @@
         self.callers.close()
         self.admin.server.close()
         self.transport.close()
-        self._client.close()
+        for client in self._clients:
+            client.close()
--- a/loomwind/engines/client.py
+++ b/loomwind/engines/client.py
@@ -21,10 +21,20 @@
 
 
 class EngineClient:
-    """Sends control requests to engines by address."""
+    """Sends control requests to engines by address.
 
-    def __init__(self, http: HttpClient) -> None:
-        self._http = http
+    A response does not name the order or fence, and an engine may repeat it where the next one on
+    the connection is due; so each of them has a connection of its own.
+    """
+
+    def __init__(self, probes: HttpClient, unpooled: HttpClient) -> None:
+        """Create a client.
+
+        :param probes: reads load reports and is used for nothing else.
+        :param unpooled: a client without idle connections, for fences and orders.
+        """
+        self._probes = probes
+        self._unpooled = unpooled
 
     async def fence(self, address: str, request: FenceRequest, timeout_seconds: float) -> Inventory:
         """Raise an engine's fence and return its inventory.
@@ -51,7 +61,7 @@
         :raises EngineResponseLost: no complete, valid response was received.
         """
         request = HttpRequest("GET", "/v1/status")
-        return await self._exchange(address, request, StatusReport, timeout_seconds)
+        return await self._exchange(self._probes, address, request, StatusReport, timeout_seconds)
 
     async def _post(
         self,
@@ -62,19 +72,21 @@
         timeout_seconds: float,
     ) -> Answer:
         headers = (("content-type", "application/json"),)
+        request = HttpRequest("POST", path, headers, body)
         return await self._exchange(
-            address, HttpRequest("POST", path, headers, body), response_type, timeout_seconds
+            self._unpooled, address, request, response_type, timeout_seconds
         )
 
+    @staticmethod
     async def _exchange(
-        self,
+        client: HttpClient,
         address: str,
         request: HttpRequest,
         response_type: type[Answer],
         timeout_seconds: float,
     ) -> Answer:
         try:
-            response = await self._http.request(address, request, timeout_seconds)
+            response = await client.request(address, request, timeout_seconds)
             return decode_json(response.body, response_type)
         except ConnectRefused as error:
             raise EngineUnreachable(str(error), refused=True) from error
