--- a/loomwind/platform/deployment.py
+++ b/loomwind/platform/deployment.py
@@ -2,7 +2,7 @@
 
 from loomwind import constants
 from loomwind.http.client import Connector, HttpClient
-from loomwind.platform.dialect import PlatformDialect
+from loomwind.platform.dialect import REQUEST_ID, PlatformDialect
 from loomwind.platform.documents import PlatformDocumentParser
 from loomwind.platform.engine import PlatformEngineControl
 from loomwind.platform.store import PlatformStore
@@ -15,7 +15,7 @@
     """Return a pool daemon that uses the given store of the platform."""
     connector = Connector(settings.address_overrides, user_timeout_ms=constants.TCP_USER_TIMEOUT_MS)
     clients = PoolClients(
-        requests=HttpClient(connector),
+        requests=HttpClient(connector, id_header=REQUEST_ID),
         reports=HttpClient(connector),
         unpooled=HttpClient(connector, max_idle_per_address=0),
         peers=HttpClient(connector),
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -50,6 +50,7 @@
 from loomwind.serving.replicated_state import ReplicatedState
 from loomwind.serving.resumption import Resumption
 from loomwind.serving.server_list import ServerListFollower
+from loomwind.serving.surplus_log import SurplusLog
 from loomwind.serving.version_registrar import VersionRegistrar
 from loomwind.settings import BoundSettings, ListenSettings, Settings, StoreSettings
 
@@ -307,6 +308,8 @@
             self._rejection_limits.observe_response,
         )
         self._clients.watch_idle_server_connections(self._pool.record_broken_connection)
+        surplus_log = SurplusLog(self.metrics.surplus_responses)
+        self._clients.requests.on_surplus_response = surplus_log.record
         self._probe = ConnectivityProbe(self._pool, forwarder)
         self._handler = RequestHandler(
             self.settings.zone,
