--- a/loomwind/platform/deployment.py
+++ b/loomwind/platform/deployment.py
@@ -6,6 +6,7 @@
 from loomwind.platform.documents import PlatformDocumentParser
 from loomwind.platform.engine import PlatformEngineControl
 from loomwind.platform.store import PlatformStore
+from loomwind.serving.clients import PoolClients
 from loomwind.serving.daemon import Deployment, PoolDaemon
 from loomwind.settings import Settings, StoreSettings
 
@@ -13,14 +14,17 @@
 def create_pool_daemon(settings: Settings, store: StoreSettings) -> PoolDaemon:
     """Return a pool daemon that uses the given store of the platform."""
     connector = Connector(settings.address_overrides, user_timeout_ms=constants.TCP_USER_TIMEOUT_MS)
-    # Responses of the store, and of servers to orders and for reports, name no request.
-    control_client = HttpClient(connector)
+    clients = PoolClients(
+        requests=HttpClient(connector, id_header=REQUEST_ID),
+        reports=HttpClient(connector),
+        unpooled=HttpClient(connector, max_idle_per_address=0),
+        peers=HttpClient(connector),
+        store=HttpClient(connector),
+    )
     deployment = Deployment(
-        store=PlatformStore(control_client, store.address, store.timeout_seconds),
+        store=PlatformStore(clients.store, store.address, store.timeout_seconds),
         documents=PlatformDocumentParser(),
         dialect=PlatformDialect(),
-        engine_control=PlatformEngineControl(control_client),
-    )
-    return PoolDaemon(
-        settings, deployment, HttpClient(connector, id_header=REQUEST_ID), HttpClient(connector)
+        engine_control=PlatformEngineControl(clients.reports, clients.unpooled),
     )
+    return PoolDaemon(settings, deployment, clients)
