--- a/loomwind/serving/final_errors.py
+++ b/loomwind/serving/final_errors.py
@@ -3,8 +3,18 @@
 from loomwind.http.server import Exchange
 from loomwind.serving.errors import RETRY_SOON_SECONDS, Refused, StreamTruncated
 from loomwind.serving.request_log import RequestProgress
+from loomwind.serving.views import RouteRule
 
-NOT_RUN_STATUSES = frozenset({503})
+# Those that promise callers that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+def is_false_promise(status: int, route: RouteRule) -> bool:
+    """Whether a server's answer to a request that ran would have its caller send it again.
+
+    A caller may do so for a request that can be repeated.
+    """
+    return status in NOT_RUN_STATUSES and not route.repeatable
 
 
 class FinalErrors:
@@ -17,7 +27,7 @@
     @property
     def has_not_run(self) -> bool:
         """Whether no server can have run the request and no response has begun."""
-        return not (self._progress.may_have_run or self._exchange.started)
+        return self._progress.has_not_run and not self._exchange.started
 
     def failure(
         self, reason: str, retry_after_seconds: float | None = RETRY_SOON_SECONDS
@@ -25,18 +35,18 @@
         """Return the error after a failure: 503 with Retry-After only if it has not run."""
         if self._exchange.started:
             return StreamTruncated(reason)
-        if self._progress.may_have_run:
-            return Refused(502, reason)
-        return Refused(503, reason, retry_after_seconds)
+        if self._progress.has_not_run:
+            return Refused(503, reason, retry_after_seconds)
+        return Refused(502, reason)
 
     def timeout(self) -> Refused | StreamTruncated:
         """Return the error when the time is over; a server may still run the request."""
         if self._exchange.started:
             return StreamTruncated("the time is over")
-        if self._progress.may_have_run or self._progress.outcome_pending:
-            return Refused(504, "no answer in time")
-        detail = "no server could take the request in time"
-        return Refused(503, detail, RETRY_SOON_SECONDS)
+        if self._progress.has_not_run:
+            detail = "no server could take the request in time"
+            return Refused(503, detail, RETRY_SOON_SECONDS)
+        return Refused(504, "no answer in time")
 
     def peer_refusal(self, refusal: Refused) -> Refused | StreamTruncated:
         """Return the error for a peer's refusal: earlier attempts, unknown to it, may have run."""
