Skip a response to another request by that request's method

Callers got 502 for a request that its server had run and answered, where a late copy of a response to HEAD came first, or one with a body before the answer to HEAD. Whether a response has a body follows from the method of its request, and a skipped one was read by that of the waiting request: the answer was taken for its body, or its body for the next head.

A connection knows the methods of the requests that it carried, and reads a skipped response again by the right one. A response to a request that came over another connection is taken for one of the same method.

--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -12,6 +12,7 @@
 
 import h11
 from attrs import frozen
+from msgspec.structs import replace
 
 from loomwind import constants
 from loomwind.http.errors import (
@@ -31,6 +32,7 @@
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
 # Ends a server's repetitions of them; one that reports progress sends one every few seconds.
 MAX_INFORMATIONAL_RESPONSES = 64
+HEAD_METHOD = "HEAD"
 # A new connection costs less than to go on after so many.
 MAX_SURPLUS_RESPONSES = 16
 # Bounds the memory for the ids of a connection's requests; a new connection costs little then.
@@ -94,7 +96,8 @@
         self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
         self.exchange_count = 0
         self._id_header = id_header
-        self._request_ids: set[str] = set()
+        # The methods of the requests that were sent, by their ids.
+        self._methods: dict[str, str] = {}
         self._request: HttpRequest | None = None
         self._request_id = ""
         self._had_surplus = False
@@ -177,7 +180,7 @@
         self.exchange_count += 1
         self._request, self._request_id = request, request_id
         if request_id:
-            self._request_ids.add(request_id)
+            self._methods[request_id] = request.method
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
@@ -190,7 +193,7 @@
         """
         if not self._id_header:
             return False
-        return request_id in self._request_ids if request_id else self.exchange_count > 0
+        return request_id in self._methods if request_id else self.exchange_count > 0
 
     async def _next_event(self) -> object:
         while True:
@@ -249,13 +252,14 @@
         :raises ExchangeTimeout: the read was aborted.
         """
         for _ in range(MAX_SURPLUS_RESPONSES + 1):
-            head = await self._read_any_head()
+            event = await self._read_response_event()
+            head = _decode_head(event)
             if self._is_own(head):
                 self._note_keep_alive(head)
                 return head
             self._report_surplus(head)
-            await self._skip_body()
-            self._expect_response()
+            await self._skip_body(event)
+            self._restart_parser(self._sent_request())
         raise ConnectionBroken("too many responses to other requests")
 
     def _is_own(self, head: HttpResponse) -> bool:
@@ -271,7 +275,7 @@
                 )
             )
 
-    async def _read_any_head(self) -> HttpResponse:
+    async def _read_response_event(self) -> h11.Response:
         event = await self._next_event()
         informational_count = 0
         while not isinstance(event, h11.Response):
@@ -281,33 +285,44 @@
             if informational_count > MAX_INFORMATIONAL_RESPONSES:
                 raise ConnectionBroken("too many informational responses")
             event = await self._next_event()
-        headers: Headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers
-        )
-        return HttpResponse(event.status_code, headers)
+        return event
 
-    async def _skip_body(self) -> None:
+    def _sent_request(self) -> HttpRequest:
+        assert self._request is not None
+        return self._request
+
+    async def _skip_body(self, event: h11.Response) -> None:
+        """Discard the body of a response to another request, whose method decides if it has one.
+
+        A request that came over another connection is taken for one of the same method.
+        """
+        sent = self._sent_request()
+        response_id = _decode_head(event).header(self._id_header) or ""
+        method = self._methods.get(response_id, sent.method)
+        if (method == HEAD_METHOD) != (sent.method == HEAD_METHOD):
+            self._restart_parser(replace(sent, method=method), _encode_head(event))
+            await self._read_response_event()
         skipped_bytes = 0
         while data := await self._read_data():
             skipped_bytes += len(data)
             if skipped_bytes > constants.MAX_BODY_BYTES:
                 raise ConnectionBroken("the response to another request is too large")
 
-    def _expect_response(self) -> None:
-        """Make the next response readable after one that was skipped.
+    def _restart_parser(self, request: HttpRequest, data: bytes = b"") -> None:
+        """Read the bytes that have arrived, and follow, as the response to a request.
+
+        A new h11 parser is put into the state after sending the request.
 
-        A new h11 parser is put into the state after sending the request, and takes over the bytes
-        that have arrived already.
+        :param data: bytes to be read before them.
         """
-        assert self._request is not None
         trailing_data, closed = self._h11.trailing_data
         self._h11 = _new_parser()
         with map_exceptions(PROTOCOL_EXCEPTIONS):
-            self._h11.send(_head_event(self._request, self.address))
-            self._h11.send(h11.Data(data=self._request.body))
+            self._h11.send(_head_event(request, self.address))
+            self._h11.send(h11.Data(data=request.body))
             self._h11.send(h11.EndOfMessage())
-        if trailing_data:
-            self._h11.receive_data(trailing_data)
+        if data + trailing_data:
+            self._h11.receive_data(data + trailing_data)
         if closed and not self._reset:
             self._h11.receive_data(b"")
 
@@ -361,7 +376,7 @@
     def _is_reusable(self) -> bool:
         """Whether the exchange has ended such that nothing more of it can come."""
         is_complete = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        is_exhausted = self._had_surplus or len(self._request_ids) >= MAX_IDENTIFIED_EXCHANGES
+        is_exhausted = self._had_surplus or len(self._methods) >= MAX_IDENTIFIED_EXCHANGES
         has_more = self._disconnected or bool(self._h11.trailing_data[0])
         return is_complete and not is_exhausted and not has_more
 
@@ -372,6 +387,20 @@
             self._transport.abort()
 
 
+def _decode_head(event: h11.Response) -> HttpResponse:
+    headers: Headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers
+    )
+    return HttpResponse(event.status_code, headers)
+
+
+def _encode_head(event: h11.Response) -> bytes:
+    """Return the bytes of a head that was parsed."""
+    lines = [b"HTTP/%b %d %b" % (event.http_version, event.status_code, event.reason)]
+    lines += [b"%b: %b" % (name, value) for name, value in event.headers]
+    return b"\r\n".join([*lines, b"", b""])
+
+
 def _new_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=constants.MAX_HEAD_BYTES)
 
