Drop connections from the pool when they end

A pool kept idle connections that their server had closed until a request went to the same address, up to 64 an address and for ever for servers that are gone, with the ids of their requests. Ended ones also counted as idle, so that a good connection could be closed for want of room.

Evidence: response_order, "a pool keeps connections that their server has ended", failed before and passes.

--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -1,6 +1,7 @@
 """Opens HTTP/1.1 client connections, and pools them for reuse."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Callable
 
@@ -93,8 +94,16 @@
         """
         connection = await self._connector.open(address, timeout, self._id_header)
         connection.on_surplus_response = self.on_surplus_response
+        connection.on_end = self._forget
         return connection
 
+    def _forget(self, connection: ClientConnection) -> None:
+        idle = self._idle.get(connection.address, deque())
+        with contextlib.suppress(ValueError):
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(connection.address, None)
+
     def take_idle(self, address: str, request_id: str = "") -> ClientConnection | None:
         """Remove and return an idle connection that has not expired, or None.
 
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -79,6 +79,7 @@
         it; None if the server has announced no keep-alive timeout.
     :ivar on_idle_connection_error: see :class:`HttpClient`.
     :ivar on_surplus_response: called with each response that is skipped.
+    :ivar on_end: called once it has ended.
     :ivar exchange_count: the number of requests that were sent on it.
     """
 
@@ -94,6 +95,7 @@
         self.expires_at: float | None = None
         self.on_idle_connection_error: Callable[[str], None] | None = None
         self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
+        self.on_end: Callable[[ClientConnection], None] | None = None
         self.exchange_count = 0
         self._id_header = id_header
         # The methods of the requests that were sent, by their ids.
@@ -155,6 +157,8 @@
             self.state = ClientState.CLOSED
             if self._reset and self.on_idle_connection_error is not None:
                 self.on_idle_connection_error(self.address)
+        if self.on_end is not None:
+            self.on_end(self)
         self._wake()
 
     def _wake(self) -> None:
