Stand-ins: send any response a second time, late, on its connection

The surplus response of the stand-in servers is always a 200 with a body of two bytes and a foreign id, so no scenario met a copy of a rejection, of a response without a body, of a stream, or of one to an order. The fault repeat_share sends any response once more, byte for byte, before the next one of the connection is due: while it is idle, when the next request comes, in one write with the next response, or in pieces around that. repeat_seed fixes the choices.

Orders and the statuses that were given to them go to a file beside the runs. Responses to misdirected requests and stamps now carry the request's id.

--- a/standins/pool/faults.py
+++ b/standins/pool/faults.py
@@ -20,6 +20,9 @@
         ``cut`` by the end of the connection; empty for a response without a body.
     :param surplus: send a second response after each one, which a client could take for the
         response to its next request.
+    :param repeat_share: the share of responses that are sent a second time, byte for byte, before
+        the response to the next request on their connection.
+    :param repeat_seed: of the choice of these responses, and of when each is sent.
     :param cut_after_events: truncate a stream inside the event after this many; 0 disables it.
     :param head_share: send only this share of a response's head and close; 1 disables it.
     :param has_no_events: a stream ends, by its connection, after its head.
@@ -49,6 +52,8 @@
     late_after: str = ""
     refusal_body: str = ""
     surplus: bool = False
+    repeat_share: float = 0.0
+    repeat_seed: int = 0
     cut_after_events: int = 0
     head_share: float = 1.0
     has_no_events: bool = False
--- a/standins/pool/server.py
+++ b/standins/pool/server.py
@@ -17,15 +17,17 @@
 from loomwind.http.client import Connector, HttpClient
 from loomwind.http.errors import HttpError
 from loomwind.http.messages import Headers, HttpRequest
-from loomwind.http.server import Exchange, HttpServer
+from loomwind.http.server import Exchange
 from standins.close_delimited import end_close_delimited, start_close_delimited
 from standins.endless import send_endless_line
 from standins.faults import json_response
 from standins.pool.faults import ServerFaults
 from standins.pool.holdings import Holdings, ModelSpec, OrderBody
 from standins.pool.late_failures import fail_late
+from standins.pool.order_log import OrderLog
 from standins.pool.places import Places
 from standins.pool.refusals import refuse
+from standins.pool.repeats import RepeatingHttpServer
 from standins.pool.run_log import RunLog
 
 HEARTBEAT_INTERVAL_SECONDS = 0.2
@@ -56,9 +58,10 @@
         self.holdings = holdings
         self.faults = ServerFaults()
         self.run_log = RunLog(run_log)
+        self.order_log = OrderLog(run_log)
         self.orders: list[OrderBody] = []
         self.endless_reports = 0
-        self.server = HttpServer(self._serve)
+        self.server = RepeatingHttpServer(self._serve)
         self._store = store
         self._client = HttpClient(Connector())
         self.crash_times_s: list[float] = []
@@ -123,12 +126,12 @@
             exchange.abort()
         elif request.path == "/_fault":
             self.faults = msgspec.json.decode(request.body, type=ServerFaults)
+            self.server.repeater.configure(self.faults.repeat_share, self.faults.repeat_seed)
             await self._respond_json(exchange, 200, self.faults)
         elif request.path == "/_state":
             await self._respond_json(exchange, 200, self._state())
         elif request.header("x-expect-instance") not in (None, self.instance):
-            headers = (("x-instance-id", self.instance),)
-            await exchange.respond(421, headers, b"")
+            await self._respond_misdirected(exchange, request)
         elif request.path == "/report":
             await self._send_report(exchange)
         elif request.path == "/order":
@@ -136,6 +139,12 @@
         else:
             await self._run_request(exchange, request)
 
+    async def _respond_misdirected(self, exchange: Exchange, request: HttpRequest) -> None:
+        headers: Headers = (("x-instance-id", self.instance),)
+        if request_id := request.header("x-request-id"):
+            headers += (("x-request-id", request_id),)
+        await exchange.respond(421, headers, b"")
+
     async def _respond_json(self, exchange: Exchange, status: int, value: object) -> None:
         response = json_response(value, status)
         await exchange.respond(status, response.headers, response.body)
@@ -157,6 +166,7 @@
             "crash_body_times_s": self.crash_body_times_s,
             "fall_times_s": self.fall_times_s,
             "rejection_times_s": self.places.rejection_times_s,
+            "repeats": self.server.repeater.sent,
         }
 
     async def _send_report(self, exchange: Exchange) -> None:
@@ -194,6 +204,7 @@
             exchange.abort()
         else:
             status = self.holdings.apply_order(body, self._now())
+            self.order_log.add(self.instance, body, status, self.holdings)
             await exchange.respond(status, (), b"")
 
     async def _apply_order_late(self, body: OrderBody) -> None:
@@ -256,7 +267,12 @@
         ):
             self._crash_on_body()
             return
-        headers += (("x-response-stamp", f"{self.instance}.{uuid.uuid4().hex[:6]}"),)
+        headers += (
+            (
+                "x-response-stamp",
+                f"{self.instance}.{request.header('x-request-id')}.{uuid.uuid4().hex[:6]}",
+            ),
+        )
         if self.faults.head_share < 1:
             self._cut_head(exchange, request, headers)
             return
