--- a/features/support/pause_soak.py
+++ b/features/support/pause_soak.py
@@ -88,10 +88,10 @@
     record.read_runs()
     record.read_logs()
     findings = {name: check(record) for name, check in CHECKS.items()}
-    summary = _summary(record, options)
+    summary = summarize(record, options)
     logs = None
     if options.keep is not None and any(findings.values()):
-        logs = _keep(record, options.keep / f"seed-{options.seed}", findings, summary)
+        logs = keep_logs(record, options.keep / f"seed-{options.seed}", findings, summary)
     site.close()
     return SoakResult(findings, summary, logs)
 
@@ -110,14 +110,14 @@
     futures = [site.callers.run(caller.run) for caller in callers]
     try:
         strike_for(options.seconds, faults)
-        _recover(record, faults.end)
+        recover(record, faults.end)
     finally:
         stopping.set()
     for future in futures:
         future.result()
     record.own_ends = faults.own_ends
     for name in site.daemons:
-        _recover(record, functools.partial(_wait_until_serving, site, name))
+        recover(record, functools.partial(wait_until_serving, site, name))
     return record
 
 
@@ -136,14 +136,19 @@
         site.servers[name].fault(work_seconds=WORK_SECONDS)
 
 
-def _recover(record: SoakRecord, wait: Callable[[], None]) -> None:
+def recover(record: SoakRecord, wait: Callable[[], None]) -> None:
+    """Wait for what comes back after the faults, and record what does not."""
     try:
         wait()
     except AssertionError as error:
         record.not_recovered.append(str(error))
 
 
-def _wait_until_serving(site: PoolSite, name: str) -> None:
+def wait_until_serving(site: PoolSite, name: str) -> None:
+    """Wait until a daemon serves a request on each permanent route.
+
+    :raises AssertionError: it never did.
+    """
     failed: list[str] = []
 
     def is_serving() -> bool:
@@ -156,7 +161,8 @@
         raise AssertionError(f"{error}: {failed}") from error
 
 
-def _summary(record: SoakRecord, options: SoakOptions) -> str:
+def summarize(record: SoakRecord, options: SoakOptions) -> str:
+    """Return the figures of a soak in a line."""
     statuses = Counter(f"{a.route.name} {a.reply.status}" for a in record.attempts)
     faults = Counter(text.split(" ", 1)[-1].split(" for ")[0][:22] for _, text in record.events)
     return (
@@ -167,7 +173,9 @@
     )
 
 
-def _keep(record: SoakRecord, folder: Path, findings: dict[str, list[str]], summary: str) -> Path:
+def keep_logs(
+    record: SoakRecord, folder: Path, findings: dict[str, list[str]], summary: str
+) -> Path:
     """Keep the logs, the faults in order, and what was found; return the folder."""
     shutil.rmtree(folder, ignore_errors=True)
     shutil.copytree(record.folder, folder)
