--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from loomwind.http.client_connection import ClientConnection, ClientState
+from loomwind.http.client_connection import ClientConnection, ClientState, SurplusResponse
 from loomwind.http.errors import (
     CONNECT_EXCEPTIONS,
     ConnectionBroken,
@@ -37,9 +37,10 @@
         host, _, port = self._overrides.get(address, address).rpartition(":")
         return host, int(port)
 
-    async def open(self, address: str, timeout: float) -> ClientConnection:
+    async def open(self, address: str, timeout: float, id_header: str = "") -> ClientConnection:
         """Open one HTTP connection.
 
+        :param id_header: see :class:`HttpClient`.
         :raises ConnectFailed: it could not be opened within ``timeout`` seconds.
         """
         host, port = self.resolve(address)
@@ -47,7 +48,7 @@
         with map_exceptions(CONNECT_EXCEPTIONS):
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(address, self.user_timeout_ms), host, port
+                    lambda: ClientConnection(address, self.user_timeout_ms, id_header), host, port
                 )
         return connection
 
@@ -57,40 +58,65 @@
 
     :ivar on_idle_connection_error: called with the address of an idle connection that is reset or
         whose peer stops acknowledging; not called for an orderly close.
+    :ivar on_surplus_response: called with each response that belongs to another request.
     """
 
-    def __init__(self, connector: Connector, max_idle_per_address: int = 64) -> None:
+    def __init__(
+        self, connector: Connector, max_idle_per_address: int = 64, id_header: str = ""
+    ) -> None:
+        """Create a pool.
+
+        :param max_idle_per_address: 0 gives each exchange a connection of its own.
+        :param id_header: the header, in lower case, of a request that its response repeats; empty
+            if responses name no request. It has to be unique among the requests to an address,
+            except that a request may be sent again.
+        """
         self._connector = connector
+        self._id_header = id_header
         self._max_idle_per_address = max_idle_per_address
         self._idle: dict[str, deque[ClientConnection]] = {}
         self.on_idle_connection_error: Callable[[str], None] | None = None
+        self.on_surplus_response: Callable[[SurplusResponse], None] | None = None
 
-    async def acquire(self, address: str, timeout: float) -> ClientConnection:
+    async def acquire(self, address: str, timeout: float, request_id: str = "") -> ClientConnection:
         """Return an idle connection, or open one.
 
+        :param request_id: see :meth:`take_idle`.
         :raises ConnectFailed: none could be opened within ``timeout`` seconds.
         """
-        return self.take_idle(address) or await self.open(address, timeout)
+        return self.take_idle(address, request_id) or await self.open(address, timeout)
 
     async def open(self, address: str, timeout: float) -> ClientConnection:
         """Open a new connection.
 
         :raises ConnectFailed: it could not be opened within ``timeout`` seconds.
         """
-        return await self._connector.open(address, timeout)
+        connection = await self._connector.open(address, timeout, self._id_header)
+        connection.on_surplus_response = self.on_surplus_response
+        return connection
 
-    def take_idle(self, address: str) -> ClientConnection | None:
-        """Remove and return an idle connection that has not expired, or None."""
-        idle = self._idle.get(address)
+    def take_idle(self, address: str, request_id: str = "") -> ClientConnection | None:
+        """Remove and return an idle connection that has not expired, or None.
+
+        :param request_id: the id of the request that is to be sent; a connection that has carried
+            the same request is not returned.
+        """
+        idle = self._idle.get(address, deque())
         now = asyncio.get_running_loop().time()
-        while idle:
+        unsuitable: list[ClientConnection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
             if connection.state is not ClientState.IDLE:
                 continue
-            if connection.expires_at is None or now < connection.expires_at:
-                return connection
-            connection.close()
-        return None
+            if connection.expires_at is not None and now >= connection.expires_at:
+                connection.close()
+            elif connection.has_carried(request_id):
+                unsuitable.append(connection)
+            else:
+                found = connection
+        idle.extend(reversed(unsuitable))
+        return found
 
     def has_idle(self, address: str) -> bool:
         """Return whether there is an open idle connection to an address."""
@@ -122,12 +148,12 @@
         :raises ConnectionBroken: the connection broke, or the body exceeds ``max_bytes``; the
             request may have run.
         """
-        connection = await self.acquire(address, timeout)
+        request_id = request.header(self._id_header) or ""
+        connection = await self.acquire(address, timeout, request_id)
         try:
             async with asyncio.timeout(timeout):
                 connection.send_request(request)
                 head = await connection.read_head()
-                connection.note_keep_alive(head)
                 body = bytearray()
                 while data := await connection.read_body():
                     body += data
