--- a/features/support/surplus_soak.py
+++ b/features/support/surplus_soak.py
@@ -48,7 +48,7 @@
 # Deadlines of requests; the shortest end while a request is refused again and again.
 DEADLINES_SECONDS = (1.5, 3.0, 8.0)
 TARGETS = (MODEL, MODEL, f"{MODEL}/a1", f"{MODEL}/a2", "m2", "m2/a1", "m3", "m4")
-SURPLUS_CHECKS: dict[str, Callable[[SoakRecord], list[str]]] = CHECKS | {
+REPEAT_CHECKS: dict[str, Callable[[SoakRecord], list[str]]] = {
     "refused and ran": refused_runs,
     "foreign": foreign_answers,
     "lost": lost_answers,
@@ -125,7 +125,7 @@
         site.end_processes()
     record.read_runs()
     record.read_logs()
-    findings = {name: check(record) for name, check in SURPLUS_CHECKS.items()}
+    findings = {name: check(record) for name, check in (CHECKS | REPEAT_CHECKS).items()}
     counts = {name: len(each) for name, each in findings.items() if each}
     summary = (
         f"{summarize(record, options)}; share {share:g}, copies of the last processes "
