--- a/features/steps/surplus_response_steps.py
+++ b/features/steps/surplus_response_steps.py
@@ -21,6 +21,9 @@
     request_handler,
 )
 from features.support.raw_client import RawReply, exchange_bytes, parse_replies
+from loomwind.http.client_connection import ClientConnection
+from loomwind.serving.forwarder import Forwarder
+from loomwind.serving.views import ServerEntry
 
 REQUEST_ID = "r1"
 SECOND_ID = "r2"
@@ -101,6 +104,7 @@
     script: Script
     requests: list[ReceivedRequest] = field(factory=list)
     runs: list[str] = field(factory=list)
+    ends_kept_connections: bool = False
     _writers: list[asyncio.StreamWriter] = field(factory=list)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -168,6 +172,12 @@
     context.server = ScriptedServer(respond)
 
 
+@given("a daemon and a server that ends each kept connection that a request is to be sent on")
+def step_ended_connections(context: Any) -> None:
+    context.server = ScriptedServer(lambda requests: (_answer(requests[-1]),))
+    context.server.ends_kept_connections = True
+
+
 @given("a daemon and a server that repeats its first answer on a connection before the second")
 def step_repeated_answer(context: Any) -> None:
     def respond(requests: list[ReceivedRequest]) -> Pieces:
@@ -212,7 +222,10 @@
     await daemon.callers.start(LOCALHOST, 0)
     apply_configuration(daemon, configuration(1, {"book": SERVICE}))
     apply_server(daemon, listener.sockets[0].getsockname()[1])
-    request_handler(daemon).pool.retry_budget(SERVICE).set_allowance(RETRY_ALLOWANCE)
+    handler = request_handler(daemon)
+    handler.pool.retry_budget(SERVICE).set_allowance(RETRY_ALLOWANCE)
+    if server.ends_kept_connections:
+        _end_kept_connections(handler.forwarder)
     try:
         yield daemon.callers.port
     finally:
@@ -221,6 +234,19 @@
         await server.close()
 
 
+def _end_kept_connections(forwarder: Forwarder) -> None:
+    """Let a surplus byte arrive on each kept connection once it was chosen for a request."""
+    connect = forwarder.connect
+
+    async def connect_and_receive(entry: ServerEntry, request_id: str) -> ClientConnection:
+        connection = await connect(entry, request_id)
+        if connection.exchange_count:
+            connection.data_received(b"H")
+        return connection
+
+    forwarder.connect = connect_and_receive  # type: ignore[method-assign]
+
+
 @then("the caller gets the answer of the server")
 def step_answer(context: Any) -> None:
     reply: RawReply = context.reply
--- a/features/surplus_responses.feature
+++ b/features/surplus_responses.feature
@@ -53,3 +53,8 @@
       | POST  | POST   |
       | HEAD  | POST   |
       | POST  | HEAD   |
+
+  Scenario: a request fails because its connection ended before it was sent
+    Given a daemon and a server that ends each kept connection that a request is to be sent on
+    When a caller sends it POST, and another one POST
+    Then each caller gets the answer of the server
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -20,6 +20,7 @@
     REQUEST_EXCEPTIONS,
     BodyTruncated,
     ConnectionBroken,
+    ConnectionEnded,
     ExchangeTimeout,
     RequestRepeated,
     ResponseMissing,
@@ -170,14 +171,14 @@
 
         :raises UnsendableRequest: the request is invalid; the connection can still be used.
         :raises RequestRepeated: it was sent on this connection before; nothing was sent.
-        :raises ConnectionBroken: the connection is closed.
+        :raises ConnectionEnded: the connection is closed; nothing was sent.
         """
         request_id = request.header(self._id_header) or ""
         if self.has_carried(request_id):
             raise RequestRepeated(f"request {request_id} was sent on this connection before")
         if self._transport is None or self._disconnected or self._transport.is_closing():
             self.close()
-            raise ConnectionBroken("the connection has ended")
+            raise ConnectionEnded("the connection ended before the request was sent")
         with map_exceptions(REQUEST_EXCEPTIONS):
             head = _head_event(request, self.address)
         self.state = ClientState.ACTIVE
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -28,6 +28,10 @@
     """The connection has carried the request before; nothing was sent."""
 
 
+class ConnectionEnded(HttpError):
+    """The connection ended before the request was sent on it; nothing was sent."""
+
+
 class ConnectionBroken(HttpError):
     """The connection ended or violated the protocol after data may have been sent."""
 
--- a/loomwind/pipeline/forward.py
+++ b/loomwind/pipeline/forward.py
@@ -18,7 +18,7 @@
 )
 from loomwind.http.client import HttpClient
 from loomwind.http.client_connection import ClientConnection
-from loomwind.http.errors import ConnectFailed, HttpError
+from loomwind.http.errors import ConnectFailed, ConnectionEnded, HttpError
 from loomwind.http.messages import (
     Headers,
     HttpRequest,
@@ -95,6 +95,9 @@
             attempt.request_sent = True
             connection.send_request(request)
             head = await connection.read_head()
+        except ConnectionEnded as error:
+            attempt.request_sent = False
+            raise AttemptFailed(str(error), Outcome.NOT_RUN) from error
         except HttpError as error:
             connection.close()
             raise AttemptFailed(str(error), Outcome.UNKNOWN) from error
--- a/loomwind/serving/errors.py
+++ b/loomwind/serving/errors.py
@@ -17,7 +17,8 @@
     :param other_instance: another instance of the server responds at its address.
     :param at_fault: whether the failure counts against the server.
     :param unreachable: whether no connection could be made.
-    :param not_sent: whether nothing was sent, because the server started to leave.
+    :param not_sent: whether nothing was sent, because the server started to leave, or a kept
+        connection to it ended.
     :param broken: whether the connection failed before the response was complete.
     :param no_permit: whether nothing was sent, because the server has no place.
     :param rejected: whether the server had no place for the request, or is loading or unloading
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -10,7 +10,7 @@
 from loomwind.clock import MS_PER_SECOND, Clock
 from loomwind.http.client import HttpClient
 from loomwind.http.client_connection import ClientConnection
-from loomwind.http.errors import ConnectFailed, HttpError, UnsendableRequest
+from loomwind.http.errors import ConnectFailed, ConnectionEnded, HttpError, UnsendableRequest
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.serving.connectivity import ServiceConnectivity
 from loomwind.serving.errors import SendFailed
@@ -126,6 +126,10 @@
         except UnsendableRequest as error:
             self._client.release(connection)
             raise SendFailed(f"{entry.instance}: {error}", may_have_run=False) from error
+        except ConnectionEnded as error:
+            raise SendFailed(
+                f"{entry.instance}: {error}", may_have_run=False, at_fault=False, not_sent=True
+            ) from error
         except HttpError as error:
             connection.close()
             raise SendFailed(
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -12,7 +12,7 @@
 from loomwind.clock import Clock
 from loomwind.http.client import HttpClient
 from loomwind.http.client_connection import ClientConnection
-from loomwind.http.errors import ConnectFailed, HttpError
+from loomwind.http.errors import ConnectFailed, ConnectionEnded, HttpError
 from loomwind.http.messages import HttpRequest
 from loomwind.metrics import Metrics
 from loomwind.serving.errors import RelayDeclined, SendFailed
@@ -111,6 +111,8 @@
             head = await connection.read_head()
             if not is_server_response(head):
                 raise decode_error(head, await self._read_body(connection))
+        except ConnectionEnded as error:
+            raise RelayDeclined(str(error)) from error
         except HttpError as error:
             connection.close()
             self._count("failed")
