Show that a request on a connection that has just ended counts as sent

Callers get 502 for a request that nothing was written of. Between the arrival of a server's close and the end of the connection the pool still gives it out, or a new connection is closed before the send; send_request then finds it closing and raises ConnectionBroken, which counts as 'may have run', and as a crash that the request may have caused.

--- a/features/answers_after_surplus.feature
+++ b/features/answers_after_surplus.feature
@@ -25,3 +25,8 @@
     Given a connection to a server that answers each request
     When the connection carries as many requests as it may, with the longest ids
     Then as many connections as a daemon keeps to a server need at most 64 MB for the ids
+
+  Scenario: a request that was not sent, since its connection had just ended, is answered 502
+    Given a connection to a server that answers each request
+    When a request is sent when the server has closed the idle connection
+    Then it goes over a new connection
--- a/features/steps/answer_after_surplus_steps.py
+++ b/features/steps/answer_after_surplus_steps.py
@@ -104,6 +104,11 @@
                     writer.write(segment)
                     await _let_daemon_read()
 
+    def close_connections(self) -> None:
+        """Close the connections, without waiting for their ends."""
+        for writer in self._writers:
+            writer.close()
+
     async def close(self) -> None:
         """Close all connections."""
         for writer in self._writers:
@@ -250,3 +255,30 @@
 def step_memory(context: Any) -> None:
     needed_bytes = context.id_bytes * KEPT_CONNECTIONS
     assert needed_bytes <= MAX_DAEMON_BYTES, (context.id_bytes, needed_bytes)
+
+
+@when("a request is sent when the server has closed the idle connection")
+def step_send_at_close(context: Any) -> None:
+    asyncio.run(_send_at_close(context.server))
+
+
+async def _send_at_close(server: RunningServer) -> None:
+    """Send a request between the arrival of the server's close and the end of the connection."""
+    client = HttpClient(Connector(), KEPT_CONNECTIONS, ID_HEADER)
+    async with _listening(server) as port:
+        address = f"{LOCALHOST}:{port}"
+        await _exchange(client, address, "r1")
+        connection = client.take_idle(address, "r2")
+        assert connection is not None and connection.transport is not None
+        client.release(connection)
+        server.close_connections()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not connection.transport.is_closing():
+                await asyncio.sleep(0)
+        await _exchange(client, address, "r2")
+        client.close()
+
+
+@then("it goes over a new connection")
+def step_new_connection(context: Any) -> None:
+    assert [each.connection for each in context.server.requests] == [1, 2], context.server
