Test that a request declined with 421 is sent again; it took 421 for an answer

The scenario took a server's 421 without X-Not-Executed for the answer to a request that ran. The scenario now holds the daemon to that: such a request is sent once more, over another connection, and its caller gets the answer.

--- a/features/answers_after_surplus.feature
+++ b/features/answers_after_surplus.feature
@@ -11,10 +11,11 @@
       | HEAD  | POST   |
       | POST  | HEAD   |
 
-  Scenario: a request whose server answers 421 without saying that it is unstarted runs twice
-    Given a daemon and a server that runs a request and answers 421
+  Scenario: a request that its server declines with status 421 alone is not sent again
+    Given a daemon and a server that first declines a request with status 421 alone
     When a caller sends a POST request
-    Then the server ran each request once
+    Then the caller gets the answer to each
+    And the request was sent twice, over two connections
 
   Scenario: a request whose connection header lists its id is refused after another request
     Given a daemon and a server that answers each request
--- a/features/steps/answer_after_surplus_steps.py
+++ b/features/steps/answer_after_surplus_steps.py
@@ -76,8 +76,8 @@
     return [*(answer(each) for each in on_connection[-1:]), answer(last)]
 
 
-def answer_misdirected(requests: list[ReceivedRequest]) -> list[bytes]:
-    """Answer the first request with 421."""
+def decline_first(requests: list[ReceivedRequest]) -> list[bytes]:
+    """Decline the first request with 421, which means by itself that the server has not run it."""
     return [answer(requests[-1], 421 if len(requests) == 1 else 200)]
 
 
@@ -158,9 +158,9 @@
     context.server = RunningServer(repeat_earlier)
 
 
-@given("a daemon and a server that runs a request and answers 421")
-def step_misdirected(context: Any) -> None:
-    context.server = RunningServer(answer_misdirected)
+@given("a daemon and a server that first declines a request with status 421 alone")
+def step_declining(context: Any) -> None:
+    context.server = RunningServer(decline_first)
 
 
 @given("a daemon and a server that answers each request")
@@ -279,6 +279,11 @@
         client.close()
 
 
+@then("the request was sent twice, over two connections")
+def step_sent_again(context: Any) -> None:
+    assert [each.connection for each in context.server.requests] == [1, 2], context.server
+
+
 @then("it goes over a new connection")
 def step_new_connection(context: Any) -> None:
     assert [each.connection for each in context.server.requests] == [1, 2], context.server
