Give out no connection that is ending

Between the arrival of a server's close and the end of the connection the pool still gave it out, and a request was chosen a connection that could not carry it. take_idle, has_idle and release now ask whether the connection is ending.

Evidence: answers_after_surplus, "a request that was not sent, since its connection had just ended, is answered 502", failed before and passes.

--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from loomwind.http.client_connection import ClientConnection, ClientState, SurplusResponse
+from loomwind.http.client_connection import ClientConnection, SurplusResponse
 from loomwind.http.errors import (
     CONNECT_EXCEPTIONS,
     ConnectionBroken,
@@ -116,7 +116,7 @@
         found = None
         while idle and found is None:
             connection = idle.pop()
-            if connection.state is not ClientState.IDLE:
+            if not connection.is_idle:
                 continue
             if connection.expires_at is not None and now >= connection.expires_at:
                 connection.close()
@@ -130,13 +130,13 @@
     def has_idle(self, address: str) -> bool:
         """Return whether there is an open idle connection to an address."""
         idle = self._idle.get(address)
-        while idle and idle[-1].state is not ClientState.IDLE:
+        while idle and not idle[-1].is_idle:
             idle.pop()
         return bool(idle)
 
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool; one with an unfinished exchange is closed."""
-        if connection.state is not ClientState.IDLE:
+        if not connection.is_idle:
             connection.close()
             return
         idle = self._idle.setdefault(connection.address, deque())
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -126,6 +126,12 @@
         """Return the transport; None before the connection is made."""
         return self._transport
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether a request can be sent: no exchange is in progress, and it is not ending."""
+        is_open = self._transport is not None and not self._transport.is_closing()
+        return self.state is ClientState.IDLE and is_open
+
     @property
     def label(self) -> str:
         """Return the local port and the number of the exchange, for the log."""
