Keep hashes of the ids that a connection has carried

Callers choose the ids. With the longest that a head allows, a connection kept 3.8 MiB of them, 243 MiB for the 64 connections to one server.

Evidence: answers_after_surplus, "the ids of earlier requests take more memory than a daemon has", failed before (254,178,496 bytes for 64 connections) and passes.

--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -99,8 +99,9 @@
         self.on_end: Callable[[ClientConnection], None] | None = None
         self.exchange_count = 0
         self._id_header = id_header
-        # The methods of the requests that were sent, by their ids.
-        self._methods: dict[str, str] = {}
+        # The methods of the requests that were sent, by the hashes of their ids, which may be long.
+        # Two ids of the same hash cost no more than a new connection.
+        self._methods: dict[int, str] = {}
         self._request: HttpRequest | None = None
         self._request_id = ""
         self._had_surplus = False
@@ -191,7 +192,7 @@
         self.exchange_count += 1
         self._request, self._request_id = request, request_id
         if request_id:
-            self._methods[request_id] = request.method
+            self._methods[hash(request_id)] = request.method
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
@@ -204,7 +205,7 @@
         """
         if not self._id_header:
             return False
-        return request_id in self._methods if request_id else self.exchange_count > 0
+        return hash(request_id) in self._methods if request_id else self.exchange_count > 0
 
     async def _next_event(self) -> object:
         while True:
@@ -309,7 +310,7 @@
         """
         sent = self._sent_request()
         response_id = _decode_head(event).header(self._id_header) or ""
-        method = self._methods.get(response_id, sent.method)
+        method = self._methods.get(hash(response_id), sent.method)
         if (method == HEAD_METHOD) != (sent.method == HEAD_METHOD):
             self._restart_parser(replace(sent, method=method), _encode_head(event))
             await self._read_response_event()
