Pass a request's id on although its connection header lists it

A caller that lists X-Request-Id in its Connection header had its request sent without an id. Its response could not be matched, and since a request without an id needs an unused connection, which was not looked for, it got 503 and was not sent at all.

Evidence: answers_after_surplus, "a request whose connection header lists its id is refused after another request", failed before and passes.

--- a/loomwind/platform/dialect.py
+++ b/loomwind/platform/dialect.py
@@ -77,11 +77,6 @@
         last_event_id: str | None,
     ) -> Headers:
         """Return the headers of a request to a server; see :meth:`Dialect.server_headers`."""
-        forwarded = tuple(
-            (name, value)
-            for name, value in end_to_end_headers(request.headers)
-            if name not in DAEMON_HEADERS
-        )
         headers: Headers = (
             ("host", request.header("host") or ""),
             (DEADLINE_MS, str(max(1, int(remaining_seconds * 1000)))),
@@ -91,21 +86,19 @@
             headers += ((PRIORITY, str(min(priority, MAX_PRIORITY_VALUE))),)
         if last_event_id is not None:
             headers += ((LAST_EVENT_ID, last_event_id),)
-        return headers + forwarded
+        return headers + _forwarded_headers(request, DAEMON_HEADERS)
 
     def peer_headers(
         self, request: HttpRequest, remaining_seconds: float, last_event_id: str | None
     ) -> Headers:
         """Return the headers of a relayed request; see :meth:`Dialect.peer_headers`."""
-        replaced = (DEADLINE_MS, LAST_EVENT_ID)
         headers: Headers = (
             ("host", request.header("host") or ""),
             (DEADLINE_MS, str(max(1, int(remaining_seconds * 1000)))),
         )
         if last_event_id is not None:
             headers += ((LAST_EVENT_ID, last_event_id),)
-        forwarded = ((name, value) for name, value in end_to_end_headers(request.headers))
-        return headers + tuple((name, value) for name, value in forwarded if name not in replaced)
+        return headers + _forwarded_headers(request, frozenset({DEADLINE_MS, LAST_EVENT_ID}))
 
     def check_response(self, server_name: str, head: HttpResponse) -> ResponseCheck:
         """Check the head of a response; see :meth:`Dialect.check_response`."""
@@ -131,6 +124,22 @@
         return headers
 
 
+def _forwarded_headers(request: HttpRequest, replaced: frozenset[str]) -> Headers:
+    """Return the caller's headers that are passed on.
+
+    The id is passed on although a ``connection`` header may list it: responses are matched by it.
+
+    :param replaced: headers that the daemon sets itself.
+    """
+    request_id = request.header(REQUEST_ID)
+    headers: Headers = ((REQUEST_ID, request_id),) if request_id is not None else ()
+    return headers + tuple(
+        (name, value)
+        for name, value in end_to_end_headers(request.headers)
+        if name != REQUEST_ID and name not in replaced
+    )
+
+
 def parse_rejection_limit(head: HttpResponse) -> int | None:
     """Return how many rejections in a second a server stands; None if it does not say."""
     return _parse_count(head.header(SERVER_BRITTLE) or "")
