Soak of repeated responses: match the answers to an order one by one, and count all copies

Now each definite answer needs a status of its own, and an order that was carried out needs an answer or an unknown one, which is no less strict: two rows of made records that the sets let pass are found, one that is allowed is not.

--- a/features/steps/surplus_check_steps.py
+++ b/features/steps/surplus_check_steps.py
@@ -82,16 +82,18 @@
 
 
 def _order(
-    answer: str, status: int | None, violations: tuple[str, ...] = ()
+    answers: str, status: int | None, violations: tuple[str, ...] = ()
 ) -> Callable[[Path], SoakRecord]:
     """Return a record of an order.
 
-    :param status: what the server answered; None if it got no order.
+    :param answers: what the leader has logged, one for each time that it sent the order.
+    :param status: what the server answered once; None if it got no order.
     """
 
     def create(folder: Path) -> SoakRecord:
-        line = ORDER | {"server": "i-1@5", "message_type": "loomwind:order", "state": answer}
-        (folder / f"{DAEMON}.1.log").write_text(json.dumps(line) + "\n")
+        line = ORDER | {"server": "i-1@5", "message_type": "loomwind:order"}
+        lines = [json.dumps(line | {"state": answer}) for answer in answers.split()]
+        (folder / f"{DAEMON}.1.log").write_text("\n".join(lines) + "\n")
         if status is not None:
             given = ORDER | {"status": status, "violations": violations}
             (folder / "first.orders").write_text(json.dumps(given) + "\n")
@@ -121,6 +123,9 @@
     "an order that was accepted counts as one already carried out": _order("already", 202),
     "an order that was carried out counts as rejected": _order("rejected", 200),
     "an order that no server has got counts as accepted": _order("accepted", None),
+    "an order that is sent again counts as carried out twice": _order("accepted accepted", 202),
+    "an order that is sent again counts as rejected twice": _order("rejected rejected", 202),
+    "an order is carried out after it could not be delivered": _order("rejected accepted", 202),
     "an order overcommitted a server": _order("accepted", 202, ("load m1: 120000 MB",)),
     "a request got its own response": _answer(200, RUN),
     "a resumed stream has the head of the response that it continues": _resumed,
--- a/features/support/surplus_checks.py
+++ b/features/support/surplus_checks.py
@@ -1,7 +1,7 @@
 """What a soak of servers that repeat responses must keep to, beyond the checks of every soak."""
 
 import json
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from typing import Any
 
@@ -20,6 +20,7 @@
 STATUS_BY_ANSWER = {"accepted": 202, "already": 200, "conflict": 409, "fenced": 412}
 CARRIED_OUT = {200, 202}
 NOT_CARRIED_OUT_ANSWERS = ("other-instance", "missing-target", "rejected")
+UNKNOWN_ANSWER = "unknown"
 ORDER_FIELDS = ("kind", "target", "fence", "revision")
 
 
@@ -92,22 +93,35 @@
 
 
 def misread_orders(record: SoakRecord) -> list[str]:
-    """Return the orders whose answer a leader took for another than the server gave."""
-    given: defaultdict[tuple[object, ...], set[int]] = defaultdict(set)
+    """Return the orders whose answer a leader took for another than the server gave.
+
+    An order may be sent again, unchanged, when it could not be delivered: each status that a server
+    gave belongs to one answer.
+    """
+    given: defaultdict[tuple[object, ...], Counter[int]] = defaultdict(Counter)
     for entry in _entries(record, "*.orders"):
-        given[_order_key(entry)].add(entry["status"])
+        given[_order_key(entry)][entry["status"]] += 1
+    read: defaultdict[tuple[object, ...], Counter[str]] = defaultdict(Counter)
+    for entry in _entries(record, "daemon-*.log"):
+        if entry.get("message_type") == ORDER_MESSAGE:
+            read[_order_key(entry)][entry["state"]] += 1
     return [
-        f"{entry['state']}, server gave {sorted(given[_order_key(entry)])}: {_order_key(entry)}"
-        for entry in _entries(record, "daemon-*.log")
-        if entry.get("message_type") == ORDER_MESSAGE
-        and not _is_answer(entry["state"], given[_order_key(entry)])
+        f"{key}: read {dict(answers)}, server gave {dict(given[key])}"
+        for key, answers in read.items()
+        if not _are_answers(answers, given[key])
     ]
 
 
-def _is_answer(answer: str, given: set[int]) -> bool:
-    if answer in STATUS_BY_ANSWER:
-        return STATUS_BY_ANSWER[answer] in given
-    return answer not in NOT_CARRIED_OUT_ANSWERS or not given & CARRIED_OUT
+def _are_answers(answers: Counter[str], given: Counter[int]) -> bool:
+    """Whether a server gave each definite answer, and each order it carried out has one."""
+    rest = given.copy()
+    for answer, status in STATUS_BY_ANSWER.items():
+        rest[status] -= answers[answer]
+    if min(rest.values(), default=0) < 0:
+        return False
+    is_declined = any(answers[each] for each in NOT_CARRIED_OUT_ANSWERS)
+    carried_out = sum(rest[status] for status in CARRIED_OUT)
+    return not is_declined or carried_out <= answers[UNKNOWN_ANSWER]
 
 
 def _order_key(entry: dict[str, Any]) -> tuple[object, ...]:
--- a/features/support/surplus_faults.py
+++ b/features/support/surplus_faults.py
@@ -4,6 +4,7 @@
 import math
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from attrs import define, field
@@ -46,6 +47,7 @@
 
     :ivar share: the share of the responses that are repeated.
     :ivar instances: the instance ids of the servers, by name.
+    :ivar sent: the numbers of copies that processes sent, by the name of the moment.
     """
 
     site: PoolSite
@@ -54,6 +56,7 @@
     share: float
     configured: int = 0
     instances: dict[str, str] = field(factory=dict)
+    sent: Counter[str] = field(factory=Counter)
 
     def set_faults(self, name: str, **faults: object) -> None:
         """Set further faults of a server, which has few places and repeats responses anyway."""
@@ -73,6 +76,10 @@
         self.instances[name] = self.site.servers[name].state()["instance"]
         self.set_faults(name)
 
+    def count(self, name: str) -> None:
+        """Count the copies of a server that is about to end."""
+        self.sent.update(self.site.servers[name].state()["repeats"])
+
 
 class SurplusFaults(PauseFaults):
     """Strikes servers and daemons; several faults may come at once."""
@@ -128,6 +135,7 @@
             return
         name = self._source.choice(names)
         server, instance = self._site.servers[name], self._repeats.instances[name]
+        self._repeats.count(name)
         began_s = time.time()
         server.process.kill()
         if server.service == MODEL_SERVICE:
--- a/features/support/surplus_soak.py
+++ b/features/support/surplus_soak.py
@@ -114,13 +114,13 @@
     :param share: the share of responses that are repeated; None to have it chosen by the seed.
     """
     site = SurplusSite()
-    copies: Counter[str] = Counter()
+    if share is None:
+        share = random.Random(f"{options.seed} share").choice(REPEAT_SHARES)
+    repeats = Repeats(site, options.seed, EVENT_SECONDS, share)
     try:
-        if share is None:
-            share = random.Random(f"{options.seed} share").choice(REPEAT_SHARES)
-        record = _play(site, options, Repeats(site, options.seed, EVENT_SECONDS, share))
-        for server in site.servers.values():
-            copies += Counter(server.state()["repeats"])
+        record = _play(site, options, repeats)
+        for name in site.servers:
+            repeats.count(name)
     finally:
         site.end_processes()
     record.read_runs()
@@ -128,14 +128,14 @@
     findings = {name: check(record) for name, check in (CHECKS | REPEAT_CHECKS).items()}
     counts = {name: len(each) for name, each in findings.items() if each}
     summary = (
-        f"{summarize(record, options)}; share {share:g}, copies of the last processes "
-        f"{dict(copies)}; found: {counts}"
+        f"{summarize(record, options)}; share {share:g}, copies {dict(repeats.sent)}; "
+        f"found: {counts}"
     )
     logs = None
     if options.keep is not None and counts:
         logs = keep_logs(record, options.keep / f"seed-{options.seed}", findings, summary)
     site.close()
-    return SurplusResult(SoakResult(findings, summary, logs), copies)
+    return SurplusResult(SoakResult(findings, summary, logs), repeats.sent)
 
 
 def _play(site: SurplusSite, options: SoakOptions, repeats: Repeats) -> SoakRecord:
--- a/features/surplus_checks.feature
+++ b/features/surplus_checks.feature
@@ -18,6 +18,8 @@
       | an order that was accepted counts as one already carried out   | misread order   |
       | an order that was carried out counts as rejected               | misread order   |
       | an order that no server has got counts as accepted             | misread order   |
+      | an order that is sent again counts as carried out twice        | misread order   |
+      | an order that is sent again counts as rejected twice           | misread order   |
       | an order overcommitted a server                                | overcommitted   |
 
   Scenario Outline: nothing is found when <what>
@@ -33,4 +35,5 @@
       | a request is answered 502 at the end of the grace period       |
       | an order has the answer that its server gave                   |
       | an order that no server has got counts as rejected             |
+      | an order is carried out after it could not be delivered        |
       | an order has no answer                                         |
