Say the version of a relayed stream with its first event

Cause: a peer sent the head of its server's response at once, and the server's version in it. The server reset the stream before its first event, and the peer sent the request on to a server of another version, which is allowed. The relaying daemon took the version in the head for the origin: for its retries, its row and its replicas.

Change: a peer sends the head of a relayed stream only with its first event (or at the end of a stream without one), and writes the version when that event comes, in the same place that records origins. A head of an earlier peer, without loomwind-origin, tells nothing: the origin is not recorded, and the relaying daemon doesn't continue the stream. Earlier daemons read loomwind-software as before, and it is right now.

--- a/features/resumption.feature
+++ b/features/resumption.feature
@@ -384,3 +384,13 @@
     Given a daemon that has just started, whose configuration arrives after 0.2 s
     Then a new stream is refused at once, as no configuration is known
     And a resumed stream is handled by the configuration
+
+  Scenario Outline: the head of a relayed stream is not taken for the version of its first event
+    When a peer sends the head of a relayed stream with <headers>
+    Then the version of its first event is <version>, and of an event that must have v1 it is <required>
+
+    Examples:
+      | headers                                     | version | required |
+      | no version                                  | unknown | v1       |
+      | loomwind-software=v2                        | unknown | v1       |
+      | loomwind-software=v2 and loomwind-origin=v1 | v1      | v1       |
--- a/features/steps/relay_version_steps.py
+++ b/features/steps/relay_version_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the configuration version with which a peer serves a relayed request."""
+"""Steps about the versions that a peer names in its response to a relayed request."""
 
 import asyncio
 from typing import Any, cast
@@ -13,7 +13,12 @@
 from loomwind.serving.forwarder import OutgoingRequest
 from loomwind.serving.peer_relay import PeerRelay
 from loomwind.serving.peers import PeerEntry, PeerTable
-from loomwind.serving.relay_protocol import RelayMetadata, configuration_headers
+from loomwind.serving.relay_protocol import (
+    RelayMetadata,
+    configuration_headers,
+    origin_version_of,
+)
+from loomwind.serving.stream_origins import UNKNOWN_VERSION
 from loomwind.serving.views import RequestKind, RouteRule, WeightedService
 
 PEER = PeerEntry("peer:1", "zone-b", "life-2", "peer:2")
@@ -67,3 +72,19 @@
 @then("the daemon knows that the peer has version {version:d}")
 def step_knows(context: Any, version: int) -> None:
     assert context.peer_versions == [(PEER.address, version)], context.peer_versions
+
+
+@when("a peer sends the head of a relayed stream with {headers}")
+def step_head(context: Any, headers: str) -> None:
+    fields = [] if headers == "no version" else headers.split(" and ")
+    pairs = (field.partition("=") for field in fields)
+    context.head = HttpResponse(200, tuple((name, value) for name, _, value in pairs))
+
+
+@then(
+    "the version of its first event is {version:w}, and of an event that must have v1 it is {at:w}"
+)
+def step_event_version(context: Any, version: str, at: str) -> None:
+    expected = UNKNOWN_VERSION if version == "unknown" else version
+    assert origin_version_of(context.head, None) == expected
+    assert origin_version_of(context.head, "v1") == at
--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -172,6 +172,7 @@
         self.version = 0
         self.lease_ms = LEASE_MS
         self.retry_settings = ""
+        self.zones: dict[str, str] = {}
         self.links: list[Process] = []
         self.server_link: LinkProcess | None = None
         self.routes = [
@@ -316,7 +317,7 @@
     def _settings(self, daemon: PoolDaemonProcess) -> str:
         return f"""
 name = "{daemon.name}"
-zone = "zone-a"
+zone = "{self.zones.get(daemon.name, "zone-a")}"
 [listen]
 caller = "{LOCALHOST}:{daemon.caller_port}"
 peer = "{LOCALHOST}:{daemon.peer_port}"
--- a/loomwind/serving/forwarder.py
+++ b/loomwind/serving/forwarder.py
@@ -42,7 +42,7 @@
 class OpenResponse(Struct, frozen=True):
     """A response whose head was read and matches the request; its body is still unread.
 
-    :param software_version: that of the server, in a response that a peer relays.
+    :param software_version: that of the first event, in a stream that a peer relays.
     """
 
     connection: ClientConnection
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -24,7 +24,7 @@
     configuration_version_of,
     decode_error,
     is_server_response,
-    software_version_of,
+    origin_version_of,
     strip_relay_headers,
 )
 
@@ -127,7 +127,8 @@
         self._newest_configuration = max(self._newest_configuration, version)
         self._on_configuration(peer.address, version)
         stripped_head = HttpResponse(head.status, strip_relay_headers(head.headers))
-        return OpenResponse(connection, stripped_head, software_version_of(head))
+        software_version = origin_version_of(head, metadata.software_version)
+        return OpenResponse(connection, stripped_head, software_version)
 
     def _relay_request(
         self,
--- a/loomwind/serving/relay_protocol.py
+++ b/loomwind/serving/relay_protocol.py
@@ -11,12 +11,18 @@
 
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
 from loomwind.serving.errors import Refused, RelayDeclined, SendFailed
+from loomwind.serving.stream_origins import UNKNOWN_VERSION
 
 RUNS_HEADER = "loomwind-runs"
 CONFIGURATION_HEADER = "loomwind-configuration"
 OUTCOME_HEADER = "loomwind-end"
 SOFTWARE_HEADER = "loomwind-software"
-RELAY_HEADERS = frozenset({RUNS_HEADER, CONFIGURATION_HEADER, OUTCOME_HEADER, SOFTWARE_HEADER})
+# Says that a response began with its first event, which came from a server of this version. Peers
+# of an earlier version send SOFTWARE_HEADER alone, before any event.
+ORIGIN_HEADER = "loomwind-origin"
+RELAY_HEADERS = frozenset(
+    {RUNS_HEADER, CONFIGURATION_HEADER, OUTCOME_HEADER, SOFTWARE_HEADER, ORIGIN_HEADER}
+)
 RETRY_AFTER_HEADER = "retry-after"
 
 
@@ -53,7 +59,7 @@
             (CONFIGURATION_HEADER, str(self.configuration_version)),
         )
         if self.software_version is not None:
-            headers = with_software_version(headers, self.software_version)
+            headers += ((SOFTWARE_HEADER, quote(self.software_version)),)
         return headers
 
 
@@ -87,15 +93,23 @@
     return ((CONFIGURATION_HEADER, str(version)),)
 
 
-def with_software_version(headers: Headers, version: str) -> Headers:
-    """Return headers with a server's software version, which may contain any characters."""
-    others = tuple((name, value) for name, value in headers if name != SOFTWARE_HEADER)
-    return (*others, (SOFTWARE_HEADER, quote(version)))
+def with_origin(headers: Headers, version: str) -> Headers:
+    """Return headers with the software version of a stream's first event.
+
+    They may be sent only with that event. The version may contain any characters.
+    """
+    return (*headers, (SOFTWARE_HEADER, quote(version)), (ORIGIN_HEADER, quote(version)))
 
 
-def software_version_of(head: HttpResponse) -> str:
-    """Return the software version of the server that responded; empty if not given."""
-    return _decode_software(head.header(SOFTWARE_HEADER)) or ""
+def origin_version_of(head: HttpResponse, required: str | None) -> str:
+    """Return the software version of a stream's first event, which comes with this head.
+
+    :param required: the version that the request has to be served at, which all peers keep to.
+    """
+    version = _decode_software(head.header(ORIGIN_HEADER))
+    if version is None:
+        version = required
+    return UNKNOWN_VERSION if version is None else version
 
 
 def _decode_software(text: str | None) -> str | None:
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -29,13 +29,13 @@
 from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.peers import PeerEntry
 from loomwind.serving.place_wait import PlaceWait
-from loomwind.serving.relay_protocol import RelayMetadata, with_software_version
+from loomwind.serving.relay_protocol import RelayMetadata, with_origin
 from loomwind.serving.request_attempts import SERVER_ERROR_STATUSES, RequestAttempts
 from loomwind.serving.request_log import RequestLog, RequestProgress
 from loomwind.serving.retry_policy import SERVERS_EXHAUSTED, RetryPolicy
 from loomwind.serving.server_attempt import Answer, Attempt
 from loomwind.serving.server_selector import ServerSelector
-from loomwind.serving.stream_origins import StreamOrigin
+from loomwind.serving.stream_origins import UNKNOWN_VERSION, StreamOrigin
 from loomwind.serving.stream_relay import StreamRelay
 from loomwind.serving.views import CallerRequest, RequestKind, RouteRule, ServerEntry
 
@@ -112,6 +112,7 @@
             handler.metrics,
             self._read_stream,
             self._record_first_event,
+            delays_head=relayed is not None,
         )
         self._attempts = RequestAttempts(
             handler,
@@ -381,10 +382,6 @@
         if answer.body is not None:
             await self._send_full_response(entry, answer, answer.body)
             return
-        if self._relayed is not None:
-            self._exchange.extra_headers = with_software_version(
-                self._exchange.extra_headers, entry.software_version
-            )
         attempt.is_read = True
         await self._stream.relay(entry, answer.response, attempt.health, answer.stream)
         is_by_one_server = attempt.events_before == 0 and self._caller.last_event_id is None
@@ -455,12 +452,18 @@
     def _record_first_event(self, entry: ServerEntry) -> None:
         """Record where and when the stream began, and log when it missed its objective."""
         self._selector.software_version = entry.software_version
-        origin_id = self._caller.origin_id or self._caller.request_id
-        if self._relayed is None and self._route.resumable and origin_id:
-            remaining_seconds = self._caller.remaining_seconds or self._route.timeout_seconds
-            self._handler.origins.record(
-                origin_id,
-                StreamOrigin(self._service, entry.software_version),
-                remaining_seconds * MS_PER_SECOND,
-            )
+        if self._relayed is not None:
+            headers = self._exchange.extra_headers
+            self._exchange.extra_headers = with_origin(headers, entry.software_version)
+        elif self._route.resumable:
+            self._record_origin(entry.software_version)
         self._log.first_event(entry)
+
+    def _record_origin(self, software_version: str) -> None:
+        """Record the origin of a stream that its caller may resume, if it is known."""
+        origin_id = self._caller.origin_id or self._caller.request_id
+        if not origin_id or software_version == UNKNOWN_VERSION:
+            return
+        remaining_seconds = self._caller.remaining_seconds or self._route.timeout_seconds
+        origin = StreamOrigin(self._service, software_version)
+        self._handler.origins.record(origin_id, origin, remaining_seconds * MS_PER_SECOND)
--- a/loomwind/serving/stream_origins.py
+++ b/loomwind/serving/stream_origins.py
@@ -15,6 +15,8 @@
 # The store limits the size of a row; the newest origins are kept.
 MAX_ROW_ORIGINS = 5000
 MAX_ORIGINS = 100_000
+# The version of a stream's first event if nothing tells it; no server has it.
+UNKNOWN_VERSION = "unknown\0"
 
 
 @frozen
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -31,12 +31,15 @@
         metrics: Metrics,
         read: Callable[[ServerEntry, Callable[[], Awaitable[bytes]]], Awaitable[bytes]],
         on_first_event: Callable[[ServerEntry], None],
+        delays_head: bool = False,
     ) -> None:
         """Create a relay.
 
         :param read: reads events from a server, however long it is silent; if it raises an error
             instead, the server's connection is closed.
         :param on_first_event: called before the first event of the request is relayed.
+        :param delays_head: whether the head is sent only with the first event, whose server may be
+            another one than that which sent the first head.
         """
         self._exchange = exchange
         self._caller = caller
@@ -45,6 +48,7 @@
         self._metrics = metrics
         self._read = read
         self._on_first_event = on_first_event
+        self._delays_head = delays_head
         self._event_buffer = EventStreamBuffer(caller.last_event_id)
 
     @property
@@ -70,9 +74,8 @@
         :raises SendFailed: the stream was interrupted; its connection is closed.
         """
         try:
-            if not self._exchange.started:
-                headers = self._dialect.response_headers(response.head)
-                await self._exchange.start(response.head.status, headers)
+            if not self._delays_head:
+                await self._ensure_started(response)
             stream_gaps = StreamGaps()
             events_before = self.events
             is_first = events_before == 0
@@ -82,9 +85,12 @@
                 if is_first:
                     self._on_first_event(entry)
                 is_first = False
+                await self._ensure_started(response)
                 await self._exchange.send(complete)
             has_events = self.events > events_before
-            await self._exchange.send(self._finish_body(entry, response, has_events))
+            rest = self._finish_body(entry, response, has_events)
+            await self._ensure_started(response)
+            await self._exchange.send(rest)
             await self._exchange.finish()
             self._log_long_gap(entry, stream_gaps, health)
         except BaseException:
@@ -92,6 +98,12 @@
             self._event_buffer.discard_incomplete_event()
             raise
 
+    async def _ensure_started(self, response: OpenResponse) -> None:
+        """Send the head, unless one was sent."""
+        if not self._exchange.started:
+            headers = self._dialect.response_headers(response.head)
+            await self._exchange.start(response.head.status, headers)
+
     async def _next_events(
         self,
         entry: ServerEntry,
