--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -24,7 +24,7 @@
     configuration_version_of,
     decode_error,
     is_server_response,
-    software_version_of,
+    origin_version_of,
     strip_relay_head,
 )
 
@@ -128,7 +128,8 @@
         version = configuration_version_of(head)
         self._newest_configuration = max(self._newest_configuration, version)
         self._on_configuration(peer.address, version)
-        return OpenResponse(connection, strip_relay_head(head), software_version_of(head))
+        software_version = origin_version_of(head, metadata.software_version)
+        return OpenResponse(connection, strip_relay_head(head), software_version)
 
     def _relay_request(
         self,
