Cut daemons off from each other and from the store in tests; an exact metric of who leads

A daemon's address_overrides hold for connections to peers too, as they do for servers and the store, so that a test can place a link in between. loomwind_controller and loomwind_lease_fence are read when the page is asked for; before, they were set by the next step of the controller, and showed a leader for up to that long after its lease.

--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -108,6 +108,11 @@
         """``host:port`` for callers."""
         return f"{LOCALHOST}:{self.caller_port}"
 
+    @property
+    def peer_address(self) -> str:
+        """``host:port`` for peers."""
+        return f"{LOCALHOST}:{self.peer_port}"
+
     @property
     def settings_path(self) -> Path:
         """Path of the settings file."""
@@ -174,6 +179,7 @@
         self.retry_settings = ""
         self.links: list[Process] = []
         self.server_link: LinkProcess | None = None
+        self.daemon_links: dict[str, LinkProcess] = {}
         self.routes = [
             route("book", "non_idempotent", PLAIN_SERVICE),
             route("look", "idempotent", PLAIN_SERVICE),
@@ -295,6 +301,38 @@
         self.daemons[name] = daemon
         daemon.start()
 
+    def add_linked_daemons(self, names: list[str]) -> None:
+        """Start daemons that reach the store and each other's peer port through links."""
+        daemons = [PoolDaemonProcess(name, self.folder, self._settings) for name in names]
+        for daemon in daemons:
+            targets = [self.store_address, *(d.peer_address for d in daemons if d is not daemon)]
+            arguments = ["--targets", ",".join(targets)]
+            process = Process("standins.link", arguments, self.folder / f"{daemon.name}.links.log")
+            self.links.append(process)
+            link = LinkProcess([Link(daemon.name, target) for target in targets], process)
+            self.daemon_links[daemon.name] = link
+            daemon.store_address = link.overrides(daemon.name)[self.store_address]
+        for daemon in daemons:
+            self.daemons[daemon.name] = daemon
+            daemon.start()
+
+    def set_peer_links(self, daemon: PoolDaemonProcess, state: str) -> None:
+        """Put the links between a daemon and its peers, both ways, in a state."""
+        others = {d.name: d.peer_address for d in self.daemons.values() if d is not daemon}
+        self.daemon_links[daemon.name].set_state(state, set(others.values()))
+        for name in others:
+            self.daemon_links[name].set_state(state, {daemon.peer_address})
+
+    def set_store_link(self, daemon: PoolDaemonProcess, state: str) -> None:
+        """Put the link between a daemon and the store in a state."""
+        self.daemon_links[daemon.name].set_state(state, {self.store_address})
+
+    def rows(self, table: str) -> list[dict[str, Any]]:
+        """Return the rows of a table of the store."""
+        reply = send(plain(self.store_address, "GET", f"/_rows?table={table}"))
+        rows: list[dict[str, Any]] = json.loads(reply.body)
+        return rows
+
     def add_server_links(self, daemon: str) -> None:
         """Add links from a daemon to all servers.
 
@@ -308,9 +346,11 @@
 
     def _overrides(self, daemon: PoolDaemonProcess) -> str:
         """Return the settings lines that route a daemon's connections through its links."""
-        if self.server_link is None:
-            return ""
-        overrides = self.server_link.overrides(daemon.name)
+        links = [self.server_link, self.daemon_links.get(daemon.name)]
+        overrides: dict[str, str] = {}
+        for link in links:
+            if link is not None:
+                overrides |= link.overrides(daemon.name)
         return "\n".join(f'"{target}" = "{link}"' for target, link in overrides.items())
 
     def _settings(self, daemon: PoolDaemonProcess) -> str:
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -66,6 +66,8 @@
         self._exchange = exchange
         self._bounds = bounds
         self._metrics = metrics
+        metrics.leading.set_function(lambda: float(election.is_leader()))
+        metrics.lease_fence.set_function(lambda: float(election.lease.fence or 0))
         self._demand = DemandView()
         self._trackers: dict[str, ServerTracker] = {}
         self._paces: dict[str, StorePace] = {}
@@ -113,8 +115,6 @@
         self._paces.clear()
         self._notices.clear()
         self._shortages.record_unserved(())
-        self._metrics.leading.set(is_leading)
-        self._metrics.lease_fence.set(self._election.lease.fence or 0)
         if is_leading:
             self._metrics.elections.inc()
         return is_leading
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -206,7 +206,9 @@
         """Create the components that communicate with peers."""
         self._transport = PeerTransport(
             self._on_message,
-            Connector(user_timeout_ms=constants.TCP_USER_TIMEOUT_MS),
+            Connector(
+                self.settings.address_overrides, user_timeout_ms=constants.TCP_USER_TIMEOUT_MS
+            ),
             self.metrics,
         )
         self._leader_watch = LeaderWatch(
