Lead only while the own lease is valid

Cause: a leader whose lease had run out went on if a majority of the daemons confirmed that they follow it and don't reach the store. That majority was one of the rows in the store, and daemons that stop remove theirs. A leader that was cut off while all others restarted was a majority by itself, and led beside the daemon that took its lease.

Change: a leader acts only while its lease is valid by its own monotonic clock, counted from just before its last successful write. No count of rows or confirmations extends it. PeerConfirmations goes; role changes are logged each 0.1 s as before, also while a write is in progress. While the store is away nobody leads once the lease has run out: warm requests are served as before, cold models are not loaded until it returns.

--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -24,53 +24,6 @@
 RETRY_DELAY_SECONDS = 0.2
 FIRST_WRITE_TIMEOUT_SECONDS = 0.5
 RETRY_WRITE_TIMEOUT_SECONDS = 0.9
-PAUSE_THRESHOLD_SECONDS = 0.5
-CONFIRMATION_TTL_SECONDS = 1.0
-
-
-class PeerConfirmations:
-    """Tracks which peers recently confirmed this leader and reported the store unreachable.
-
-    While the store is unavailable, no daemon can acquire the lease, so a leader that a majority of
-    the daemons confirms remains the leader. After a pause of this process, received messages may
-    be old, so confirmations are ignored for a while.
-    """
-
-    def __init__(self) -> None:
-        self._confirmed_at: dict[str, float] = {}
-        self._last_tick = 0.0
-        self._ignore_until = 0.0
-
-    def tick(self, now: float) -> None:
-        """Detect process pauses by gaps between the calls; called at a fixed interval."""
-        if self.was_paused(now):
-            self._confirmed_at.clear()
-            self._ignore_until = now + CONFIRMATION_TTL_SECONDS
-        self._last_tick = now
-
-    def was_paused(self, now: float) -> bool:
-        """Return whether the last tick is so old that the process must have been paused."""
-        return now - self._last_tick > PAUSE_THRESHOLD_SECONDS
-
-    def record(self, peer: str, now: float) -> None:
-        """Record a confirmation by a peer."""
-        if now >= self._ignore_until and not self.was_paused(now):
-            self._confirmed_at[peer] = now
-
-    def remove(self, peer: str) -> None:
-        """Discard a peer's confirmation."""
-        self._confirmed_at.pop(peer, None)
-
-    def has_majority(self, daemon_count: int, now: float) -> bool:
-        """Return whether a majority of the daemons, including this one, confirm the leader."""
-        if self.was_paused(now):
-            return False
-        fresh = sum(
-            1
-            for confirmed_at in self._confirmed_at.values()
-            if now - confirmed_at < CONFIRMATION_TTL_SECONDS
-        )
-        return 2 * (fresh + 1) > daemon_count
 
 
 class Election:
@@ -81,7 +34,6 @@
     :ivar extra_wait_seconds: how long a lease must have been free or expired before this daemon
         acquires it; not 0 on daemons that learn of renewals late.
     :ivar unreachable_wait_seconds: an additional wait while this daemon cannot reach the servers.
-    :ivar daemon_count: the number of daemons in the fleet, including this one.
     """
 
     def __init__(
@@ -104,8 +56,6 @@
         self.write_finished = asyncio.Event()
         self.extra_wait_seconds = 0.0
         self.unreachable_wait_seconds = 0.0
-        self.confirmations = PeerConfirmations()
-        self.daemon_count = 1
 
     def record_row(self, row: StoredRow) -> None:
         """Apply the lease row as read from the store."""
@@ -131,10 +81,9 @@
             self.lease.record_missing_row(snapshot.version, self._now())
             self._log_role_change()
 
-    async def run_pause_detection(self) -> None:
-        """Detect pauses of this process, also while a write is in progress; never returns."""
+    async def log_role_changes(self) -> None:
+        """Log when a lease ends, also while a write is in progress; never returns."""
         while True:
-            self.confirmations.tick(self._now())
             self._log_role_change()
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
@@ -196,19 +145,14 @@
         self._unknown_write_sent_at = None
 
     def is_leader(self) -> bool:
-        """Return whether this daemon may act as the leader.
+        """Return whether this daemon may act as the leader: only while its lease is valid.
 
-        Without a valid lease it may do so only if the store is unavailable and a majority of the
-        daemons confirms it. After :meth:`release` it never may.
+        After :meth:`release` it never may. A lease that can't be renewed ends, whoever else does
+        not reach the store: that no listed daemon reaches it does not mean that none does.
         """
         if self._stopping or self._suspended:
             return False
-        now = self._now()
-        if self.lease.is_leader(now):
-            return True
-        if self.lease.fence is None or self._health.available_since is not None:
-            return False
-        return self.confirmations.has_majority(self.daemon_count, now)
+        return self.lease.is_leader(self._now())
 
     def _log_role_change(self) -> None:
         is_leader = self.is_leader()
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -366,7 +366,7 @@
         for follower in self._followers:
             self._spawn(follower.run())
         self._spawn(self._election.run())
-        self._spawn(self._election.run_pause_detection())
+        self._spawn(self._election.log_role_changes())
         self._spawn(self._controller.run())
         self._spawn(self._peers.register())
         self._spawn(self._registrar.run())
--- a/loomwind/serving/peer_exchange.py
+++ b/loomwind/serving/peer_exchange.py
@@ -175,11 +175,6 @@
         self._unreachable_at_peers[message.sender] = UnreachableServices(
             message.unreachable_services, self._now() + valid_seconds
         )
-        confirmations = self._election.confirmations
-        if message.store_answers:
-            confirmations.remove(message.sender)
-        else:
-            confirmations.record(message.sender, self._now())
 
     def is_reachable_by_peers(self, service: str) -> bool:
         """Whether any peer with an unexpired demand report reaches the servers of a service."""
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -105,7 +105,6 @@
                 self._on_peer_row(row)
         self._ranked = sorted(self._peers, key=_hash_rank)
         self._pool.set_daemon_count(len(self._peers))
-        self._election.daemon_count = max(1, len(self._peers))
         self._election.extra_wait_seconds = self._extra_wait_seconds()
 
     def _extra_wait_seconds(self) -> float:
