Don't take a refused connection for the end of the leader

Cause: a daemon whose question to the leader was refused took the leader's process for ended, for good, and its lease before it had run out. The leader, which reached the store, still acted under it, and did the same to its successor.

Change: a process counts as ended only when another process answers at its address, which can't be unless it has let go of its port. Without an answer, whatever the reason, the row is read, and the lease is taken once it has been seen unchanged for its duration.

--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -7,7 +7,8 @@
 its own monotonic clock, measured from just before it sent its last successful write.
 
 A holder whose process is known to have ended does not block the lease until it expires. This is
-known when a new process of the same daemon runs, or the host refuses connections at its address.
+known when a new process of the same daemon runs, or another process answers at the holder's
+address. A refused connection does not show it: partitions refuse connections as well.
 """
 
 import enum
--- a/loomwind/peering/errors.py
+++ b/loomwind/peering/errors.py
@@ -10,8 +10,8 @@
 class PeerUnreachable(PeeringError):
     """The connection to the peer failed, or the peer did not answer in time.
 
-    :param refused: whether the host refused the connection, which means that the peer process has
-        ended.
+    :param refused: whether the connection was refused: the peer process has ended, or a partition
+        refuses connections to it.
     """
 
     def __init__(self, detail: str, refused: bool = False) -> None:
--- a/loomwind/serving/leader_watch.py
+++ b/loomwind/serving/leader_watch.py
@@ -129,9 +129,7 @@
             answer = await self._transport.call(
                 holder.address, LeaderQuestion(), QUESTION_TIMEOUT_SECONDS
             )
-        except PeerUnreachable as error:
-            if error.refused:
-                self._record_dead(holder)
+        except PeerUnreachable:
             return False
         if not isinstance(answer, LeaderAnswer):
             return False
