List a daemon for as long as it runs

Cause: a daemon's row was written once at the start and removed at the end, both without a condition. A removal that the store carried out late removed the row of a process that had been started since, and nothing wrote it again.

Change: DaemonRow writes and removes the row under the version that it had. A removal under another process's version is refused and given up; a write of unknown outcome is settled by the rows that a conflict shows. A row that is seen to be gone, or to name another process, is written again, at most each 0.5 s, until the daemon leaves.

Evidence: daemon_list, both scenarios, on the code before: 'daemon-2 is listed' did not come true in 25 s after the late removal, nor after the row was removed. With this commit both pass (one run). The stand-in store tells how many late writes are still to come, so that the scenario waits for them.

--- a/features/steps/gossip_target_steps.py
+++ b/features/steps/gossip_target_steps.py
@@ -9,7 +9,7 @@
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.serving.peers import PEER_KEY_PREFIX, PeerEntry, PeerTable
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import Snapshot, Store, StoredRow
+from loomwind.serving.ports import Snapshot, StoredRow
 from loomwind.settings import BoundSettings
 
 
@@ -23,10 +23,7 @@
 def peer_table(name: str, rows: Snapshot) -> PeerTable:
     """Return a daemon's peer table built from all rows."""
     table = PeerTable(
-        cast(Store, None),
-        "daemons",
         LeaseHolder(name, f"life-{name}", name),
-        "z",
         cast(Election, ElectionStub()),
         ServerPool(BoundSettings()),
     )
--- a/features/steps/lease_standby_steps.py
+++ b/features/steps/lease_standby_steps.py
@@ -36,7 +36,7 @@
         store = cast(Store, None)
         self.election = Election(store, "lease", own, self.lease, StoreHealth())
         pool = ServerPool(BoundSettings())
-        self.peers = PeerTable(store, "daemons", own, "z", self.election, pool)
+        self.peers = PeerTable(own, self.election, pool)
         if rows is not None:
             self.peers.on_rows(Snapshot(rows, 1), is_full=True)
 
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -27,6 +27,7 @@
 from loomwind.serving.configuration_gossip import ConfigurationGossip
 from loomwind.serving.configuration_polling import ConfigurationPolling
 from loomwind.serving.connectivity_probe import ConnectivityProbe
+from loomwind.serving.daemon_row import DaemonRow
 from loomwind.serving.departure_gossip import DepartureGossip
 from loomwind.serving.follower import StoreHealth, TableFollower
 from loomwind.serving.forwarder import Forwarder
@@ -148,14 +149,9 @@
             min(constants.LEASE_MARGIN_SECONDS, LEASE_MARGIN_FRACTION * duration),
         )
         self._election = Election(store, LEASE_TABLE, self._own, lease, self._health)
-        self._peers = PeerTable(
-            store,
-            PEER_TABLE,
-            self._own,
-            settings.zone,
-            self._election,
-            self._pool,
-            _relay_address(settings.listen),
+        self._peers = PeerTable(self._own, self._election, self._pool)
+        self._daemon_row = DaemonRow(
+            store, PEER_TABLE, self._own, settings.zone, _relay_address(settings.listen)
         )
         self._create_followers()
 
@@ -198,6 +194,7 @@
 
     def _on_peer_rows(self, snapshot: Snapshot, is_full: bool) -> None:
         self._peers.on_rows(snapshot, is_full)
+        self._daemon_row.on_rows(snapshot, is_full)
         self._registrar.on_rows(snapshot, is_full)
         self._ban_records.on_rows(snapshot, is_full)
         self._limit_records.on_rows(snapshot, is_full)
@@ -368,7 +365,7 @@
         self._spawn(self._election.run())
         self._spawn(self._election.log_role_changes())
         self._spawn(self._controller.run())
-        self._spawn(self._peers.register())
+        self._spawn(self._daemon_row.run())
         self._spawn(self._registrar.run())
         self._spawn(self._ban_records.run())
         self._spawn(self._limit_records.run())
@@ -482,7 +479,7 @@
         if self._election.release():
             await self._controller.finish_orders()
             await self._election.hand_over()
-        await self._peers.unregister()
+        await self._daemon_row.remove()
 
     def close(self) -> None:
         """Cancel all tasks and close all connections."""
--- a/loomwind/serving/peers.py
+++ b/loomwind/serving/peers.py
@@ -1,6 +1,5 @@
 """Membership of the daemons in a pool, based on one row per daemon in the store."""
 
-import asyncio
 import bisect
 
 import msgspec
@@ -13,18 +12,9 @@
 from loomwind.leadership.lease import LeaseHolder
 from loomwind.logs import log_state
 from loomwind.serving.pool import ServerPool
-from loomwind.serving.ports import (
-    MalformedDocument,
-    Snapshot,
-    Store,
-    StoredRow,
-    StoreUnavailable,
-    Write,
-    WriteConflict,
-)
+from loomwind.serving.ports import MalformedDocument, Snapshot, StoredRow
 
 PEER_KEY_PREFIX = "daemon/"
-REGISTER_RETRY_SECONDS = 0.5
 STANDBY_COUNT = 5
 # Lets standbys, which are notified of each renewal, take an expired lease before other daemons.
 NON_STANDBY_DELAY_SECONDS = 0.7
@@ -60,19 +50,11 @@
 
     def __init__(
         self,
-        store: Store,
-        table: str,
         own: LeaseHolder,
-        zone: str,
         election: Election,
         pool: ServerPool,
-        relay_address: str = "",
     ) -> None:
-        self._relay_address = relay_address
-        self._store = store
-        self._table = table
         self._own = own
-        self._zone = zone
         self._election = election
         self._pool = pool
         self._peers: dict[str, PeerEntry] = {}
@@ -179,31 +161,6 @@
         except MalformedDocument as error:
             log_state("peer", "unreadable", peer=name, error=str(error))
 
-    async def register(self) -> None:
-        """Write this daemon's row, retrying until the store accepts it."""
-        value = msgspec.json.encode(self._own_entry())
-        while True:
-            try:
-                await self._store.write(self._table, Write(self._own_key, value))
-                return
-            except (StoreUnavailable, WriteConflict) as error:
-                log_state("peer", "not-registered", error=str(error))
-                await asyncio.sleep(REGISTER_RETRY_SECONDS)
-
-    def _own_entry(self) -> PeerEntry:
-        return PeerEntry(self._own.address, self._zone, self._own.incarnation, self._relay_address)
-
-    async def unregister(self) -> None:
-        """Remove this daemon's row."""
-        try:
-            await self._store.write(self._table, Write(self._own_key, None))
-        except (StoreUnavailable, WriteConflict) as error:
-            log_state("peer", "not-unregistered", error=str(error))
-
-    @property
-    def _own_key(self) -> str:
-        return PEER_KEY_PREFIX + self._own.name
-
 
 def decode_peer(value: bytes) -> PeerEntry:
     """Decode a daemon's row.
--- a/standins/pool/store.py
+++ b/standins/pool/store.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's metadata store; runs as its own process.
 
 Test endpoints: ``POST /_fault`` sets faults, ``POST /_apply`` applies a transaction to any table,
-``POST /_forget`` discards the history, ``GET /_rows?table=`` returns a table.
+``POST /_forget`` discards the history, ``GET /_rows?table=`` returns a table, ``GET /_late`` the
+number of delayed writes that are still to come.
 """
 
 import asyncio
@@ -84,6 +85,8 @@
             self.rows.discard_history()
         elif request.path == "/_rows":
             return json_response(self.rows.table(_query(request, "table")))
+        elif request.path == "/_late":
+            return json_response(len(self._delayed_writes))
         return json_response({"ver": self.rows.version})
 
     def _make_response(self, rows: list[Row]) -> RowsResponse:
