--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -10,13 +10,14 @@
 
 import fire
 
-from specification import catalog, claims, lease, orders, register, streams, voters
+from specification import catalog, claims, leadership, lease, orders, register, streams, voters
 from specification.conformance import DEFAULT_SEED, DEFAULT_WALKS, replay_walks
 from specification.lease_conformance import replay_lease_walks
 from specification.model import CheckResult, Model, Verdict, check
 
 MODELS = {
-    m.MODEL.name: m.MODEL for m in (register, voters, orders, claims, catalog, lease, streams)
+    m.MODEL.name: m.MODEL
+    for m in (register, voters, orders, claims, catalog, lease, leadership, streams)
 }
 EXIT_VIOLATED = 1
 EXIT_USAGE = 2
