pool_path: what a leader does without the store, and when a killed one is replaced

'the leader keeps leading while the store refuses all calls' and '... does not respond to any call' wanted a cold model to be loaded after two lease durations without the store; 'a killed leader is replaced long before its lease expires' took the refused connection for its end. In their place: without the store nobody leads once the lease has run out, a loaded model is still served, and after the store's return one daemon leads, loads the cold model, and no server gets an older fencing token after a newer one (store busy and silent); a killed leader that starts again frees a lease of 600 s at once; one that does not start again is replaced.

--- a/features/pool_path.feature
+++ b/features/pool_path.feature
@@ -47,23 +47,33 @@
     When the leader receives SIGTERM
     Then another pool daemon becomes the leader
 
-  Scenario: a killed leader is replaced long before its lease expires
+  Scenario: a killed leader that starts again frees its lease long before it expires
     Given leases of 600 s
     And 3 pool daemons
     When the leader receives SIGKILL
+    And the old leader starts again
+    Then a pool daemon leads
+
+  Scenario: a killed leader that does not start again is replaced
+    Given 3 pool daemons
+    When the leader receives SIGKILL
     Then another pool daemon becomes the leader
 
-  Scenario: the leader keeps leading while the store refuses all calls
+  Scenario Outline: nobody leads on without the store, and one daemon does when it recovers, <mode>
     Given 3 pool daemons
-    When the store has faults mode=busy
-    And twice the lease duration passes
+    When the store has faults mode=<mode>
+    Then no pool daemon leads
+    When twice the lease duration passes
+    And a running daemon gets a request on draft for m1
+    Then the last reply is complete with 3 events in order
+    And no pool daemon leads
+    When the store recovers
     And a running daemon gets a request on draft for m4
     Then the last reply is complete with 3 events in order
+    And the fencing tokens of the orders at each server never decrease
     And no order overcommitted a server
 
-  Scenario: the leader keeps leading while the store does not respond to any call
-    Given 3 pool daemons
-    When the store has faults mode=silent
-    And twice the lease duration passes
-    And a running daemon gets a request on draft for m4
-    Then the last reply is complete with 3 events in order
+    Examples: a store that refuses all calls, and one that does not respond to any
+      | mode   |
+      | busy   |
+      | silent |
--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -107,3 +107,20 @@
     allowed = (time.monotonic() - record.started_s) / duration_s
     taken = sorted({(term.fence, term.daemon) for term in record.terms})
     assert len(taken) - 1 <= allowed, (taken, allowed)
+
+
+@when("the old leader starts again")
+def step_old_leader_starts(context: Any) -> None:
+    leader = context.old_leader
+    wait_until(lambda: not leader.process.alive, "the old leader has ended")
+    leader.start()
+
+
+@then("a pool daemon leads")
+def step_any_leads(context: Any) -> None:
+    wait_until(lambda: pool(context).leader() is not None, "a pool daemon leads")
+
+
+@then("no pool daemon leads")
+def step_none_leads(context: Any) -> None:
+    wait_until(lambda: pool(context).leader() is None, "no pool daemon leads")
