control_exchanges: wait until the controller itself has stopped leading

The scenario of a daemon that leads again waited for the metric to fall, and so no longer for the controller to discard what it knew: the whole run on hung in this feature.

--- a/features/steps/control_exchange_steps.py
+++ b/features/steps/control_exchange_steps.py
@@ -348,7 +348,7 @@
     while not announced:
         await asyncio.sleep(0)
     election.is_won = False
-    while metrics.leading._value.get():
+    while controller._leading:
         await asyncio.sleep(0)
     announced.clear()
     body = _report_body(revision)
