explain: pause the leader only once it has logged that it leads

The metric of who leads is read from the election now, and turns before the line that says so is flushed (every 0.1 s): the leader was paused without having logged that it leads. The kept logs of three failed runs have no such line.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -56,6 +56,7 @@
     Given leases of 600 s
     And a model server one that holds m1
     And 3 pool daemons
+    And one of them has logged that it leads
     When the leader receives SIGSTOP
     And a request on draft for m3 is sent to another daemon with a deadline in 2.0 s
     Then explain reports the cause model_not_loaded
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -33,6 +33,16 @@
     site.callers.begin([request])
 
 
+@given("one of them has logged that it leads")
+def step_leader_logged(context: Any) -> None:
+    wait_until(lambda: _is_leader_logged(context), "a daemon has logged that it leads")
+
+
+def _is_leader_logged(context: Any) -> bool:
+    logs = pool(context).folder.glob("daemon-*.log")
+    return any('"state":"leader"' in log.read_text() for log in logs)
+
+
 @then("explain reports the cause {cause}")
 def step_explain(context: Any, cause: str) -> None:
     replies = replies_of(context)
