Write orders only while their daemon leads under their fencing token

Cause: the controller asked whether it leads when it decided on an order. Between this and the write lie a switch of tasks and the opening of a connection, so that a process that was stopped meanwhile, or a connection that hung in a partition, sent an order under a token that had ended.

Change: the connection asks for how long the sender leads right before it writes, and sends nothing after that (answer "expired"). The kernel drops what the server has not acknowledged when the lease ends, also while the process is stopped; an order that is given up on has its connection reset. An order takes ORDER_TIMEOUT_SECONDS in all, and a release waits for each of them.

What remains: a process that is stopped between its last look at the clock and the system call that writes, some microseconds.

--- a/features/steps/control_exchange_steps.py
+++ b/features/steps/control_exchange_steps.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar, cast
 
 import msgspec
@@ -83,6 +83,10 @@
         """Return whether this daemon leads."""
         return self.is_won
 
+    def remaining_seconds(self, fence: int) -> float:
+        """Return for how long it leads."""
+        return float(self.is_won and fence == self.lease.fence)
+
 
 class RecordingExchange(PeerExchangeStub):
     """A peer exchange that keeps the holdings announced to all daemons."""
@@ -118,7 +122,13 @@
         revision = self._known_revision if self.ordered_at is None else self._older_revision
         return msgspec.structs.replace(report(["a"], {"a"}, revision), started_at_ms=STARTED_AT_MS)
 
-    async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
+    async def send_order(
+        self,
+        entry: ServerEntry,
+        order: Order,
+        timeout: float,
+        remaining_seconds: Callable[[], float],
+    ) -> OrderAnswer:
         """Refuse the order."""
         await asyncio.sleep(ANSWER_SECONDS)
         self.ordered_at = asyncio.get_running_loop().time()
@@ -184,7 +194,11 @@
     async def send_order(self) -> None:
         """Send an order."""
         order = Order(OrderKind.LOAD, ModelKey(MODEL), NAME, "daemon-1", 7, 5)
-        self.answers.append(await self.control.send_order(self.entry, order, TIMEOUT_SECONDS))
+        self.answers.append(
+            await self.control.send_order(
+                self.entry, order, TIMEOUT_SECONDS, lambda: TIMEOUT_SECONDS
+            )
+        )
 
 
 def site(context: Any) -> ControlSite:
--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -72,7 +72,7 @@
         Metrics(),
     )
     assert election.is_leader()
-    controller._spawn(_answer_late(context.events))
+    controller._spawn_order(_answer_late(context.events))
     assert election.release()
     lease.record_write(6, now)
     context.leads_after = election.is_leader()
--- a/features/steps/replaced_server_steps.py
+++ b/features/steps/replaced_server_steps.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
 import msgspec
@@ -64,7 +65,13 @@
         is_busy = entry.instance != self.gone and now < BUSY_UNTIL_SECONDS
         return msgspec.structs.replace(report([], set()), busy=is_busy)
 
-    async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
+    async def send_order(
+        self,
+        entry: ServerEntry,
+        order: Order,
+        timeout: float,
+        remaining_seconds: Callable[[], float],
+    ) -> OrderAnswer:
         """Accept an order, unless it is for the instance that is gone."""
         await asyncio.sleep(ANSWER_SECONDS)
         self.orders.append((entry.instance, order.target.model))
@@ -86,7 +93,12 @@
         self.orders: list[str] = []
 
     async def request(
-        self, address: str, request: HttpRequest, timeout: float, max_bytes: int
+        self,
+        address: str,
+        request: HttpRequest,
+        timeout: float,
+        max_bytes: int,
+        remaining_seconds: Callable[[], float] | None = None,
     ) -> HttpResponse:
         """Answer the request for a report, or an order."""
         await asyncio.sleep(ANSWER_SECONDS)
@@ -111,6 +123,10 @@
         """Return that this daemon leads."""
         return True
 
+    def remaining_seconds(self, fence: int) -> float:
+        """Return for how long it leads."""
+        return 1.0
+
 
 class PeerExchangeStub:
     """A peer exchange without peers."""
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -147,10 +147,19 @@
             idle.append(connection)
 
     async def request(
-        self, address: str, request: HttpRequest, timeout: float, max_bytes: int = 64 << 20
+        self,
+        address: str,
+        request: HttpRequest,
+        timeout: float,
+        max_bytes: int = 64 << 20,
+        remaining_seconds: Callable[[], float] | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
+        :param remaining_seconds: see :meth:`ClientConnection.send_request`; a request with such a
+            limit gets ``timeout`` for the opening of the connection and the exchange together.
+        :raises RequestExpired: it may not be sent any more; nothing was sent.
+
         :raises ConnectFailed: no connection could be opened; nothing was sent.
         :raises ExchangeTimeout: no complete response within ``timeout`` seconds; the request may
             have run.
@@ -158,10 +167,14 @@
             request may have run.
         """
         request_id = request.header(self._id_header) or ""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         connection = await self.acquire(address, timeout, request_id)
+        if remaining_seconds is None:
+            deadline = loop.time() + timeout
         try:
-            async with asyncio.timeout(timeout):
-                connection.send_request(request)
+            async with asyncio.timeout_at(deadline):
+                connection.send_request(request, remaining_seconds)
                 head = await connection.read_head()
                 body = bytearray()
                 while data := await connection.read_body():
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -15,6 +15,7 @@
 from msgspec.structs import replace
 
 from loomwind import constants
+from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import (
     PROTOCOL_EXCEPTIONS,
     REQUEST_EXCEPTIONS,
@@ -22,12 +23,13 @@
     ConnectionBroken,
     ConnectionEnded,
     ExchangeTimeout,
+    RequestExpired,
     RequestRepeated,
     ResponseMissing,
     map_exceptions,
 )
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
-from loomwind.http.sockets import enable_dead_peer_detection
+from loomwind.http.sockets import enable_dead_peer_detection, limit_delivery, reset_on_close
 
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
@@ -105,6 +107,7 @@
         self._request: HttpRequest | None = None
         self._request_id = ""
         self._had_surplus = False
+        self._discards_unsent = False
         self._user_timeout_ms = user_timeout_ms
         self._h11 = _new_parser()
         self._transport: asyncio.Transport | None = None
@@ -173,9 +176,14 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def send_request(self, request: HttpRequest) -> None:
+    def send_request(
+        self, request: HttpRequest, remaining_seconds: Callable[[], float] | None = None
+    ) -> None:
         """Write a complete request in a single write.
 
+        :param remaining_seconds: returns for how long the request may still be sent, 0 once it may
+            not; None for no limit. What the server has not acknowledged by then is dropped.
+        :raises RequestExpired: it may not be sent any more; nothing was sent.
         :raises UnsendableRequest: the request is invalid; the connection can still be used.
         :raises RequestRepeated: it was sent on this connection before; nothing was sent.
         :raises ConnectionEnded: the connection is closed; nothing was sent.
@@ -196,7 +204,15 @@
         with map_exceptions(PROTOCOL_EXCEPTIONS):
             parts = [self._h11.send(head), self._h11.send(h11.Data(data=request.body))]
             parts.append(self._h11.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(part for part in parts if part))
+        data = b"".join(part for part in parts if part)
+        if remaining_seconds is not None:
+            limit_delivery(self._transport, remaining_seconds() * MS_PER_SECOND)
+            self._discards_unsent = True
+            # Nothing may come between this check and the write.
+            if remaining_seconds() <= 0.0:
+                self.close()
+                raise RequestExpired("the request may not be sent any more")
+        self._transport.write(data)
 
     def has_carried(self, request_id: str) -> bool:
         """Whether a response that comes here might be an earlier one to the same request.
@@ -393,10 +409,18 @@
         return is_complete and not is_exhausted and not has_more
 
     def close(self) -> None:
-        """Close immediately, without sending buffered data."""
+        """Close immediately, without sending data that this process has buffered.
+
+        During an exchange whose request may be sent for a limited time, the kernel's data is
+        dropped as well.
+        """
+        was_active = self.state is ClientState.ACTIVE
         self.state = ClientState.CLOSED
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if was_active and self._discards_unsent:
+            reset_on_close(self._transport)
+        self._transport.abort()
 
 
 def _decode_head(event: h11.Response) -> HttpResponse:
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -32,6 +32,10 @@
     """The connection ended before the request was sent on it; nothing was sent."""
 
 
+class RequestExpired(HttpError):
+    """The time in which the request may be sent ended before it was written; nothing was sent."""
+
+
 class ConnectionBroken(HttpError):
     """The connection ended or violated the protocol after data may have been sent."""
 
--- a/loomwind/http/sockets.py
+++ b/loomwind/http/sockets.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import termios
+from asyncio.trsock import TransportSocket
 
 from loomwind.clock import MS_PER_SECOND
 
@@ -33,13 +34,31 @@
     return max(1, int(user_timeout_ms / (KEEPALIVE_INTERVAL_SECONDS * MS_PER_SECOND)))
 
 
+def limit_delivery(transport: asyncio.BaseTransport, timeout_ms: float) -> None:
+    """Have the kernel drop data that its peer has not acknowledged within the timeout.
+
+    This holds while the process is stopped, and after it has ended. No-op on platforms without
+    ``TCP_USER_TIMEOUT``.
+    """
+    raw = _open_socket(transport)
+    if raw is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+        # 0 would mean the kernel's default, which is many minutes.
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max(1, int(timeout_ms)))
+
+
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Have the connection reset when it is closed, instead of ended in order."""
-    raw = transport.get_extra_info("socket")
+    raw = _open_socket(transport)
     if raw is not None:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def _open_socket(transport: asyncio.BaseTransport) -> TransportSocket | None:
+    """Return the socket of a transport; None if it has none, or has closed it."""
+    raw: TransportSocket | None = transport.get_extra_info("socket")
+    return raw if raw is not None and raw.fileno() >= 0 else None
+
+
 def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
     """Return how many bytes have arrived and were not read; None if the kernel does not say."""
     raw = transport.get_extra_info("socket")
--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -154,6 +154,12 @@
             return False
         return self.lease.is_leader(self._now())
 
+    def remaining_seconds(self, fence: int) -> float:
+        """Return for how long this daemon may act under a fencing token; 0 if it may not."""
+        if fence != self.lease.fence or not self.is_leader():
+            return 0.0
+        return self.lease.remaining_seconds(self._now())
+
     def _log_role_change(self) -> None:
         is_leader = self.is_leader()
         if is_leader == self._was_leader:
--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -89,7 +89,11 @@
 
     def is_leader(self, now: float) -> bool:
         """Return whether this daemon holds a valid lease."""
-        return self.fence is not None and now < self._valid_until
+        return self.remaining_seconds(now) > 0.0
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return for how long this daemon may act as the leader; 0 if it may not."""
+        return max(0.0, self._valid_until - now) if self.fence is not None else 0.0
 
     def record_row(self, version: int, holder: LeaseHolder | None, now: float) -> None:
         """Apply a version of the lease row; ``holder`` is None if the row was deleted."""
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import partial
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.leadership.election import Election
@@ -43,7 +44,8 @@
 class PlacementController:
     """Places models on servers while this daemon leads.
 
-    Every order carries the fencing token of the lease, which is checked just before sending.
+    Every order carries the fencing token of the lease, and is written only while this daemon leads
+    under that token: since it was decided, the process may have been stopped, or the lease lost.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self._reported: set[str] = set()
         self._notices: dict[str, ExpectationNotices] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._order_tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
         self._holdings_sent_at = -1e9
         self._shortages = ShortageLog(metrics)
@@ -348,12 +351,17 @@
         tracker.in_flight = order
         if planned.evicts_for:
             tracker.reserve_memory(planned.evicts_for, self._now())
-        self._spawn(self._send_order(tracker, order, planned))
+        self._spawn_order(self._send_order(tracker, order, planned))
 
     async def _send_order(
         self, tracker: ServerTracker, order: Order, planned: PlannedOrder
     ) -> None:
-        answer = await self._control.send_order(tracker.entry, order, ORDER_TIMEOUT_SECONDS)
+        answer = await self._control.send_order(
+            tracker.entry,
+            order,
+            ORDER_TIMEOUT_SECONDS,
+            partial(self._election.remaining_seconds, order.fence),
+        )
         now = self._now()
         tracker.record_answer(
             order,
@@ -386,15 +394,20 @@
         self._wake.set()
 
     async def finish_orders(self) -> None:
-        """Wait until every order that was sent is answered or has timed out."""
-        pending = [task for task in self._tasks if not task.done()]
-        if pending:
-            await asyncio.wait(pending, timeout=ORDER_TIMEOUT_SECONDS)
+        """Wait until every order is answered, or has timed out and can't arrive any more."""
+        while self._order_tasks:
+            await asyncio.wait(self._order_tasks)
+
+    def _spawn_order(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = self._spawn(coroutine)
+        self._order_tasks.add(task)
+        task.add_done_callback(self._order_tasks.discard)
 
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
+        return task
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- a/loomwind/platform/engine.py
+++ b/loomwind/platform/engine.py
@@ -1,5 +1,7 @@
 """Implements :class:`loomwind.serving.ports.EngineControl` for the platform's model servers."""
 
+from collections.abc import Callable
+
 import msgspec
 from msgspec import Struct
 from msgspec.structs import replace
@@ -7,7 +9,7 @@
 from loomwind import constants
 from loomwind.decoding import DecodeError, decode_json
 from loomwind.http.client import HttpClient
-from loomwind.http.errors import ConnectFailed, HttpError
+from loomwind.http.errors import ConnectFailed, HttpError, RequestExpired
 from loomwind.http.messages import HttpRequest, HttpResponse
 from loomwind.logs import log_state
 from loomwind.platform.dialect import (
@@ -106,7 +108,13 @@
             return None
         return replace(report, max_rejections_per_second=parse_rejection_limit(response))
 
-    async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
+    async def send_order(
+        self,
+        entry: ServerEntry,
+        order: Order,
+        timeout: float,
+        remaining_seconds: Callable[[], float],
+    ) -> OrderAnswer:
         """Send an order; see :meth:`EngineControl.send_order`."""
         body: dict[str, str | int] = {
             "op": order.kind.value,
@@ -121,8 +129,10 @@
         request = HttpRequest("POST", "/order", headers, msgspec.json.encode(body))
         try:
             response = await self._unpooled.request(
-                entry.address, request, timeout, MAX_REPORT_BYTES
+                entry.address, request, timeout, MAX_REPORT_BYTES, remaining_seconds
             )
+        except RequestExpired:
+            return OrderAnswer.EXPIRED
         except ConnectFailed:
             return OrderAnswer.REJECTED
         except HttpError:
--- a/loomwind/serving/ports.py
+++ b/loomwind/serving/ports.py
@@ -4,6 +4,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from msgspec import Struct
 
@@ -213,5 +214,15 @@
         """
 
     @abstractmethod
-    async def send_order(self, entry: ServerEntry, order: Order, timeout: float) -> OrderAnswer:
-        """Send an order. ``UNKNOWN`` means that it may be carried out, possibly much later."""
+    async def send_order(
+        self,
+        entry: ServerEntry,
+        order: Order,
+        timeout: float,
+        remaining_seconds: Callable[[], float],
+    ) -> OrderAnswer:
+        """Send an order. ``UNKNOWN`` means that it may be carried out, possibly much later.
+
+        :param timeout: seconds from now to the answer.
+        :param remaining_seconds: returns for how long its sender leads; asked when it is written.
+        """
--- a/loomwind/serving/views.py
+++ b/loomwind/serving/views.py
@@ -296,7 +296,8 @@
     """A model server's response to an order.
 
     OTHER_INSTANCE: another server responded. MISSING_TARGET: the server does not hold what the
-    order refers to, such as the model of an adapter.
+    order refers to, such as the model of an adapter. EXPIRED: it was not sent, since its sender did
+    not lead any more.
     """
 
     ACCEPTED = "accepted"
@@ -306,4 +307,5 @@
     OTHER_INSTANCE = "other-instance"
     MISSING_TARGET = "missing-target"
     REJECTED = "rejected"
+    EXPIRED = "expired"
     UNKNOWN = "unknown"
