Refuse requests that a daemon would cut off when it is stopped

What callers saw: a planned stop of one daemon, in calm.

Change: the daemon keeps how long recent requests of each route took. Once it is being stopped it refuses a request that has not run and can't be expected to end in time with 503 and Retry-After (a peer's request is declined); where nothing is known the request is expected to take until its deadline. A request that is passed on gets no more time than the daemon has. The same is asked again after a wait for a model or a place.

--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -344,7 +344,10 @@
         self.callers = HttpServer(self._on_request, close_observer=self._close_log)
         self._readiness_server = HttpServer(self._on_readiness_check)
         self._admin_server = AdminServer(self.metrics, self.is_ready)
-        self.replicated_state.configuration_listeners.append(self._apply_limits)
+        self.replicated_state.configuration_listeners += [
+            self._apply_limits,
+            self._handler.forget_removed_routes,
+        ]
 
     async def start(self) -> None:
         """Start listening; requests are served once a configuration and servers are known."""
@@ -440,12 +443,13 @@
         self.stopping = True
         stop_started_at = self._now()
         log_state("daemon", "leaving", name=self.settings.name)
+        grace = self.settings.bounds.grace_seconds
+        self._handler.begin_stop(stop_started_at + grace - STOP_MARGIN_SECONDS)
         self.callers.start_draining()
         self._spawn(self._release_leadership())
         await asyncio.sleep(self.settings.bounds.notice_seconds)
         self.callers.stop_listening()
         self._relay_server.stop_listening()
-        grace = self.settings.bounds.grace_seconds
         await self._finish_requests(stop_started_at + grace * WAITING_GRACE_FRACTION)
         self._handler.reject_waiting()
         await self._finish_requests(stop_started_at + grace - STOP_MARGIN_SECONDS)
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -24,6 +24,7 @@
 from loomwind.serving.forwarder import Forwarder
 from loomwind.serving.origin_log import OriginLog
 from loomwind.serving.peer_relay import PeerRelay
+from loomwind.serving.planned_stop import PlannedStop
 from loomwind.serving.pool import ServerPool
 from loomwind.serving.ports import Dialect
 from loomwind.serving.prompt_guard import PromptGuard
@@ -73,6 +74,7 @@
         self.admission = admission
         self.open_requests = 0
         self.timeouts: set[asyncio.Timeout] = set()
+        self.planned_stop = PlannedStop()
         self.rejects_waiting = False
         self._has_ended_requests = False
 
@@ -103,6 +105,20 @@
         """Count the outcome of a send to a server."""
         self.metrics.sends.labels(self.metrics.server_labels.label_for(entry.instance), end).inc()
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuse requests that can't be expected to end before this daemon does.
+
+        :param ends_at: the loop time at which all requests have to have ended.
+        """
+        self.planned_stop.begin(ends_at)
+        self.pool.demand.wake()
+
+    def forget_removed_routes(self) -> None:
+        """Forget the durations of requests on routes that the active configuration lacks."""
+        configuration = self._replicated_state.configuration
+        if configuration is not None:
+            self.planned_stop.durations.retain({route.name for route in configuration.routes})
+
     def reject_waiting(self) -> None:
         """Reject all requests that wait for a model, now and later, as this daemon shuts down."""
         self.rejects_waiting = True
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -29,6 +29,7 @@
 from loomwind.serving.peer_attempts import PeerAttempts
 from loomwind.serving.peers import PeerEntry
 from loomwind.serving.place_wait import PlaceWait
+from loomwind.serving.planned_stop import ServedRequest
 from loomwind.serving.relay_protocol import RelayMetadata, with_origin
 from loomwind.serving.request_attempts import SERVER_ERROR_STATUSES, RequestAttempts
 from loomwind.serving.request_log import RequestLog, RequestProgress
@@ -77,7 +78,10 @@
         timeout = route.timeout_seconds
         if caller.remaining_seconds is not None:
             timeout = min(timeout, caller.remaining_seconds)
-        self._request = OutgoingRequest(request, caller, route, self._arrived_at + timeout)
+        self._caller_deadline = self._arrived_at + timeout
+        deadline = handler.planned_stop.limit(self._caller_deadline)
+        self._request = OutgoingRequest(request, caller, route, deadline)
+        self._begun_at: float | None = None
         self._relayed = relayed
         runs = relayed.runs if relayed else 0
         self._progress = RequestProgress(runs, runs, may_have_run=runs > 0)
@@ -152,6 +156,7 @@
                 await self._require_version()
                 await self._try_servers()
             self._log.count_end(SERVED)
+            self._record_duration()
         except TimeoutError as error:
             self._log_end("out-of-time")
             raise self._errors.timeout() from error
@@ -166,6 +171,12 @@
             self._retries.refund_unsent()
             self._retries.release_reserve()
 
+    def _record_duration(self) -> None:
+        if self._begun_at is not None:
+            seconds = self._handler.now() - self._begun_at
+            served = ServedRequest(seconds, self._caller.max_new_tokens)
+            self._handler.planned_stop.durations.record(self._route.name, served)
+
     def _log_end(self, end: str) -> None:
         self._log.end(
             end,
@@ -215,6 +226,7 @@
         while True:
             self._raise_if_banned()
             self._raise_if_version_gone()
+            self._raise_if_stopping()
             self._selector.allowed = self._retries.allowed_servers()
             self._raise_if_servers_gone()
             if self._should_relay():
@@ -225,9 +237,33 @@
             if entry is None:
                 continue
             has_permit, self._has_permit = self._has_permit, False
+            if has_permit and not self._has_time():
+                self._handler.admission.give_back(entry)
+            self._raise_if_stopping()
+            self._begun_at = self._begun_at or self._handler.now()
             if await self._serve_by_server(self._attempts.new(entry, has_permit=has_permit)):
                 return
 
+    def _raise_if_stopping(self) -> None:
+        """Reject a request that has not run, and would be cut off when this daemon ends.
+
+        :raises Refused: its caller should try another daemon.
+        :raises RelayDeclined: the same, for a peer's request.
+        """
+        if self._has_time():
+            return
+        reason = "this daemon is leaving, and may end before an answer"
+        if self._relayed is not None:
+            raise RelayDeclined(reason)
+        raise self._errors.failure(reason)
+
+    def _has_time(self) -> bool:
+        """Whether the request may go on, as far as this daemon's end is concerned."""
+        if not self._errors.has_not_run:
+            return True
+        now, deadline = self._handler.now(), self._caller_deadline
+        return self._handler.planned_stop.has_time_for(self._route, self._caller, now, deadline)
+
     def _raise_if_banned(self) -> None:
         """Reject a request that is banned, or whose prompt has a banned part.
 
@@ -274,6 +310,7 @@
             with wait:
                 while entry is None and not self._is_wait_over():
                     self._raise_if_leaving()
+                    self._raise_if_stopping()
                     self._raise_if_banned()
                     self._raise_if_version_gone()
                     self._raise_if_servers_gone()
@@ -424,6 +461,7 @@
         peer = self._peers.next_peer()
         if peer is None:
             return False
+        self._begun_at = self._begun_at or self._handler.now()
         try:
             await self._peers.relay_to(
                 peer, self._progress.runs, lambda: self._record_sent_to_peer(peer)
