Bound the parsing of one pass of the event loop, and the parts of a message

What callers saw: one client with a body of one-byte chunks, or one server with such a response, made a daemon stand still; deadlines, health checks and the renewal of the lease waited.

Change: a connection parses 64 events, and then waits for its turn; the connections of a listener, and all to servers, peers and the store, share one turn in each pass. A body, or a stream, in more parts than its bytes and time explain is refused: callers get 400 and a closed connection (logged, and counted by loomwind_unreadable_requests), a server has failed as before. Sockets are read 64 KB at a time into one buffer, which also takes memory from endless bodies. A peer's refusal is read up to 64 KB, other responses read whole up to 16 MB (64 MB before).

--- a/loomwind/constants.py
+++ b/loomwind/constants.py
@@ -12,7 +12,12 @@
 HEAD_TIMEOUT_SECONDS: Final = 5.0
 BODY_TIMEOUT_SECONDS: Final = 10.0
 IDLE_TIMEOUT_SECONDS: Final = 60.0
-READ_BUFFER_HIGH_WATER_BYTES: Final = 256 * KIBIBYTE
+# What is read from a socket at once.
+READ_BYTES: Final = 64 * KIBIBYTE
+READ_BUFFER_HIGH_WATER_BYTES: Final = 64 * KIBIBYTE
+# Events of the HTTP parser that are processed before other connections get their turn: parsing
+# takes less than a millisecond.
+PARSER_EVENTS_PER_TURN: Final = 64
 # A daemon with 50 servers that all send an event without end has to stay below 64 MiB. It takes
 # 36 MiB itself and 256 KiB for each last read, which leaves 310 KiB for each event and the spare
 # capacity of its buffer (an eighth).
--- a/loomwind/http/client.py
+++ b/loomwind/http/client.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from loomwind import constants
 from loomwind.http.client_connection import ClientConnection, SurplusResponse
 from loomwind.http.errors import (
     CONNECT_EXCEPTIONS,
@@ -13,6 +14,10 @@
     map_exceptions,
 )
 from loomwind.http.messages import HttpRequest, HttpResponse
+from loomwind.http.turns import Turns
+
+# A table of the store with the rows of 5,100 servers takes some 5 MB.
+MAX_RESPONSE_BYTES = 16 * constants.MEBIBYTE
 
 
 class Connector:
@@ -27,6 +32,7 @@
             None disables it.
         """
         self._overrides = overrides or {}
+        self._turns = Turns()
         self.user_timeout_ms = user_timeout_ms
 
     def redirect(self, overrides: dict[str, str]) -> None:
@@ -49,7 +55,9 @@
         with map_exceptions(CONNECT_EXCEPTIONS):
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(address, self.user_timeout_ms, id_header), host, port
+                    lambda: ClientConnection(address, self.user_timeout_ms, id_header, self._turns),
+                    host,
+                    port,
                 )
         return connection
 
@@ -151,7 +159,7 @@
         address: str,
         request: HttpRequest,
         timeout: float,
-        max_bytes: int = 64 << 20,
+        max_bytes: int = MAX_RESPONSE_BYTES,
         remaining_seconds: Callable[[], float] | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
--- a/loomwind/http/client_connection.py
+++ b/loomwind/http/client_connection.py
@@ -19,6 +19,7 @@
 from loomwind.http.errors import (
     PROTOCOL_EXCEPTIONS,
     REQUEST_EXCEPTIONS,
+    BodyFragmented,
     BodyTruncated,
     ConnectionBroken,
     ConnectionEnded,
@@ -29,7 +30,14 @@
     map_exceptions,
 )
 from loomwind.http.messages import Headers, HttpRequest, HttpResponse
-from loomwind.http.sockets import enable_dead_peer_detection, limit_delivery, reset_on_close
+from loomwind.http.part_limit import PartLimit, TooManyParts
+from loomwind.http.sockets import (
+    ReadBuffer,
+    enable_dead_peer_detection,
+    limit_delivery,
+    reset_on_close,
+)
+from loomwind.http.turns import Turns
 
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 KEEP_ALIVE_TIMEOUT_PREFIX = "timeout="
@@ -75,7 +83,7 @@
     status: int
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(ReadBuffer):
     """One connection to a server.
 
     :ivar expires_at: loop time from which the connection is not reused, since the server may close
@@ -87,11 +95,16 @@
     """
 
     def __init__(
-        self, address: str, user_timeout_ms: float | None = None, id_header: str = ""
+        self,
+        address: str,
+        user_timeout_ms: float | None = None,
+        id_header: str = "",
+        turns: Turns | None = None,
     ) -> None:
         """Create a connection.
 
         :param id_header: see :class:`HttpClient`.
+        :param turns: shared by connections that hold up each other as little as possible.
         """
         self.address = address
         self.state = ClientState.IDLE
@@ -108,6 +121,9 @@
         self._request_id = ""
         self._had_surplus = False
         self._discards_unsent = False
+        self._turns = turns or Turns()
+        self._events_in_turn = 0
+        self._part_limit = PartLimit(0.0)
         self._user_timeout_ms = user_timeout_ms
         self._h11 = _new_parser()
         self._transport: asyncio.Transport | None = None
@@ -242,7 +258,7 @@
     async def _wait_for_data(self) -> None:
         if self._reset:
             raise ConnectionBroken("the connection was reset")
-        self._buffered_bytes = 0
+        self._buffered_bytes = self._events_in_turn = 0
         if (
             self._transport is not None
             and not self._transport.is_reading()
@@ -263,8 +279,7 @@
         """Set the expiry from the keep-alive timeout in a response, if it has one."""
         seconds = parse_keep_alive_timeout(head)
         if seconds is not None:
-            now = asyncio.get_running_loop().time()
-            self.expires_at = now + seconds - KEEP_ALIVE_MARGIN_SECONDS
+            self.expires_at = self._now() + seconds - KEEP_ALIVE_MARGIN_SECONDS
 
     def abort_reading(self) -> None:
         """Make reads that wait for data fail with :class:`ExchangeTimeout`."""
@@ -282,6 +297,7 @@
         for _ in range(MAX_SURPLUS_RESPONSES + 1):
             event = await self._read_response_event()
             head = _decode_head(event)
+            self._part_limit = PartLimit(self._now())
             if self._is_own(head):
                 self._note_keep_alive(head)
                 return head
@@ -312,6 +328,9 @@
             informational_count += 1
             if informational_count > MAX_INFORMATIONAL_RESPONSES:
                 raise ConnectionBroken("too many informational responses")
+            self._events_in_turn += 1 + _line_count(event)
+            if self._events_in_turn >= constants.PARSER_EVENTS_PER_TURN:
+                await self._wait_for_turn()
             event = await self._next_event()
         return event
 
@@ -358,6 +377,7 @@
         """Return the part of the body that has arrived; empty at the end of the body.
 
         :raises BodyTruncated: the connection ended before the end of the body.
+        :raises BodyFragmented: the body comes in too many small chunks.
         :raises ExchangeTimeout: the read was aborted.
         """
         data = await self._read_data()
@@ -372,6 +392,11 @@
             return b""
         chunks: list[bytes] = []
         while True:
+            if self._events_in_turn >= constants.PARSER_EVENTS_PER_TURN:
+                if chunks:
+                    return b"".join(chunks)
+                await self._wait_for_turn()
+            self._events_in_turn += 1
             try:
                 event = self._h11.next_event()
             except h11.ProtocolError as error:
@@ -379,6 +404,7 @@
                     return b"".join(chunks)
                 raise BodyTruncated(str(error)) from error
             if isinstance(event, h11.Data):
+                self._count_part(len(event.data))
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._body_complete = bool(chunks)
@@ -393,6 +419,22 @@
             else:
                 raise BodyTruncated("closed before the body's end")
 
+    async def _wait_for_turn(self) -> None:
+        """Let other connections go on.
+
+        :raises ExchangeTimeout: the read was aborted.
+        """
+        await self._turns.wait()
+        self._events_in_turn = 0
+        if self._read_aborted:
+            raise ExchangeTimeout("the read was aborted")
+
+    def _count_part(self, size_bytes: int) -> None:
+        try:
+            self._part_limit.record(1, size_bytes, self._now())
+        except TooManyParts as error:
+            raise BodyFragmented(f"a body in chunks: {error}") from error
+
     def _finish_exchange(self) -> None:
         self._request = None
         if self._is_reusable():
@@ -422,6 +464,15 @@
             reset_on_close(self._transport)
         self._transport.abort()
 
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _line_count(event: object) -> int:
+    """Return the number of lines of a head, each of which costs as much as another event."""
+    return len(event.headers) if isinstance(event, h11.InformationalResponse) else 0
+
 
 def _decode_head(event: h11.Response) -> HttpResponse:
     headers: Headers = tuple(
--- a/loomwind/http/errors.py
+++ b/loomwind/http/errors.py
@@ -48,6 +48,10 @@
     """The response head arrived, but the connection ended before the end of the body."""
 
 
+class BodyFragmented(ConnectionBroken):
+    """The body comes in too many small chunks."""
+
+
 class EventTruncated(HttpError):
     """The body ended as its framing says, but in the middle of a server-sent event."""
 
--- a/loomwind/http/server.py
+++ b/loomwind/http/server.py
@@ -11,6 +11,7 @@
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.limits import ServerLimits
 from loomwind.http.server_connection import ServerConnection
+from loomwind.http.turns import Turns
 
 __all__ = ["BadRequest", "Exchange", "Handler", "HttpServer", "ServerLimits"]
 
@@ -24,6 +25,7 @@
 
     :ivar closing: connections are closed after the current response.
     :ivar draining: responses ask clients to open a new connection; requests are still accepted.
+    :ivar turns: shared by its connections when they have much to parse.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         self.close_observer = close_observer
         self._limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
+        self.turns = Turns()
         self.closing = False
         self.draining = False
         self._server: asyncio.Server | None = None
--- a/loomwind/http/server_connection.py
+++ b/loomwind/http/server_connection.py
@@ -14,7 +14,8 @@
 from loomwind.http.errors import RESPONSE_EXCEPTIONS, ClientDisconnected, map_exceptions
 from loomwind.http.exchange import BadRequest, Exchange
 from loomwind.http.messages import Headers, HttpRequest
-from loomwind.http.sockets import reset_on_close, unread_bytes
+from loomwind.http.part_limit import PartLimit, TooManyParts
+from loomwind.http.sockets import ReadBuffer, reset_on_close, unread_bytes
 
 if TYPE_CHECKING:
     from loomwind.http.server import HttpServer
@@ -48,7 +49,7 @@
     return tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(ReadBuffer):
     """A connection from a client."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -68,6 +69,8 @@
         self._is_unreadable = False
         self._waiting_bytes = 0
         self._is_paused = False
+        self._waits_for_turn = False
+        self._part_limit = PartLimit(0.0)
         self._has_left_request = False
         self._recorder: CloseRecorder | None = None
         self._linger_reason = CloseReason.UNREADABLE_REQUEST
@@ -227,26 +230,46 @@
             self._read_events()
 
     def _limit_reading(self) -> None:
-        """Read on, unless much has been read that waits until the current request is handled.
+        """Read on, unless much has been read that waits until it is parsed.
 
-        While nothing is read, a client that leaves is only noticed when it is written to.
+        That is until the current request is handled, or its parsing gets its next turn. While
+        nothing is read, a client that leaves is only noticed when it is written to.
         """
         is_paused = self._waiting_bytes > constants.READ_BUFFER_HIGH_WATER_BYTES
+        is_paused |= self._waits_for_turn
         if self._transport is None or is_paused is self._is_paused:
             return
         self._is_paused = is_paused
         (self._transport.pause_reading if is_paused else self._transport.resume_reading)()
 
     def _read_events(self) -> None:
+        """Parse what has arrived; the rest of much in further turns."""
+        if self._waits_for_turn:
+            return
         try:
-            while self._state in READING_STATES:
-                event = self._h11.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                self._on_event(event)
+            if self._parse_events():
+                self._waits_for_turn = True
+                self._server.turns.call(self._read_on)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             self._reject(BadRequest(status, "malformed-request", str(error)))
+        self._limit_reading()
+
+    def _parse_events(self) -> bool:
+        """Process the events of one turn; returns whether there may be more."""
+        for _ in range(constants.PARSER_EVENTS_PER_TURN):
+            if self._state not in READING_STATES:
+                return False
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return False
+            self._on_event(event)
+        return self._state in READING_STATES
+
+    def _read_on(self) -> None:
+        self._waits_for_turn = False
+        if self._state is not ConnectionState.CLOSED:
+            self._read_events()
 
     def _on_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
@@ -263,6 +286,7 @@
             self._reject(bad_request)
             return
         self._body = bytearray()
+        self._part_limit = PartLimit(self._now())
         self._state = ConnectionState.READING_BODY
         self._start_timer(limits.body_timeout_seconds)
         if self._h11.they_are_waiting_for_100_continue:
@@ -270,6 +294,11 @@
 
     def _on_body(self, data: bytes) -> None:
         self._body += data
+        try:
+            self._part_limit.record(1, len(data), self._now())
+        except TooManyParts as error:
+            self._reject(BadRequest(400, "fragmented-body", f"a body in chunks: {error}"))
+            return
         if bad_request := self._server.limits.refuse_body(len(self._body)):
             self._reject(bad_request)
 
--- a/loomwind/http/sockets.py
+++ b/loomwind/http/sockets.py
@@ -1,4 +1,4 @@
-"""TCP sockets: detect a peer that vanished, reset a connection, and count unread bytes."""
+"""TCP sockets: read, detect a peer that vanished, reset a connection, count unread bytes."""
 
 import asyncio
 import fcntl
@@ -7,12 +7,34 @@
 import termios
 from asyncio.trsock import TransportSocket
 
+from loomwind import constants
 from loomwind.clock import MS_PER_SECOND
 
 # The minimum of TCP_KEEPIDLE and TCP_KEEPINTVL, which are in whole seconds.
 KEEPALIVE_INTERVAL_SECONDS = 1
 
 
+class ReadBuffer(asyncio.BufferedProtocol):
+    """A protocol whose connections read into one buffer, and process each read before the next.
+
+    It serves connections of a single thread.
+    """
+
+    _buffer = memoryview(bytearray(constants.READ_BYTES))
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process what was read."""
+        self.data_received(bytes(self._buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Process data; has to be overridden."""
+        raise NotImplementedError
+
+
 def enable_dead_peer_detection(transport: asyncio.BaseTransport, user_timeout_ms: float) -> None:
     """Close the connection if its peer acknowledges neither data nor probes for the timeout.
 
--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -93,6 +93,11 @@
             "Responses of servers that were skipped, since they belong to another request",
             ["status"],
         )
+        self.unreadable_requests = self._counter(
+            "loomwind_unreadable_requests",
+            "Requests that were refused before they were read whole, by reason",
+            ["reason"],
+        )
         self.resumed_streams = self._counter(
             "loomwind_resumed_streams",
             "Sends that continue a stream, by whether its caller or this daemon resumed it",
--- a/loomwind/serving/handler.py
+++ b/loomwind/serving/handler.py
@@ -13,7 +13,7 @@
 from loomwind.clock import MS_PER_SECOND
 from loomwind.http.errors import ClientDisconnected
 from loomwind.http.messages import Headers, HttpRequest
-from loomwind.http.server import Exchange
+from loomwind.http.server import BadRequest, Exchange
 from loomwind.logs import log_decision
 from loomwind.metrics import Metrics
 from loomwind.serving.admission import Admission
@@ -173,13 +173,7 @@
     async def _respond(self, exchange: Exchange) -> None:
         request = exchange.request
         if request is None:
-            bad_request = exchange.bad_request
-            status, title = (
-                (bad_request.status, bad_request.title)
-                if bad_request
-                else (400, "malformed-request")
-            )
-            await exchange.respond(status, (), title.encode())
+            await self._refuse_unreadable(exchange)
             return
         try:
             await self._serve_caller(exchange, request)
@@ -195,6 +189,18 @@
         except Exception as error:
             await self._fail(exchange, error)
 
+    async def _refuse_unreadable(self, exchange: Exchange) -> None:
+        bad_request = exchange.bad_request or BadRequest(400, "malformed-request", "")
+        self.metrics.unreadable_requests.labels(bad_request.title).inc()
+        log_decision(
+            "unreadable",
+            "",
+            status=bad_request.status,
+            reason=bad_request.title,
+            detail=bad_request.detail,
+        )
+        await exchange.respond(bad_request.status, (), bad_request.title.encode())
+
     async def _serve_caller(self, exchange: Exchange, request: HttpRequest) -> None:
         caller = self.dialect.read_request(request)
         try:
--- a/loomwind/serving/peer_relay.py
+++ b/loomwind/serving/peer_relay.py
@@ -12,11 +12,11 @@
 from loomwind.clock import Clock
 from loomwind.http.client import HttpClient
 from loomwind.http.client_connection import ClientConnection
-from loomwind.http.errors import ConnectFailed, ConnectionEnded, HttpError
+from loomwind.http.errors import ConnectFailed, ConnectionBroken, ConnectionEnded, HttpError
 from loomwind.http.messages import HttpRequest
 from loomwind.metrics import Metrics
 from loomwind.serving.errors import RelayDeclined, SendFailed
-from loomwind.serving.forwarder import OpenResponse, OutgoingRequest
+from loomwind.serving.forwarder import MAX_REFUSAL_BODY_BYTES, OpenResponse, OutgoingRequest
 from loomwind.serving.peers import PeerEntry, PeerTable
 from loomwind.serving.ports import Dialect
 from loomwind.serving.relay_protocol import (
@@ -146,9 +146,15 @@
         return HttpRequest(request.method, request.target, headers + metadata.headers, request.body)
 
     async def _read_body(self, connection: ClientConnection) -> bytes:
+        """Return the body of a peer's own response.
+
+        :raises ConnectionBroken: it is too large.
+        """
         body = bytearray()
         while chunk := await connection.read_body():
             body += chunk
+            if len(body) > MAX_REFUSAL_BODY_BYTES:
+                raise ConnectionBroken("a refusal is too large")
         return bytes(body)
 
     def _record_declined(self, peer: PeerEntry, service: str) -> None:
--- a/loomwind/serving/stream_relay.py
+++ b/loomwind/serving/stream_relay.py
@@ -7,6 +7,7 @@
 from loomwind.http.errors import EventTooLarge, EventTruncated, HttpError
 from loomwind.http.event_stream import EventStreamBuffer
 from loomwind.http.messages import Framing
+from loomwind.http.part_limit import PartLimit, TooManyParts
 from loomwind.http.server import Exchange
 from loomwind.logs import log_decision
 from loomwind.metrics import Metrics
@@ -50,6 +51,7 @@
         self._on_first_event = on_first_event
         self._delays_head = delays_head
         self._event_buffer = EventStreamBuffer(caller.last_event_id)
+        self._event_limit = PartLimit(self._now())
 
     @property
     def last_event_id(self) -> str | None:
@@ -134,11 +136,14 @@
     def _complete_events(self, entry: ServerEntry, chunk: bytes) -> bytes:
         """Buffer a chunk; returns the bytes of the events that it completes.
 
-        :raises SendFailed: an event is too large to be buffered.
+        :raises SendFailed: an event is too large to be buffered, or there are too many small ones.
         """
+        events_before = self.events
         try:
-            return self._event_buffer.feed(chunk)
-        except EventTooLarge as error:
+            complete = self._event_buffer.feed(chunk)
+            self._event_limit.record(self.events - events_before, len(chunk), self._now())
+            return complete
+        except (EventTooLarge, TooManyParts) as error:
             raise SendFailed(f"{entry.instance}: {error}", may_have_run=True) from error
 
     def _finish_body(self, entry: ServerEntry, response: OpenResponse, has_events: bool) -> bytes:
