Have the lease's row say how long it lasts; take it at once only at its holder's own address

Cause: each daemon counted with its own settings, and took a name for a machine.

Change: the row has the duration that the holder counts with, that of the settings at the acquisition, for the whole term. Others wait at least as long. Only a process with the holder's name and address takes the lease at once: it has bound the holder's port. A row of an earlier version counts as before.

--- a/loomwind/leadership/election.py
+++ b/loomwind/leadership/election.py
@@ -105,7 +105,8 @@
         action = self.lease.action(now, self._health.available_seconds(now), extra_wait)
         if action is LeaseAction.WAIT:
             return
-        write = Write(LEASE_KEY, msgspec.json.encode(self._own), self.lease.expected_version)
+        holder = self.lease.row()
+        write = Write(LEASE_KEY, msgspec.json.encode(holder), self.lease.expected_version)
         is_retry = self._unknown_write_sent_at is not None
         timeout = RETRY_WRITE_TIMEOUT_SECONDS if is_retry else FIRST_WRITE_TIMEOUT_SECONDS
         try:
@@ -121,7 +122,7 @@
         else:
             self._health.record_success(self._now())
             self._unknown_write_sent_at = None
-            self.lease.record_write(version, now)
+            self.lease.record_write(version, now, holder)
             self.write_finished.set()
 
     def _on_conflict(self, conflict: WriteConflict) -> None:
@@ -138,7 +139,7 @@
                 and holder.incarnation == self._own.incarnation
                 and self._unknown_write_sent_at
             ):
-                self.lease.record_write(row.version, self._unknown_write_sent_at)
+                self.lease.record_write(row.version, self._unknown_write_sent_at, holder)
                 self.write_finished.set()
             else:
                 self.record_row(row)
--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -6,15 +6,22 @@
 has a higher one than its predecessors. A holder acts as the leader only while the lease is valid by
 its own monotonic clock, measured from just before it sent its last successful write.
 
+The row has the duration that its holder counts with, which is that of the settings when it acquired
+the lease. Others wait at least as long, whatever their settings are.
+
 A holder whose process is known to have ended does not block the lease until it expires. This is
-known when a new process of the same daemon runs, or another process answers at the holder's
-address. A refused connection does not show it: partitions refuse connections as well.
+known when a new process of the same daemon runs at the same address, or another process answers at
+the holder's address: the earlier one has let go of its port. A refused connection does not show it:
+partitions refuse connections as well.
 """
 
 import enum
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
+
+from loomwind.clock import MS_PER_SECOND
 
 
 class LeaseHolder(Struct, frozen=True):
@@ -23,11 +30,13 @@
     :param name: the daemon's name, under which it sends orders to servers.
     :param incarnation: the ID of the daemon process; stored as ``life``.
     :param address: the daemon's peer address, ``host:port``.
+    :param duration_ms: how long its lease lasts without a renewal; 0 if the row does not say so.
     """
 
     name: str
     incarnation: str = msgspec.field(name="life")
     address: str
+    duration_ms: float = 0.0
 
 
 class LeaseAction(enum.Enum):
@@ -60,6 +69,7 @@
         """
         self._own = own
         self._duration_seconds = duration_seconds
+        self._term_duration_seconds = duration_seconds
         self._renew_interval_seconds = renew_interval_seconds
         self._margin_seconds = margin_seconds
         self.holder: LeaseHolder | None = None
@@ -74,9 +84,15 @@
         self._renewed_at = 0.0
 
     def set_duration(self, duration_seconds: float) -> None:
-        """Set the lease duration; the holder applies it from its next renewal."""
+        """Set the lease duration; a holder applies it when it next acquires the lease."""
         self._duration_seconds = duration_seconds
 
+    def row(self) -> LeaseHolder:
+        """Return the value of the row that this daemon writes."""
+        is_holder = self.fence is not None
+        seconds = self._term_duration_seconds if is_holder else self._duration_seconds
+        return replace(self._own, duration_ms=seconds * MS_PER_SECOND)
+
     @property
     def version(self) -> int:
         """Return the row version of the last known change."""
@@ -130,28 +146,35 @@
             self._vacant_since = now
         self._ended_incarnation = incarnation
 
-    def record_write(self, version: int, sent_at: float) -> None:
+    def record_write(
+        self, version: int, sent_at: float, written: LeaseHolder | None = None
+    ) -> None:
         """Record a successful write of this daemon.
 
         :param sent_at: the time just before the write was sent.
+        :param written: the value that was written; None for that of :meth:`row`.
         """
         if version < self._version:
             return
+        self.holder = written or self.row()
         if self.fence is None:
             self.fence = version
-        self.holder = self._own
+            self._term_duration_seconds = self._duration_of(self.holder)
         self._row_known = True
         self._row_exists = True
         self._version = version
         self._last_change_at = sent_at
         self._renewed_at = sent_at
-        self._valid_until = sent_at + self._duration_seconds - self._margin_seconds
+        self._valid_until = sent_at + self._term_duration_seconds - self._margin_seconds
 
     def release(self) -> None:
         """Stop holding the lease; the row in the store is unchanged."""
         self.fence = None
         self._valid_until = 0.0
 
+    def _duration_of(self, holder: LeaseHolder) -> float:
+        return holder.duration_ms / MS_PER_SECOND or self._duration_seconds
+
     def action(
         self, now: float, store_available_seconds: float, extra_wait_seconds: float = 0.0
     ) -> LeaseAction:
@@ -170,9 +193,10 @@
         if self.holder is None or self.holder.incarnation == self._ended_incarnation:
             vacant = now - self._vacant_since >= extra_wait_seconds
             return LeaseAction.ACQUIRE if vacant else LeaseAction.WAIT
-        if self.holder.name == self._own.name:
+        if (self.holder.name, self.holder.address) == (self._own.name, self._own.address):
             return LeaseAction.ACQUIRE
-        expired = now - self._last_change_at >= self._duration_seconds + extra_wait_seconds
+        duration_seconds = max(self._duration_seconds, self._duration_of(self.holder))
+        expired = now - self._last_change_at >= duration_seconds + extra_wait_seconds
         if expired and store_available_seconds >= 2 * self._renew_interval_seconds:
             return LeaseAction.ACQUIRE
         return LeaseAction.WAIT
