--- a/features/support/pool_site.py
+++ b/features/support/pool_site.py
@@ -302,11 +302,16 @@
         self.daemons[name] = daemon
         daemon.start()
 
-    def add_linked_daemons(self, names: list[str]) -> None:
-        """Start daemons that reach the store and each other's peer port through links."""
+    def add_linked_daemons(self, names: list[str], with_servers: bool = False) -> None:
+        """Start daemons that reach the store and each other's peer port through links.
+
+        :param with_servers: whether they reach the servers through links, too.
+        """
+        servers = [server.address for server in self.servers.values()] if with_servers else []
         daemons = [PoolDaemonProcess(name, self.folder, self._settings) for name in names]
         for daemon in daemons:
             targets = [self.store_address, *(d.peer_address for d in daemons if d is not daemon)]
+            targets += servers
             arguments = ["--targets", ",".join(targets)]
             process = Process("standins.link", arguments, self.folder / f"{daemon.name}.links.log")
             self.links.append(process)
--- a/standins/pool/order_log.py
+++ b/standins/pool/order_log.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import time
 
 from standins.pool.holdings import Holdings, OrderBody
 
@@ -32,6 +33,8 @@
             "kind": body.op,
             "target": f"{body.model}/{body.adapter}" if body.adapter else body.model,
             "fence": body.fencing_token,
+            "holder": body.holder,
+            "received_s": time.time(),
             "revision": body.expect_revision,
             "status": status,
             "violations": holdings.violations,
