Leave the lease to others for its time after another daemon has held it

What could happen: servers get orders of two daemons by turns within lease_ms, each under a higher fencing token. A leader is stopped; another one takes the lease, gives orders and is itself told to stop; the first one goes on, finds the lease free and gives orders again 1.4 s after its last ones.

Change: a daemon that has led, or has just started while another one holds the lease and may have led before, acquires it only lease_ms after it last could act, once another daemon has held it. Others take it meanwhile; its own lease, or one that nobody else has held since, it takes as before. 6 scenarios of lease_durations; order_soak has one of its own.

What remains: a daemon that was killed and starts only after its successor has released the lease.

--- a/features/lease_durations.feature
+++ b/features/lease_durations.feature
@@ -37,3 +37,26 @@
       | address       | takes         |
       | its address   | takes         |
       | another one   | does not take |
+
+  Scenario Outline: servers get orders of two daemons by turns within a lease, since <event>
+    Given a daemon with leases of 1.0 s that leaves the lease to others for 2.0 s
+    When <event>
+    Then it does not take the lease 1.9 s later
+    And it takes the lease 2.9 s later
+
+    Examples:
+      | event                                                                            |
+      | it has led, another daemon takes the lease, and that one releases it             |
+      | it has led and stepped down, another daemon takes the lease, and releases it     |
+      | it starts while another daemon holds the lease, and that one releases it         |
+
+  Scenario Outline: nobody leads although no other daemon has, since <event>
+    Given a daemon with leases of 1.0 s that leaves the lease to others for 2.0 s
+    When <event>
+    Then it takes the lease at once
+
+    Examples:
+      | event                                                                            |
+      | it has led and stepped down                                                      |
+      | it starts and there is no row                                                    |
+      | it starts and its earlier process holds the lease                                |
--- a/features/order_soak.feature
+++ b/features/order_soak.feature
@@ -12,5 +12,8 @@
   Scenario: two daemons give orders under one fencing token
     Then no two daemons gave orders under one fencing token
 
+  Scenario: servers receive orders of two daemons by turns within a lease
+    Then no daemon gave orders to a server again within a lease after another one had
+
   Scenario: the soak gives no orders
     Then servers received orders of several daemons
--- a/features/steps/lease_duration_steps.py
+++ b/features/steps/lease_duration_steps.py
@@ -93,3 +93,57 @@
 def step_not_leading(context: Any, seconds: float) -> None:
     assert context.lease.is_leader(NOW)
     assert not context.lease.is_leader(NOW + seconds)
+
+
+# Holders by turns.
+
+
+@given("a daemon with leases of {seconds:g} s that leaves the lease to others for {wait:g} s")
+def step_daemon_that_waits(context: Any, seconds: float, wait: float) -> None:
+    context.lease = Lease(OWN, seconds, 0.01, MARGIN_SECONDS, wait)
+
+
+def _lead(lease: Lease) -> None:
+    lease.record_missing_row(0, NOW)
+    lease.record_write(1, NOW)
+    assert lease.is_leader(NOW)
+
+
+def _be_replaced(lease: Lease) -> None:
+    lease.record_row(2, OTHER, NOW)
+    lease.record_row(3, None, NOW)
+
+
+@when("it has led, another daemon takes the lease, and that one releases it")
+def step_replaced(context: Any) -> None:
+    _lead(context.lease)
+    _be_replaced(context.lease)
+
+
+@when("it has led and stepped down, another daemon takes the lease, and releases it")
+def step_stepped_down_and_replaced(context: Any) -> None:
+    _lead(context.lease)
+    context.lease.release()
+    _be_replaced(context.lease)
+
+
+@when("it starts while another daemon holds the lease, and that one releases it")
+def step_started(context: Any) -> None:
+    _be_replaced(context.lease)
+
+
+@when("it has led and stepped down")
+def step_stepped_down(context: Any) -> None:
+    _lead(context.lease)
+    context.lease.release()
+    context.lease.record_row(2, None, NOW)
+
+
+@when("it starts and there is no row")
+def step_no_row(context: Any) -> None:
+    context.lease.record_missing_row(0, NOW)
+
+
+@when("it starts and its earlier process holds the lease")
+def step_own_row_of_earlier_process(context: Any) -> None:
+    context.lease.record_row(1, replace(OWN, incarnation="life-0"), NOW)
--- a/features/steps/order_soak_steps.py
+++ b/features/steps/order_soak_steps.py
@@ -45,6 +45,11 @@
     assert not shared_tokens(context.orders), shared_tokens(context.orders)
 
 
+@then("no daemon gave orders to a server again within a lease after another one had")
+def step_no_turns(context: Any) -> None:
+    assert not quick_returns(context.orders), quick_returns(context.orders)[:5]
+
+
 @then("servers received orders of several daemons")
 def step_orders(context: Any) -> None:
     assert len({order.holder for order in context.orders}) > 1, len(context.orders)
--- a/loomwind/leadership/lease.py
+++ b/loomwind/leadership/lease.py
@@ -16,6 +16,7 @@
 """
 
 import enum
+import math
 
 import msgspec
 from msgspec import Struct
@@ -60,18 +61,24 @@
         duration_seconds: float,
         renew_interval_seconds: float,
         margin_seconds: float,
+        return_seconds: float = 0.0,
     ) -> None:
         """Initialize a lease of unknown state.
 
         :param duration_seconds: how long other daemons wait for a renewal before they acquire it.
         :param renew_interval_seconds: the time between renewals.
         :param margin_seconds: how long before the lease expires the holder stops acting as leader.
+        :param return_seconds: how long a daemon that has led leaves the lease to others once one of
+            them has held it, so that servers do not get orders of two daemons by turns.
         """
         self._own = own
         self._duration_seconds = duration_seconds
         self._term_duration_seconds = duration_seconds
         self._renew_interval_seconds = renew_interval_seconds
         self._margin_seconds = margin_seconds
+        self._return_seconds = return_seconds
+        self._led_until = -math.inf
+        self._was_taken = False
         self.holder: LeaseHolder | None = None
         self.fence: int | None = None
         self._ended_incarnation = ""
@@ -83,9 +90,10 @@
         self._valid_until = 0.0
         self._renewed_at = 0.0
 
-    def set_duration(self, duration_seconds: float) -> None:
+    def set_duration(self, duration_seconds: float, return_seconds: float = 0.0) -> None:
         """Set the lease duration; a holder applies it when it next acquires the lease."""
         self._duration_seconds = duration_seconds
+        self._return_seconds = return_seconds
 
     def row(self) -> LeaseHolder:
         """Return the value of the row that this daemon writes."""
@@ -115,6 +123,9 @@
         """Apply a version of the lease row; ``holder`` is None if the row was deleted."""
         if self._row_known and version <= self._version:
             return
+        if not self._row_known:
+            # An earlier process of this daemon may have led until now.
+            self._led_until = now
         self._row_known = True
         self._version = version
         self._row_exists = holder is not None
@@ -122,8 +133,15 @@
         self.holder = holder
         if holder is None:
             self._vacant_since = now
+        elif holder.name != self._own.name:
+            self._was_taken = True
         if holder is None or holder.incarnation != self._own.incarnation:
-            self.fence = None
+            self._end_term()
+
+    def _end_term(self) -> None:
+        if self.fence is not None:
+            self._led_until = self._valid_until
+        self.fence = None
 
     def record_missing_row(self, version: int, now: float) -> None:
         """Record that a read of the table found no lease row.
@@ -159,6 +177,7 @@
         self.holder = written or self.row()
         if self.fence is None:
             self.fence = version
+            self._was_taken = False
             self._term_duration_seconds = self._duration_of(self.holder)
         self._row_known = True
         self._row_exists = True
@@ -169,7 +188,7 @@
 
     def release(self) -> None:
         """Stop holding the lease; the row in the store is unchanged."""
-        self.fence = None
+        self._end_term()
         self._valid_until = 0.0
 
     def _duration_of(self, holder: LeaseHolder) -> float:
@@ -190,11 +209,14 @@
         if self.holder is not None and self.holder.incarnation == self._own.incarnation:
             due = self.fence is None or now - self._renewed_at >= self._renew_interval_seconds
             return LeaseAction.RENEW if due else LeaseAction.WAIT
+        own = self._own.name, self._own.address
+        if self.holder is not None and (self.holder.name, self.holder.address) == own:
+            return LeaseAction.ACQUIRE
+        if self._was_taken and now < self._led_until + self._return_seconds:
+            return LeaseAction.WAIT
         if self.holder is None or self.holder.incarnation == self._ended_incarnation:
             vacant = now - self._vacant_since >= extra_wait_seconds
             return LeaseAction.ACQUIRE if vacant else LeaseAction.WAIT
-        if (self.holder.name, self.holder.address) == (self._own.name, self._own.address):
-            return LeaseAction.ACQUIRE
         duration_seconds = max(self._duration_seconds, self._duration_of(self.holder))
         expired = now - self._last_change_at >= duration_seconds + extra_wait_seconds
         if expired and store_available_seconds >= 2 * self._renew_interval_seconds:
--- a/loomwind/serving/daemon.py
+++ b/loomwind/serving/daemon.py
@@ -140,6 +140,7 @@
             duration,
             min(constants.LEASE_RENEWAL_INTERVAL_SECONDS, LEASE_RENEW_FRACTION * duration),
             min(constants.LEASE_MARGIN_SECONDS, LEASE_MARGIN_FRACTION * duration),
+            settings.bounds.lease_ms / MS_PER_SECOND,
         )
         self._election = Election(store, LEASE_TABLE, self._own, lease, self._health)
         self._peers = PeerTable(self._own, self._election, self._pool)
@@ -430,7 +431,7 @@
         self._pool.set_bounds(section)
         self._controller.set_bounds(section)
         self._server_list_follower.set_bounds(section)
-        self._election.lease.set_duration(_lease_seconds(section))
+        self._election.lease.set_duration(_lease_seconds(section), section.lease_ms / MS_PER_SECOND)
         return True
 
     @_apply_section.register
