--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -237,9 +237,10 @@
             if entry is None:
                 continue
             has_permit, self._has_permit = self._has_permit, False
-            if has_permit and not self._has_time():
-                self._handler.admission.give_back(entry)
-            self._raise_if_stopping()
+            if not self._has_time():
+                if has_permit:
+                    self._handler.admission.give_back(entry)
+                raise self._stopping_error()
             self._begun_at = self._begun_at or self._handler.now()
             if await self._serve_by_server(self._attempts.new(entry, has_permit=has_permit)):
                 return
@@ -250,12 +251,12 @@
         :raises Refused: its caller should try another daemon.
         :raises RelayDeclined: the same, for a peer's request.
         """
-        if self._has_time():
-            return
+        if not self._has_time():
+            raise self._stopping_error()
+
+    def _stopping_error(self) -> Refused | StreamTruncated | RelayDeclined:
         reason = "this daemon is leaving, and may end before an answer"
-        if self._relayed is not None:
-            raise RelayDeclined(reason)
-        raise self._errors.failure(reason)
+        return self._errors.failure(reason) if self._relayed is None else RelayDeclined(reason)
 
     def _has_time(self) -> bool:
         """Whether the request may go on, as far as this daemon's end is concerned."""
