--- a/features/steps/first_try_steps.py
+++ b/features/steps/first_try_steps.py
@@ -1,4 +1,4 @@
-"""Steps for callers that have tried before, which are not sent away again while they can wait."""
+"""Steps for callers that wait for their model while it comes in time."""
 
 import asyncio
 from typing import Any, cast
@@ -59,6 +59,22 @@
     context.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
     context.add_cleanup(context.runner.close)
     context.handler = WaitingHandler()
+    context.route = waiting_route(objective_seconds=0.6, event_timeout_seconds=2.4)
+    context.caller = CallerRequest(
+        "retry", "h", TIMEOUT_SECONDS, last_event_id="3", origin_id="first"
+    )
+
+
+@given(
+    "a route with an objective of {objective:f} s, "
+    "whose callers wait up to {stays:f} s for an event"
+)
+def step_route(context: Any, objective: float, stays: float) -> None:
+    context.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
+    context.add_cleanup(context.runner.close)
+    context.handler = WaitingHandler()
+    context.route = waiting_route(objective, stays)
+    context.caller = CallerRequest("first", "h", TIMEOUT_SECONDS)
 
 
 @when("the leader's estimate is {ready_in:f} s")
@@ -68,25 +84,30 @@
 
 @then("the wait goes on")
 def step_goes_on(context: Any) -> None:
-    context.runner.run(_wait(context.handler, context.ready_in_ms))
+    context.runner.run(_wait(context.handler, context.route, context.caller, context.ready_in_ms))
 
 
-async def _wait(handler: WaitingHandler, ready_in_ms: float) -> None:
-    """Wait for a change once; a refusal would be raised."""
-    now = handler.now()
-    handler.pool.expectations.update([ExpectedTarget(KEY, ready_in_ms)], now * MS)
-    route = RouteRule(
+def waiting_route(objective_seconds: float, event_timeout_seconds: float) -> RouteRule:
+    """Return a route of resumable streams."""
+    return RouteRule(
         "drill",
         "h",
         "/",
         RequestKind.STREAMING,
         (WeightedService("tutor", 1),),
         timeout_seconds=TIMEOUT_SECONDS,
-        objective_seconds=0.6,
+        objective_seconds=objective_seconds,
         resumable=True,
-        event_timeout_seconds=2.4,
+        event_timeout_seconds=event_timeout_seconds,
     )
-    caller = CallerRequest("retry", "h", TIMEOUT_SECONDS, last_event_id="3", origin_id="first")
+
+
+async def _wait(
+    handler: WaitingHandler, route: RouteRule, caller: CallerRequest, ready_in_ms: float
+) -> None:
+    """Wait for a change once; a refusal would be raised."""
+    now = handler.now()
+    handler.pool.expectations.update([ExpectedTarget(KEY, ready_in_ms)], now * MS)
     wait = ModelWait(cast(RequestHandler, handler), KEY, route, caller, now, now + TIMEOUT_SECONDS)
     with wait:
         await wait.wait_for_change(may_retry=True)
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -17,7 +17,6 @@
 
 MS = 1000.0
 TIMEOUT_MS = 25_000.0
-EVENT_TIMEOUT_OBJECTIVES = 4
 TOLERANCE_MS = 1.0
 KEY = DemandKey(SERVICE, ModelKey("m1"))
 
@@ -29,8 +28,7 @@
 def step_request(context: Any, arrived: float, tries: str, event_timeout: float) -> None:
     first = tries == "the first time"
     deadline_ms = (arrived * MS) + (TIMEOUT_MS if first else TIMEOUT_MS * 2 / 3)
-    objective_ms = event_timeout * MS / EVENT_TIMEOUT_OBJECTIVES
-    context.limits = WaitLimits(arrived * MS, event_timeout * MS, objective_ms, deadline_ms, first)
+    context.limits = WaitLimits(arrived * MS, event_timeout * MS, deadline_ms, first)
 
 
 @when("the leader's estimate at {now:f} s is {estimate}, and a load usually takes {usual:d} s")
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -8,9 +8,9 @@
     Examples:
       | tries           | now | estimate | decision                                 |
       | the first time  | 0.1 | 1.5 s    | waits                                    |
-      | the first time  | 0.1 | 4.0 s    | is to be retried after 4.25 s            |
+      | the first time  | 0.1 | 4.0 s    | waits                                    |
       | the first time  | 0.9 | 4.0 s    | waits                                    |
-      | the first time  | 0.1 | 9.0 s    | is to be retried after 9.25 s            |
+      | the first time  | 0.1 | 9.0 s    | waits                                    |
       | the first time  | 0.1 | 14.0 s   | is to be retried after 14.25 s           |
       | the first time  | 0.1 | 20.0 s   | is refused, with a retry time of 20.25 s |
       | the first time  | 0.1 | none     | waits for an estimate until 0.4 s        |
@@ -53,7 +53,7 @@
     Examples:
       | now  | estimate | decision                      |
       | 0.05 | 0.4 s    | waits                         |
-      | 0.05 | 1.6 s    | is to be retried after 1.85 s |
+      | 0.05 | 1.6 s    | waits                         |
       | 0.5  | 1.5 s    | waits                         |
       | 0.05 | 6.0 s    | is to be retried after 6.25 s |
       | 0.4  | none     | is to be retried after 6.25 s |
@@ -93,3 +93,16 @@
     When a request waits for d at 19.5 s
     And 1 load from the weight store may begin
     Then the plan is to load c
+
+  Scenario Outline: a caller with <stays> s left whose model is ready in 2.5 s waits for it, whatever its route's objective
+    Given a route with an objective of <objective> s, whose callers wait up to <stays> s for an event
+    When the leader's estimate is 2.5 s
+    Then the wait goes on
+
+    Examples:
+      | objective | stays |
+      | 0.4       | 15.0  |
+      | 1.5       | 15.0  |
+      | 2.6       | 15.0  |
+      | 6.0       | 15.0  |
+      | 0.4       | 3.2   |
