--- a/features/steps/control_exchange_steps.py
+++ b/features/steps/control_exchange_steps.py
@@ -328,7 +328,7 @@
     controller = _controller(control_site, SwitchedElection(), metrics, control_site.control)
     leading = asyncio.create_task(controller.run())
     while not any(sample.value for sample in _order_samples(metrics)):
-        waiting = TargetDemand(SERVICE, ModelKey(MODEL), 1, 0.0, 0.6, 0.6)
+        waiting = TargetDemand(SERVICE, ModelKey(MODEL), 1, 0.0, 1, 8.0)
         control_site.exchange.inbox.put(PoolDemand("daemon-1", (waiting,), ()))
         await asyncio.sleep(0)
     leading.cancel()
@@ -444,7 +444,7 @@
         _controller(control_site, SwitchedElection(), Metrics(), control).run()
     )
     for _ in range(round(seconds / DEMAND_SECONDS)):
-        waiting = TargetDemand(SERVICE, ModelKey(MODEL), 1, 0.0, 0.6, 0.6)
+        waiting = TargetDemand(SERVICE, ModelKey(MODEL), 1, 0.0, 1, 8.0)
         exchange.inbox.put(PoolDemand("daemon-1", (waiting,), ()))
         await asyncio.sleep(DEMAND_SECONDS)
     leading.cancel()
--- a/features/steps/large_fleet_demand_steps.py
+++ b/features/steps/large_fleet_demand_steps.py
@@ -32,7 +32,7 @@
 @when("one reports at {now:f} s that a request waits for m1")
 def step_reports(context: Any, now: float) -> None:
     context.demand = DemandView()
-    waits = TargetDemand(SERVICE, KEY.target, 1, 1.0, 4.0, 4.0)
+    waits = TargetDemand(SERVICE, KEY.target, 1, 1.0, 1, 8.0)
     report = PoolDemand(DAEMON, (waits,), (), next_report_in_ms=context.interval_ms)
     context.demand.add_report(report, now)
 
--- a/features/steps/model_wait_steps.py
+++ b/features/steps/model_wait_steps.py
@@ -9,13 +9,27 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
+from features.steps.planner_steps import SERVICE, profile, report
 from features.support.virtual_time import VirtualTimeLoop
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.demand_view import DemandView
+from loomwind.placement.plan import PlanInput
+from loomwind.placement.planner import Planner
+from loomwind.placement.server_tracker import ServerTracker
 from loomwind.serving.demand import DemandKey, DemandTracker, TargetDemand
 from loomwind.serving.errors import ModelUnavailable
 from loomwind.serving.expectations import Expectations, ExpectedTarget
 from loomwind.serving.handler import RequestHandler
 from loomwind.serving.model_wait import ModelWait
-from loomwind.serving.views import CallerRequest, ModelKey, RequestKind, RouteRule, WeightedService
+from loomwind.serving.views import (
+    CallerRequest,
+    ModelKey,
+    RequestKind,
+    RouteRule,
+    ServerEntry,
+    ServerState,
+    WeightedService,
+)
 
 MS = 1000.0
 KEY = DemandKey("tutor", ModelKey("m1"))
@@ -82,7 +96,10 @@
 
 
 def waiting_route(
-    objective_seconds: float, event_timeout_seconds: float, timeout_seconds: float = TIMEOUT_SECONDS
+    objective_seconds: float,
+    event_timeout_seconds: float,
+    timeout_seconds: float = TIMEOUT_SECONDS,
+    priority: int = 0,
 ) -> RouteRule:
     """Return a route of resumable streams."""
     return RouteRule(
@@ -95,6 +112,7 @@
         objective_seconds=objective_seconds,
         resumable=True,
         event_timeout_seconds=event_timeout_seconds,
+        priority=priority,
     )
 
 
@@ -185,3 +203,51 @@
     wait = ModelWait(cast(RequestHandler, handler), KEY, route, caller, now, now + remaining)
     with wait:
         await wait.wait_for_change(may_retry=True)
+
+
+CHAT_MODEL, DRAFT_MODEL = "a", "b"
+
+
+@given(
+    "a model server with room for one model, a chat route with an objective of {chat:f} s "
+    "and a draft route with one of {draft:f} s"
+)
+def step_one_place(context: Any, chat: float, draft: float) -> None:
+    context.chat_objective, context.draft_objective = chat, draft
+    context.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
+    context.add_cleanup(context.runner.close)
+    context.handler = WaitingHandler()
+    entry = ServerEntry("one", SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+    context.tracker = ServerTracker(entry, profile(50))
+    context.tracker.record_report(report([], set()), 0.0)
+
+
+@when(
+    "a caller of the chat route, priority {priority:d}, that stays for {stays:f} s "
+    "waits for a model"
+)
+def step_chat_waits(context: Any, priority: int, stays: float) -> None:
+    _begin_wait(context, CHAT_MODEL, waiting_route(context.chat_objective, stays, 60.0, priority))
+
+
+@when(
+    "a caller of the draft route, priority {priority:d}, that stays for {stays:f} s "
+    "waits for another one"
+)
+def step_draft_waits(context: Any, priority: int, stays: float) -> None:
+    _begin_wait(context, DRAFT_MODEL, waiting_route(context.draft_objective, stays, 60.0, priority))
+
+
+def _begin_wait(context: Any, model: str, route: RouteRule) -> None:
+    key = DemandKey(SERVICE, ModelKey(model))
+    caller = CallerRequest("any", "h", 60.0)
+    ModelWait(context.handler, key, route, caller, 0.0, 60.0).__enter__()
+
+
+@then("the model of the {route} route is loaded first")
+def step_loaded_first(context: Any, route: str) -> None:
+    demand = DemandView()
+    demand.add_report(PoolDemand("daemon-1", context.handler.pool.demand.take_report(0.0), ()), 0.0)
+    orders = Planner(PlanInput(SERVICE, [context.tracker], demand, {}, 0.0, True)).plan()
+    expected = CHAT_MODEL if route == "chat" else DRAFT_MODEL
+    assert [order.target.model for order in orders] == [expected], orders
--- a/features/steps/placement_order_steps.py
+++ b/features/steps/placement_order_steps.py
@@ -130,7 +130,7 @@
     demand = DemandView()
     for case in fleet.demand:
         key = ModelKey(model_name(case.model))
-        requested = TargetDemand(SERVICE, key, case.waiting, case.arrivals, 2.5, 2.0)
+        requested = TargetDemand(SERVICE, key, case.waiting, case.arrivals, 1, 8.0)
         demand.add_report(PoolDemand(f"daemon-{case.model}", (requested,), ()), NOW)
     planner = Planner(
         PlanInput(
@@ -194,7 +194,7 @@
 
 @when("a request waits for a model that needs the place of one of them")
 def step_needs_place(context: Any) -> None:
-    requested = TargetDemand(SERVICE, ModelKey(model_name(5)), 1, 1.0, 2.5, 2.0)
+    requested = TargetDemand(SERVICE, ModelKey(model_name(5)), 1, 1.0, 1, 8.0)
     context.demand.add_report(PoolDemand("daemon-2", (requested,), ()), context.now)
     _plan(context, staging_allowed=False)
 
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -91,7 +91,7 @@
 @when("a request waits for {model} at {now:f} s")
 def step_waits(context: Any, model: str, now: float) -> None:
     context.now = now
-    requested = TargetDemand(SERVICE, ModelKey(model), 1, 1.0, 0.6, 0.6)
+    requested = TargetDemand(SERVICE, ModelKey(model), 1, 1.0, 1, 8.0)
     context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), now)
 
 
@@ -125,7 +125,7 @@
 @when("a stream of software version {version:w} waits for {model:w} at {now:f} s")
 def step_stream_waits(context: Any, version: str, model: str, now: float) -> None:
     context.now = now
-    requested = TargetDemand(SERVICE, ModelKey(model), 1, 0.0, 0.6, 0.6, 0, version)
+    requested = TargetDemand(SERVICE, ModelKey(model), 1, 0.0, 1, 8.0, 0, version)
     context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), now)
 
 
@@ -396,7 +396,7 @@
 def _wait_for_many(context: Any, count: int) -> None:
     context.now = 10.0
     requested = [
-        TargetDemand(SERVICE, ModelKey(f"m{399 - n}"), 1, 1.0, 0.6, 0.6) for n in range(count)
+        TargetDemand(SERVICE, ModelKey(f"m{399 - n}"), 1, 1.0, 1, 8.0) for n in range(count)
     ]
     context.demand.add_report(PoolDemand("daemon-1", tuple(requested), ()), 10.0)
     CountingTracker.lookups = 0
--- a/features/steps/replaced_server_steps.py
+++ b/features/steps/replaced_server_steps.py
@@ -201,7 +201,7 @@
     )
     leading = asyncio.create_task(controller.run())
     for _ in range(round(seconds / STEP_SECONDS)):
-        waiting = TargetDemand(SERVICE, target, 1, 0.0, 0.6, 0.6)
+        waiting = TargetDemand(SERVICE, target, 1, 0.0, 1, 8.0)
         exchange.inbox.put(PoolDemand("daemon-1", (waiting,), ()))
         await asyncio.sleep(STEP_SECONDS)
     leading.cancel()
--- a/features/steps/weight_store_admission_steps.py
+++ b/features/steps/weight_store_admission_steps.py
@@ -147,10 +147,10 @@
     assert used == (0 if count == "no" else 1), used
 
 
-@when("{count:d} requests with an objective of {seconds:f} s wait for {model} at {now:f} s")
+@when("{count:d} requests whose callers stay for {seconds:f} s wait for {model} at {now:f} s")
 def step_many_wait(context: Any, count: int, seconds: float, model: str, now: float) -> None:
     context.now = now
-    requested = TargetDemand(SERVICE, ModelKey(model), count, count, seconds, seconds)
+    requested = TargetDemand(SERVICE, ModelKey(model), count, count, 1, seconds)
     context.demand.add_report(PoolDemand("daemon-4", (requested,), ()), now)
 
 
@@ -179,7 +179,7 @@
 
 
 @when(
-    "{count:d} requests with an objective of {seconds:f} s wait for h, "
+    "{count:d} requests whose callers stay for {seconds:f} s wait for h, "
     "which is too large for any server"
 )
 def step_too_large(context: Any, count: int, seconds: float) -> None:
--- a/features/support/simulated_pool.py
+++ b/features/support/simulated_pool.py
@@ -178,8 +178,8 @@
             ModelKey(self._models[model % len(self._models)]),
             int(waiting),
             count,
-            0.6,
-            0.6,
+            1,
+            8.0,
         )
         sender = f"daemon-{self._random.randrange(4)}"
         self._demand.add_report(PoolDemand(sender, (requested,), ()), self.now)
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -66,11 +66,24 @@
     Then the demand report has 0 waiting requests and 1 expected retries at 12.0 s
     And the demand report is empty at 20.5 s
 
-  Scenario: models with expected retries come first, then those with more unserved requests
+  Scenario Outline: the model whose callers leave first is loaded first, then the one of the higher priority, whatever the objectives
+    Given a model server with room for one model, a chat route with an objective of 0.4 s and a draft route with one of 6.0 s
+    When a caller of the chat route, priority <chat priority>, that stays for <chat stays> s waits for a model
+    And a caller of the draft route, priority <draft priority>, that stays for <draft stays> s waits for another one
+    Then the model of the <first> route is loaded first
+
+    Examples:
+      | chat stays | chat priority | draft stays | draft priority | first |
+      | 15.0       | 1             | 7.0         | 0              | draft |
+      | 15.0       | 0             | 7.0         | 1              | draft |
+      | 7.0        | 1             | 15.0        | 0              | chat  |
+      | 10.0       | 1             | 10.0        | 0              | draft |
+      | 10.0       | 0             | 10.0        | 1              | chat  |
+
+  Scenario: requests for a model count as unserved until a server holds it
     Given model servers one and two of 100 GB
-    And one holds a, two holds b
-    When requests wait for m1 after 3 arrivals and for m2 after 1, and a retry of m3 is expected, at 10.0 s
-    Then the pending demand is m3, m1, m2
+    When requests wait for m1 after 3 arrivals, at 10.0 s
+    Then m1 has 3 unserved requests
     When servers hold m1 by 10.5 s
     Then m1 has 0 unserved requests
 
--- a/features/weight_store_admission.feature
+++ b/features/weight_store_admission.feature
@@ -11,7 +11,7 @@
     And one holds a, two holds nothing
     And three holds nothing
     When a request waits for c at 10.0 s
-    And 6 requests with an objective of 4.0 s wait for d at 10.0 s
+    And 6 requests whose callers stay for 8.0 s wait for d at 10.0 s
     And 1 load from the weight store may begin
     Then the plan loads d at 1 server, as wanted
     And the plan loads nothing else from the weight store
@@ -22,7 +22,7 @@
     And three holds nothing
     When a is requested 2 times per second at 10.0 s
     And <running> requests for a run at one, which has 8 slots
-    And 6 requests with an objective of 4.0 s wait for c at 10.0 s
+    And 6 requests whose callers stay for 8.0 s wait for c at 10.0 s
     And 1 load from the weight store may begin
     Then the plan loads <model> at 1 server, as <purpose>
     And the plan loads nothing else from the weight store
@@ -47,7 +47,7 @@
   Scenario: a model that fits on no server does not block the next one
     Given model servers one and two of 100 GB
     And one holds a, two is loading b
-    When 6 requests with an objective of 4.0 s wait for h, which is too large for any server
+    When 6 requests whose callers stay for 8.0 s wait for h, which is too large for any server
     And a request waits for c at 10.0 s
     And 1 load from the weight store may begin
     Then the plan loads c at 1 server, as wanted
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -22,8 +22,10 @@
 class PendingDemand(Struct, frozen=True):
     """Requests for a target that wait or are expected to be retried.
 
-    :param urgency_seconds: the smallest latency objective among them.
-    :param slack_seconds: the longest time left until one of them misses its objective.
+    :param priority: the best one among them; 0 is the most urgent.
+    :param first_leaves_in_seconds: the time until the first of their callers leaves; while nobody
+        waits, until the next request for the target is expected.
+    :param last_leaves_in_seconds: the time until the last of their callers leaves.
     :param expected_retries: refused requests whose responses named a time to retry.
     :param unserved: requests for the target's model since a server last held it.
     :param since: when the current uninterrupted wait for the target began.
@@ -31,18 +33,26 @@
 
     key: DemandKey
     waiting: int
-    urgency_seconds: float
-    slack_seconds: float
+    priority: float
+    first_leaves_in_seconds: float
+    last_leaves_in_seconds: float
     expected_retries: int = 0
     unserved: float = 0.0
     since: float = 0.0
 
     @property
-    def rank(self) -> tuple[float, bool, float, float, str]:
-        """Sort key: most urgent, expected retries, most unserved, oldest, then by name."""
-        target = str(self.key.target)
-        is_expected = self.expected_retries > 0
-        return (self.urgency_seconds, not is_expected, -self.unserved, self.since, target)
+    def has_callers(self) -> bool:
+        """Whether any caller waits or was told when to come back."""
+        return self.waiting + self.expected_retries > 0
+
+    def latest_start_in(self, load_seconds: float) -> float:
+        """Return the time until which a load has to start for its callers.
+
+        Those that cannot be served any more are left out while others can: they are refused.
+        """
+        if self.first_leaves_in_seconds >= load_seconds:
+            return self.first_leaves_in_seconds - load_seconds
+        return self.last_leaves_in_seconds - load_seconds
 
 
 @attrs.frozen
@@ -62,7 +72,6 @@
     rate: float = 0.0
     updated: float = 0.0
     last_used: float = -1e9
-    objective_seconds: float = 0.0
 
     def at(self, now: float) -> float:
         """Return the rate decayed to a time, in requests per second."""
@@ -107,8 +116,6 @@
                 recent.rate = recent.at(now) + demand.arrivals * DECAY_PER_SECOND
                 recent.updated = now
                 recent.last_used = now
-                if demand.urgency_seconds:
-                    recent.objective_seconds = demand.urgency_seconds
 
     def _current_reports(self, now: float) -> list[PoolDemand]:
         """Return the reports that are still valid."""
@@ -127,44 +134,54 @@
         }
 
     def pending_demand(self, now: float) -> list[PendingDemand]:
-        """Return the targets with waiting requests or expected retries, by priority.
+        """Return the targets with waiting requests or expected retries.
 
         Models that were requested more than once while unserved are included even if nobody waits.
         """
         waiting: dict[DemandKey, int] = defaultdict(int)
         expected_retries: dict[DemandKey, int] = defaultdict(int)
-        urgency: dict[DemandKey, float] = {}
-        slack: dict[DemandKey, float] = {}
+        priority: dict[DemandKey, float] = {}
+        first_leaves: dict[DemandKey, float] = {}
+        last_leaves: dict[DemandKey, float] = {}
         for report in self._current_reports(now):
             for demand in report.demand:
                 if demand.waiting or demand.expected_retries:
                     key = demand.key
                     waiting[key] += demand.waiting
                     expected_retries[key] += demand.expected_retries
-                    urgency[key] = min(urgency.get(key, 1e9), demand.urgency_seconds)
+                    priority[key] = min(priority.get(key, math.inf), demand.priority)
                     age = now - self._received_at[report.sender]
-                    slack[key] = max(slack.get(key, -1e9), demand.slack_seconds - age)
+                    first = demand.first_leaves_in_seconds - age
+                    last = max(demand.last_leaves_in_seconds - age, first)
+                    first_leaves[key] = min(first_leaves.get(key, math.inf), first)
+                    last_leaves[key] = max(last_leaves.get(key, -math.inf), last)
         self._waiting_since = {key: self._waiting_since.get(key, now) for key in waiting}
         pending_demand = [
             PendingDemand(
                 key,
                 count,
-                urgency[key],
-                slack[key],
+                priority[key],
+                first_leaves[key],
+                last_leaves[key],
                 expected_retries[key],
                 self._unserved.get(DemandKey(key.service, ModelKey(key.target.model)), 0.0),
                 self._waiting_since[key],
             )
             for key, count in waiting.items()
         ]
-        pending_demand += [
-            PendingDemand(
-                each.key, 0, self._rates[each.key].objective_seconds, 0.0, 0, each.requests, now
-            )
+        return pending_demand + [
+            self._pending_without_callers(each, now)
             for each in self.unserved_models()
             if each.key not in waiting
         ]
-        return sorted(pending_demand, key=lambda pending: pending.rank)
+
+    def _pending_without_callers(self, model: UnservedModel, now: float) -> PendingDemand:
+        """Return the demand for a model that was requested in vain and that nobody waits for."""
+        rate = self.rate(model.key.service, model.key.target, now)
+        next_request_in = 1.0 / rate if rate > 0 else math.inf
+        return PendingDemand(
+            model.key, 0, math.inf, next_request_in, next_request_in, 0, model.requests, now
+        )
 
     def callers_by_model(
         self, pending_demand: Iterable[PendingDemand], now: float
--- a/loomwind/placement/model_planner.py
+++ b/loomwind/placement/model_planner.py
@@ -76,7 +76,7 @@
         A busy server with a cached copy may still be the best one. Its next load is then reserved,
         and the order follows when the server is free.
 
-        :param can_wait: whether the objective can be met by a load that starts later.
+        :param can_wait: whether its callers stay long enough for a load that starts later.
         :param software_version: the version that the server must have; None for any.
         """
         options = [
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -7,7 +7,7 @@
 
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.index import PlacementIndex
-from loomwind.placement.server_tracker import ServerTracker
+from loomwind.placement.server_tracker import ADAPTER_LOAD_SECONDS, ServerTracker
 from loomwind.placement.store_admission import StoreAdmission
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
 
@@ -98,6 +98,18 @@
         """Return a model of the service, or None if it is not configured."""
         return self.servers[0].profile.model(name) if self.servers else None
 
+    def load_seconds(self, target: ModelKey) -> float:
+        """Return the time in which some server can load a target, from the nearest copy."""
+        model = self.model(target.model)
+        if model is None:
+            return 0.0
+        if target.adapter and self.holders(target.model):
+            return ADAPTER_LOAD_SECONDS
+        copies = self.index.cached_copies[target.model]
+        return min(
+            (server.load_seconds(target.model) for server in copies), default=model.load_seconds
+        )
+
     def holders(self, name: str) -> list[ServerTracker]:
         """Return the servers that hold a model."""
         return self.index.holders[name]
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -1,7 +1,8 @@
 """Plans the next orders for the model servers. Pure: equal inputs give equal plans.
 
-Pending requests are planned first, by urgency. A model is loaded on the server with the least cost:
-the load time from the fastest copy plus the value of the evicted models. See
+Models that callers wait for are planned first, by the latest start of their load: the time until
+the callers leave, less the load time. A model is loaded on the server with the least cost: the load
+time from the fastest copy plus the value of the evicted models. See
 :mod:`loomwind.placement.model_planner` and :mod:`loomwind.placement.adapter_planner`.
 """
 
@@ -19,9 +20,6 @@
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.views import ModelKey
 
-MIN_FREE_SERVERS_FOR_COPIES = 2
-SLACK_MARGIN_SECONDS = 0.8
-
 
 class Planner:
     """Computes the orders of one step.
@@ -36,7 +34,7 @@
             if pending.key.service == inputs.service
         ]
         self._inputs = inputs
-        self._pending_demand = pending_demand
+        self._pending_demand = sorted(pending_demand, key=self._planning_order)
         self._overloaded = excess_callers(inputs, inputs.index.running_models())
         callers = inputs.demand.callers_by_model(pending_demand, inputs.now)
         missing_at_version = _missing_at_version(inputs, pending_demand)
@@ -52,14 +50,12 @@
         self._models.load_into_reserved_memory()
         self._models.plan_overload_copies(self._overloaded)
         for pending in self._pending_demand:
-            if self._is_urgent(pending):
+            if pending.has_callers:
                 self._plan_pending(pending)
         self._models.plan_version_copies()
-        if len(self._draft.free_servers()) >= MIN_FREE_SERVERS_FOR_COPIES:
-            self._models.plan_second_copies()
-        deferrable = [pending for pending in self._pending_demand if not self._is_urgent(pending)]
-        for pending in sorted(deferrable, key=self._deferrable_sort_key):
-            self._plan_pending(pending)
+        for pending in self._pending_demand:
+            if not pending.has_callers:
+                self._plan_pending(pending)
         self._models.retry_queued()
         self._models.plan_second_copies()
         self._adapters.prefetch_all()
@@ -95,26 +91,22 @@
             return self._draft.is_available(target)
         return self._draft.is_available_at(target, software_version)
 
-    def _load_seconds(self, pending: PendingDemand) -> float:
-        """Return the load time without a cached copy, the longest case."""
-        for server in self._inputs.servers:
-            model = server.profile.model(pending.key.target.model)
-            if model is not None:
-                return model.load_seconds
-        return 0.0
+    def _planning_order(self, pending: PendingDemand) -> tuple[bool, float, float, float, str]:
+        """Sort key: callers first, then by latest start, priority, age, and target."""
+        latest_start_in = pending.latest_start_in(self._inputs.load_seconds(pending.key.target))
+        target = str(pending.key.target)
+        return (
+            not pending.has_callers,
+            latest_start_in,
+            pending.priority,
+            pending.since,
+            target,
+        )
 
     def _can_wait(self, pending: PendingDemand) -> bool:
-        """Return whether the objective can still be met by a load that starts later."""
-        return pending.slack_seconds >= self._load_seconds(pending) + SLACK_MARGIN_SECONDS
-
-    def _is_urgent(self, pending: PendingDemand) -> bool:
-        """Return whether a load takes longer than the latency objective, so any delay counts."""
-        return pending.urgency_seconds < self._load_seconds(pending)
-
-    def _deferrable_sort_key(self, pending: PendingDemand) -> tuple[bool, float]:
-        """Sort demand whose objective can still be met first, then by least slack."""
-        in_time = pending.slack_seconds >= self._load_seconds(pending)
-        return (not in_time, pending.slack_seconds)
+        """Return whether its callers stay long enough for another load before this one."""
+        load_seconds = self._inputs.load_seconds(pending.key.target)
+        return pending.latest_start_in(load_seconds) >= load_seconds
 
 
 def _missing_at_version(
--- a/loomwind/serving/demand.py
+++ b/loomwind/serving/demand.py
@@ -21,21 +21,24 @@
     :param waiting: requests waiting for it now.
     :param arrivals: requests for it since the previous report; in the first report to a new leader,
         a decaying count of recent requests.
-    :param urgency_seconds: the smallest latency objective among the requests that wait or are
-        expected to be retried; 0 if there are none.
-    :param slack_seconds: the longest time left until one of these misses its objective.
+    :param priority: the best priority of the requests that wait or are expected to be retried; 0 is
+        the most urgent. A float, since earlier versions report fractions here.
+    :param first_leaves_in_seconds: the time until the first of their callers leaves; 0 if there are
+        none.
     :param expected_retries: refused requests whose responses named a time to retry.
     :param software_version: the version that the server must have; None for any.
+    :param last_leaves_in_seconds: the time until the last of these callers leaves.
     """
 
     service: str
     target: ModelKey
     waiting: int
     arrivals: float
-    urgency_seconds: float = 0.0
-    slack_seconds: float = 0.0
+    priority: float = 0.0
+    first_leaves_in_seconds: float = 0.0
     expected_retries: int = 0
     software_version: str | None = None
+    last_leaves_in_seconds: float = 0.0
 
     @property
     def key(self) -> "DemandKey":
@@ -43,14 +46,24 @@
         return DemandKey(self.service, self.target, self.software_version)
 
 
-class WaitingRequest(Struct, frozen=True, order=True):
-    """A request that waits for a target or is expected to be retried.
+class WaitingRequest(Struct, frozen=True):
+    """A request that waits for a target.
 
-    :param due: loop time at which it misses its objective.
+    :param leaves_at: loop time until which it can be served, as its caller leaves then.
+    :param priority: of its route; 0 is the most urgent.
     """
 
-    due: float
-    objective_seconds: float
+    leaves_at: float
+    priority: int
+
+
+class ExpectedRetry(WaitingRequest, frozen=True):
+    """A refused request whose caller was told when to come back.
+
+    :param returns_by: loop time by which it should have come back, to any daemon.
+    """
+
+    returns_by: float
 
 
 class RunningCount(Struct, frozen=True, array_like=True):
@@ -111,7 +124,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[DemandKey, list[WaitingRequest]] = {}
-        self._expected_retries: dict[DemandKey, list[WaitingRequest]] = {}
+        self._expected_retries: dict[DemandKey, list[ExpectedRetry]] = {}
         self._arrivals: Counter[DemandKey] = Counter()
         self._recent: dict[DemandKey, DecayingCount] = {}
         self._running: Counter[tuple[str, ModelKey]] = Counter()
@@ -135,15 +148,15 @@
         if not self._waiting[key]:
             del self._waiting[key]
 
-    def add_expected_retry(self, key: DemandKey, request: WaitingRequest) -> None:
-        """Register a refused request that will be retried; it counts until its due time."""
-        self._expected_retries.setdefault(key, []).append(request)
+    def add_expected_retry(self, key: DemandKey, retry: ExpectedRetry) -> None:
+        """Register a refused request that will be retried; it counts until it should be back."""
+        self._expected_retries.setdefault(key, []).append(retry)
         self.new_demand.set()
 
     def _expire_retries(self, now: float) -> None:
-        """Drop expected retries that are past their due time."""
-        for key, requests in list(self._expected_retries.items()):
-            self._expected_retries[key] = [request for request in requests if request.due > now]
+        """Drop expected retries that should be back: a daemon reports them as waiting then."""
+        for key, retries in list(self._expected_retries.items()):
+            self._expected_retries[key] = [retry for retry in retries if retry.returns_by > now]
             if not self._expected_retries[key]:
                 del self._expected_retries[key]
 
@@ -181,16 +194,17 @@
     def _demand_for(self, key: DemandKey, arrivals: float, now: float) -> TargetDemand:
         waiting = self._waiting.get(key, [])
         expected_retries = self._expected_retries.get(key, [])
-        requests = waiting + expected_retries
+        requests = [*waiting, *expected_retries]
         return TargetDemand(
             key.service,
             key.target,
             len(waiting),
             arrivals,
-            min((request.objective_seconds for request in requests), default=0.0),
-            max((request.due - now for request in requests), default=0.0),
+            min((request.priority for request in requests), default=0),
+            min((request.leaves_at - now for request in requests), default=0.0),
             len(expected_retries),
             key.software_version,
+            max((request.leaves_at - now for request in requests), default=0.0),
         )
 
     def running(self) -> tuple[RunningCount, ...]:
