--- /dev/null
+++ b/features/load_schedule.feature
@@ -0,0 +1,47 @@
+Feature: Loads from the weight store are started so that as many callers as possible are served in time
+
+  Scenario: the model whose callers leave first is loaded first, however many wait for another one
+    Given a weight store with 1 place that is free, and loads of 6 s
+    When 1 caller waits for a and stays for 8 s, and 5 callers wait for b and stay for 15 s
+    Then the loads start in the order a, b
+
+  Scenario: the model with the fewest callers gives way where not all can be loaded in time
+    Given a weight store with 1 place that is free, and loads of 6 s
+    When 1 caller waits for a and stays for 8 s, and 5 callers wait for b and stay for 9 s
+    Then the loads start in the order b, a
+
+  Scenario: a model that was requested first keeps its place before one that is requested later
+    Given a weight store with 1 place that is free in 2 s, and loads of 6 s
+    And a has been missing for 3 s, b for 0 s
+    When 1 caller waits for a and stays for 9 s, and 1 callers wait for b and stay for 8 s
+    Then the loads start in the order a, b
+
+  Scenario: a model with one caller is loaded in the end, however many callers the others have
+    Given a weight store with 1 place that is free, and loads of 6 s
+    And a has been missing for 30 s, b for 0 s
+    When 1 caller waits for a and stays for 8 s, and 5 callers wait for b and stay for 9 s
+    Then the loads start in the order a, b
+
+  Scenario: the higher priority decides between equals
+    Given a weight store with 1 place that is free, and loads of 6 s
+    And a has priority 2, b priority 0
+    When 1 caller waits for a and stays for 9 s, and 1 callers wait for b and stay for 9 s
+    Then the loads start in the order b, a
+
+  Scenario: a model that was asked for in vain comes after those that callers wait for
+    Given a weight store with 1 place that is free, and loads of 6 s
+    And nobody waits for a, which is requested 2 times in 6 s
+    When 1 caller waits for b and stays for 8 s
+    Then the loads start in the order b, a
+
+  Scenario: as many models of one caller each are loaded in time as in the best order
+    Given up to 6 models with one caller each, who leave at any time
+    When their loads of 6 s are scheduled on one place, in 200 runs
+    Then as many loads start in time as in the best of all orders
+
+  Scenario: a caller counts once, whether it waits or returns
+    Given model servers one and two of 100 GB
+    And one holds a and b, two holds a and b
+    When 2 callers wait for c, and 1 caller of d is refused, returns, and waits
+    And 1 load from the weight store may begin
+    Then the plan makes room for c first
--- /dev/null
+++ b/features/steps/load_schedule_steps.py
@@ -0,0 +1,145 @@
+"""Steps for the schedule of loads; no processes or clock."""
+
+import itertools
+from collections.abc import Sequence
+from typing import Any
+
+from attrs import evolve
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import given as hypothesis_given
+from hypothesis import strategies as st
+
+from features.steps.planner_steps import SERVICE, plan
+from loomwind.messages.serving import PoolDemand
+from loomwind.placement.load_schedule import RequestedLoad, schedule_loads
+from loomwind.serving.demand import TargetDemand
+from loomwind.serving.views import ModelKey
+
+EXAMPLES_SEED = 20261205
+NEVER = float("-inf")
+
+
+@given("a weight store with 1 place that is free, and loads of {load:d} s")
+def step_free_place(context: Any, load: int) -> None:
+    _begin(context, 0.0, load)
+
+
+@given("a weight store with 1 place that is free in {free:d} s, and loads of {load:d} s")
+def step_place(context: Any, free: int, load: int) -> None:
+    _begin(context, float(free), load)
+
+
+def _begin(context: Any, free_in: float, load_seconds: int) -> None:
+    context.free_in = [free_in]
+    context.load = RequestedLoad("", 0.0, float(load_seconds), 0.0, 1.0, 0.0)
+    context.loads = {name: evolve(context.load, name=name) for name in "ab"}
+
+
+def _change(context: Any, name: str, **changes: float) -> None:
+    context.loads[name] = evolve(context.loads[name], **changes)
+
+
+@given("a has been missing for {first:d} s, b for {second:d} s")
+def step_missing(context: Any, first: int, second: int) -> None:
+    _change(context, "a", missing_seconds=float(first))
+    _change(context, "b", missing_seconds=float(second))
+
+
+@given("a has priority {first:d}, b priority {second:d}")
+def step_priority(context: Any, first: int, second: int) -> None:
+    _change(context, "a", priority=float(first))
+    _change(context, "b", priority=float(second))
+
+
+@given("nobody waits for a, which is requested {count:d} times in 6 s")
+def step_nobody(context: Any, count: int) -> None:
+    _change(context, "a", latest_start_in=NEVER, callers=float(count))
+
+
+@when(
+    "{first:d} caller waits for a and stays for {stays:d} s, "
+    "and {second:d} callers wait for b and stay for {others_stay:d} s"
+)
+def step_both_wait(context: Any, first: int, stays: int, second: int, others_stay: int) -> None:
+    _wait(context, "a", first, stays)
+    _wait(context, "b", second, others_stay)
+
+
+@when("{count:d} caller waits for b and stays for {stays:d} s")
+def step_one_waits(context: Any, count: int, stays: int) -> None:
+    _wait(context, "b", count, stays)
+
+
+def _wait(context: Any, name: str, callers: int, stays: int) -> None:
+    latest_start_in = stays - context.load.load_seconds
+    _change(context, name, callers=float(callers), latest_start_in=latest_start_in)
+
+
+@then("the loads start in the order {names}")
+def step_order(context: Any, names: str) -> None:
+    scheduled = schedule_loads(list(context.loads.values()), context.free_in)
+    assert [load.name for load in scheduled] == names.split(", "), scheduled
+
+
+LEAVE_TIMES = st.lists(st.integers(0, 400).map(lambda tenths: tenths / 10), max_size=6)
+
+
+@given("up to {count:d} models with one caller each, who leave at any time")
+def step_any_models(context: Any, count: int) -> None:
+    _begin(context, 0.0, 6)
+
+
+@when("their loads of {load:d} s are scheduled on one place, in {count:d} runs")
+def step_schedule(context: Any, load: int, count: int) -> None:
+    context.worse = []
+
+    @seed(EXAMPLES_SEED)
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @hypothesis_given(LEAVE_TIMES)
+    def run(leave_times: list[float]) -> None:
+        loads = [
+            evolve(context.load, name=str(n), callers=1.0, latest_start_in=leaves_in - load)
+            for n, leaves_in in enumerate(leave_times)
+        ]
+        reached = _started_in_time(schedule_loads(loads, context.free_in))
+        best = max(map(_started_in_time, itertools.permutations(loads)))
+        if reached < best:
+            context.worse.append((leave_times, reached, best))
+
+    run()
+
+
+@then("as many loads start in time as in the best of all orders")
+def step_best(context: Any) -> None:
+    assert not context.worse, (len(context.worse), context.worse[0])
+
+
+def _started_in_time(loads: Sequence[RequestedLoad]) -> int:
+    """Return how many loads start in time if each begins when the one before it is done."""
+    starts = itertools.accumulate((load.load_seconds for load in loads), initial=0.0)
+    return sum(start <= load.latest_start_in for start, load in zip(starts, loads, strict=False))
+
+
+@when("2 callers wait for c, and 1 caller of d is refused, returns, and waits")
+def step_returns(context: Any) -> None:
+    context.now = 20.0
+    many = TargetDemand(SERVICE, ModelKey("c"), 2, 2.0, 1, 6.0)
+    context.demand.add_report(PoolDemand("daemon-1", (many,), ()), 20.0)
+    first = TargetDemand(SERVICE, ModelKey("d"), 0, 2.0, 1, 6.0)
+    context.demand.add_report(PoolDemand("daemon-2", (first,), ()), 20.0)
+    second = TargetDemand(SERVICE, ModelKey("d"), 1, 2.0, 1, 6.0)
+    context.demand.add_report(PoolDemand("daemon-3", (second,), ()), 20.0)
+
+
+@then("the plan makes room for c first")
+def step_room_for_c(context: Any) -> None:
+    loaded = [order.evicts_for or order.target.model for order in plan(context) if order]
+    assert loaded == ["c"], loaded
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -92,7 +92,7 @@
 def step_waits(context: Any, model: str, now: float) -> None:
     context.now = now
     requested = TargetDemand(SERVICE, ModelKey(model), 1, 1.0, 1, 8.0)
-    context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), now)
+    context.demand.add_report(PoolDemand(f"daemon-of-{model}", (requested,), ()), now)
 
 
 @when("the first order of the plan is accepted at {now:f} s")
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -28,7 +28,7 @@
     :param last_leaves_in_seconds: the time until the last of their callers leaves.
     :param expected_retries: refused requests whose responses named a time to retry.
     :param unserved: requests for the target's model since a server last held it.
-    :param since: when the current uninterrupted wait for the target began.
+    :param since: when the first of these came, or when the current wait for the target began.
     """
 
     key: DemandKey
@@ -97,6 +97,7 @@
         self._received_at: dict[str, float] = {}
         self._rates: dict[DemandKey, RequestRate] = defaultdict(RequestRate)
         self._unserved: dict[DemandKey, float] = defaultdict(float)
+        self._unserved_since: dict[DemandKey, float] = {}
         self._waiting_since: dict[DemandKey, float] = {}
         self._streams: dict[VersionedModel, LastCount] = {}
 
@@ -108,9 +109,9 @@
         for demand in report.demand:
             if not demand.arrivals:
                 continue
-            self._unserved[DemandKey(demand.service, ModelKey(demand.target.model))] += (
-                demand.arrivals
-            )
+            model = DemandKey(demand.service, ModelKey(demand.target.model))
+            self._unserved[model] += demand.arrivals
+            self._unserved_since.setdefault(model, now)
             for target in {demand.target, ModelKey(demand.target.model)}:
                 recent = self._rates[DemandKey(demand.service, target)]
                 recent.rate = recent.at(now) + demand.arrivals * DECAY_PER_SECOND
@@ -156,19 +157,21 @@
                     first_leaves[key] = min(first_leaves.get(key, math.inf), first)
                     last_leaves[key] = max(last_leaves.get(key, -math.inf), last)
         self._waiting_since = {key: self._waiting_since.get(key, now) for key in waiting}
-        pending_demand = [
-            PendingDemand(
-                key,
-                count,
-                priority[key],
-                first_leaves[key],
-                last_leaves[key],
-                expected_retries[key],
-                self._unserved.get(DemandKey(key.service, ModelKey(key.target.model)), 0.0),
-                self._waiting_since[key],
+        pending_demand = []
+        for key, count in waiting.items():
+            model = DemandKey(key.service, ModelKey(key.target.model))
+            pending_demand.append(
+                PendingDemand(
+                    key,
+                    count,
+                    priority[key],
+                    first_leaves[key],
+                    last_leaves[key],
+                    expected_retries[key],
+                    self._unserved.get(model, 0.0),
+                    self._unserved_since.get(model, self._waiting_since[key]),
+                )
             )
-            for key, count in waiting.items()
-        ]
         return pending_demand + [
             self._pending_without_callers(each, now)
             for each in self.unserved_models()
@@ -179,27 +182,11 @@
         """Return the demand for a model that was requested in vain and that nobody waits for."""
         rate = self.rate(model.key.service, model.key.target, now)
         next_request_in = 1.0 / rate if rate > 0 else math.inf
+        since = self._unserved_since[model.key]
         return PendingDemand(
-            model.key, 0, math.inf, next_request_in, next_request_in, 0, model.requests, now
+            model.key, 0, math.inf, next_request_in, next_request_in, 0, model.requests, since
         )
 
-    def callers_by_model(
-        self, pending_demand: Iterable[PendingDemand], now: float
-    ) -> dict[str, float]:
-        """Return the number of callers for each model with pending demand.
-
-        This counts waiting requests, expected retries, the arrivals within the averaging time of
-        the request rate, and the requests for the model since a server last held it.
-        """
-        callers: dict[str, float] = {}
-        for pending in pending_demand:
-            name = pending.key.target.model
-            if name not in callers:
-                rate = self.rate(pending.key.service, ModelKey(name), now)
-                callers[name] = rate / DECAY_PER_SECOND + pending.unserved
-            callers[name] += pending.waiting + pending.expected_retries
-        return callers
-
     def unserved_models(self) -> list[UnservedModel]:
         """Return the models requested more than once while unserved, most requested first."""
         found = [
@@ -211,6 +198,7 @@
         """Reset the count of unserved requests for models that a server holds."""
         for name in names:
             self._unserved.pop(DemandKey(service, ModelKey(name)), None)
+            self._unserved_since.pop(DemandKey(service, ModelKey(name)), None)
 
     def running(self, now: float) -> dict[tuple[str, ModelKey], int]:
         """Return the number of running requests by instance and target."""
--- /dev/null
+++ b/loomwind/placement/load_schedule.py
@@ -0,0 +1,98 @@
+"""The order of loads that models without a copy need. Pure; times are in seconds from now."""
+
+import heapq
+from collections.abc import Sequence
+
+import attrs
+
+
+@attrs.frozen
+class RequestedLoad:
+    """A model that has to be loaded.
+
+    :ivar latest_start_in: until when the load has to start for its callers; negative if that is
+        past, or if there are none.
+    :ivar callers: callers that wait for it or were told when to come back; while there are none,
+        those that should come during its load.
+    :ivar priority: the best one among them; 0 is the most urgent.
+    :ivar missing_seconds: for how long it has been requested without being loaded.
+    """
+
+    name: str
+    latest_start_in: float
+    load_seconds: float
+    callers: float
+    priority: float
+    missing_seconds: float
+
+    @property
+    def start_order(self) -> tuple[float, float, float, str]:
+        """Sort key: by latest start, then priority, then highest weight, then name."""
+        return (self.latest_start_in, self.priority, -self.weight, self.name)
+
+    @property
+    def weight(self) -> float:
+        """Return its callers, times its response ratio: (wait + load time) / load time.
+
+        A model with a single caller gains weight while others are loaded, so its turn comes.
+        """
+        return self.callers * (1.0 + self.missing_seconds / self.load_seconds)
+
+    @property
+    def removal_order(self) -> tuple[float, float, str]:
+        """Sort key of loads that cannot all start in time: the first one gives way.
+
+        By weight, then lowest priority. Older requests weigh more, so that callers that were told a
+        time keep their place before those that come later.
+        """
+        return (self.weight, -self.priority, self.name)
+
+    def merge(self, other: "RequestedLoad") -> "RequestedLoad":
+        """Return one load for two kinds of requests for the same model."""
+        return attrs.evolve(
+            self,
+            latest_start_in=min(self.latest_start_in, other.latest_start_in),
+            callers=self.callers + other.callers,
+            priority=min(self.priority, other.priority),
+            missing_seconds=max(self.missing_seconds, other.missing_seconds),
+        )
+
+
+def schedule_loads(loads: Sequence[RequestedLoad], free_in: Sequence[float]) -> list[RequestedLoad]:
+    """Return loads in the order in which they should start.
+
+    In order of their latest start, the loads that start in time are those of the Moore-Hodgson
+    algorithm: whenever one would start too late, the one of the lowest weight gives way. Those that
+    have given way come last, highest weight first, as do those that no caller can wait for.
+
+    :param free_in: when each place for a concurrent load is free.
+    """
+    in_time: list[RequestedLoad] = []
+    too_late: list[RequestedLoad] = []
+    for load in sorted(loads, key=lambda load: load.start_order):
+        if load.latest_start_in < 0:
+            too_late.append(load)
+            continue
+        in_time.append(load)
+        if not _start_in_time(in_time, free_in):
+            removed = min(in_time, key=lambda load: load.removal_order)
+            in_time.remove(removed)
+            too_late.append(removed)
+    return in_time + sorted(too_late, key=lambda load: load.removal_order, reverse=True)
+
+
+def insert_by_weight(scheduled: list[RequestedLoad], load: RequestedLoad) -> None:
+    """Insert a load without a latest start before the first one of a lower weight."""
+    lighter = (i for i, other in enumerate(scheduled) if other.weight < load.weight)
+    scheduled.insert(next(lighter, len(scheduled)), load)
+
+
+def _start_in_time(loads: Sequence[RequestedLoad], free_in: Sequence[float]) -> bool:
+    """Return whether all loads start in time, one after the other at the next free place."""
+    places = list(free_in) or [0.0]
+    heapq.heapify(places)
+    for load in loads:
+        if places[0] > load.latest_start_in:
+            return False
+        heapq.heapreplace(places, places[0] + load.load_seconds)
+    return True
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -1,18 +1,21 @@
 """The inputs of a plan, and the plan under construction with its orders and reservations."""
 
 import enum
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.index import PlacementIndex
+from loomwind.placement.load_schedule import RequestedLoad, insert_by_weight, schedule_loads
 from loomwind.placement.server_tracker import ADAPTER_LOAD_SECONDS, ServerTracker
 from loomwind.placement.store_admission import StoreAdmission
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
 
 ORDER_LATENCY_SECONDS = 0.2
 DEFAULT_BUSY_SECONDS = 0.5
+# The rest of a load that another leader ordered.
+DEFAULT_LOAD_SECONDS = 3.0
 UNLIMITED_STORE_LOADS = 1_000_000
 
 
@@ -110,6 +113,23 @@
             (server.load_seconds(target.model) for server in copies), default=model.load_seconds
         )
 
+    def remaining_load_seconds(self, server: ServerTracker) -> float:
+        """Return the time until a server's load is done and known; a new load's time before it."""
+        operation = server.operation
+        if operation is None or operation.kind is not OrderKind.LOAD:
+            order = server.in_flight
+            load_seconds = server.load_seconds(order.target.model) if order else 0.0
+            return ORDER_LATENCY_SECONDS + load_seconds
+        return max(0.0, operation.done_at - self.now) + ORDER_LATENCY_SECONDS
+
+    def store_load_ends(self) -> list[float]:
+        """Return the time until each current load from the weight store ends."""
+        return [
+            self.remaining_load_seconds(server) if server.operation else DEFAULT_LOAD_SECONDS
+            for server in self.servers
+            if server.loads_from_store_now
+        ]
+
     def holders(self, name: str) -> list[ServerTracker]:
         """Return the servers that hold a model."""
         return self.index.holders[name]
@@ -126,16 +146,16 @@
     def __init__(
         self,
         inputs: PlanInput,
-        callers: Mapping[str, float] | None = None,
-        overloaded: Mapping[str, float] | None = None,
-        missing_at_version: Mapping[str, float] | None = None,
+        requested: Iterable[RequestedLoad] = (),
+        overloaded: Iterable[RequestedLoad] = (),
+        missing_at_version: Iterable[RequestedLoad] = (),
     ) -> None:
         """Start an empty plan.
 
-        :param callers: the number of callers of each requested model.
-        :param overloaded: the number of requests beyond the slots of a model's servers.
-        :param missing_at_version: the number of requests that wait for a model at a software
-            version of which no server has or loads it.
+        :param requested: loads of models that are requested.
+        :param overloaded: loads of models whose servers are all full, most excess first.
+        :param missing_at_version: loads of models that requests wait for at a software version of
+            which no server has or loads them.
         """
         self.orders: list[PlannedOrder] = []
         self._inputs = inputs
@@ -145,18 +165,16 @@
         self._ordered_loads: set[ModelKey] = set()
         self._evicted_for: set[str] = set()
         missing = {
-            name: count
-            for name, count in (callers or {}).items()
-            if not self.is_available(ModelKey(name))
-        }
-        missing |= {
-            name: count
-            for name, count in (overloaded or {}).items()
-            if not inputs.index.loading[name] and not self.has_reserved_memory(name)
+            load.name: load for load in requested if not self.is_available(ModelKey(load.name))
         }
-        missing |= missing_at_version or {}
+        missing |= {load.name: load for load in missing_at_version}
         slots = inputs.store_loads_left if inputs.store_load_allowed else 0
-        self._admission = StoreAdmission(slots, missing)
+        free_in = [0.0] * min(slots, len(missing)) + inputs.store_load_ends()
+        scheduled = schedule_loads(list(missing.values()), free_in)
+        for load in overloaded:
+            if not inputs.index.loading[load.name] and not self.has_reserved_memory(load.name):
+                insert_by_weight(scheduled, load)
+        self._admission = StoreAdmission(slots, [load.name for load in scheduled])
 
     def load(self, server: ServerTracker, target: ModelKey, purpose: OrderPurpose) -> None:
         """Add an order to load a model or an adapter."""
@@ -185,7 +203,7 @@
         self._admission.discard(name)
 
     def models_needing_copy(self) -> tuple[str, ...]:
-        """Return the models that need a copy, highest priority first."""
+        """Return the models that need a copy, in the order in which they should be loaded."""
         return self._admission.models_needing_copy()
 
     def can_use_reserved_memory(
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -16,6 +16,7 @@
 from loomwind.placement.overload import excess_callers
 from loomwind.placement.plan import DraftPlan, PlanInput, PlannedOrder
 from loomwind.placement.readiness import ReadinessEstimator
+from loomwind.placement.requested_loads import overload_loads, requested_loads
 from loomwind.placement.version_demand import version_copies, version_demand
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.views import ModelKey
@@ -36,9 +37,12 @@
         self._inputs = inputs
         self._pending_demand = sorted(pending_demand, key=self._planning_order)
         self._overloaded = excess_callers(inputs, inputs.index.running_models())
-        callers = inputs.demand.callers_by_model(pending_demand, inputs.now)
-        missing_at_version = _missing_at_version(inputs, pending_demand)
-        self._draft = DraftPlan(inputs, callers, self._overloaded, missing_at_version)
+        self._draft = DraftPlan(
+            inputs,
+            requested_loads(inputs, pending_demand),
+            overload_loads(inputs, self._overloaded),
+            requested_loads(inputs, _missing_at_version(inputs, pending_demand)),
+        )
         self.version_demand = version_demand(inputs, pending_demand)
         copies = version_copies(inputs, self.version_demand)
         cost_model = CostModel(inputs, pending_demand, self._draft, copies)
@@ -64,7 +68,7 @@
         return self._draft.orders
 
     def models_needing_copy(self) -> tuple[str, ...]:
-        """Return the models that need a copy, highest priority first."""
+        """Return the models that need a copy, in the order in which they should be loaded."""
         return self._draft.models_needing_copy()
 
     def expectations(self) -> tuple[ExpectedTarget, ...]:
@@ -111,14 +115,14 @@
 
 def _missing_at_version(
     inputs: PlanInput, pending_demand: Sequence[PendingDemand]
-) -> dict[str, float]:
-    """Return the models that no server of a required version has, with the waiting requests."""
-    missing: dict[str, float] = {}
+) -> list[PendingDemand]:
+    """Return the demand for models that no server of a required version has or is loading."""
+    missing = []
     for pending in pending_demand:
         version, name = pending.key.software_version, pending.key.target.model
         if version is None:
             continue
         index = inputs.of_version(version).index
         if ModelKey(name) not in index.available and name not in index.reserved:
-            missing[name] = missing.get(name, 0.0) + pending.waiting + pending.expected_retries
+            missing.append(pending)
     return missing
--- a/loomwind/placement/readiness.py
+++ b/loomwind/placement/readiness.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Sequence
 
-from loomwind.placement.plan import DraftPlan, PlanInput, PlannedOrder
-from loomwind.placement.server_tracker import ServerTracker
+from loomwind.placement.plan import DEFAULT_LOAD_SECONDS, DraftPlan, PlanInput, PlannedOrder
 from loomwind.serving.views import ModelKey, OrderKind
 
 # Until a server accepts an order, and until the daemons learn that it is done.
 ORDER_LATENCY_SECONDS = 0.15
 UNLOAD_SECONDS = 0.25
 ADAPTER_LOAD_SECONDS = 0.1
-DEFAULT_LOAD_SECONDS = 3.0
 
 
 class ReadinessEstimator:
@@ -48,7 +46,7 @@
         if index.holders[name]:
             return 0.0
         instances = {server.entry.instance for server in inputs.servers}
-        times = [self._remaining_load_seconds(server) for server in index.loading[name]]
+        times = [inputs.remaining_load_seconds(server) for server in index.loading[name]]
         times += [
             self._ordered_load_ready_in(order.instance, name)
             for order in self._orders_for(name)
@@ -75,24 +73,11 @@
         unload_seconds = UNLOAD_SECONDS if server.free_mb() <= 0 else 0.0
         return server.load_seconds(name) + unload_seconds + ORDER_LATENCY_SECONDS
 
-    def _remaining_load_seconds(self, server: ServerTracker) -> float:
-        operation = server.operation
-        if operation is None or operation.kind is not OrderKind.LOAD:
-            order = server.in_flight
-            return ORDER_LATENCY_SECONDS + (
-                server.load_seconds(order.target.model) if order else 0.0
-            )
-        return max(0.0, operation.done_at - self._inputs.now) + ORDER_LATENCY_SECONDS
-
     # The queue for the weight store.
 
     def _estimate_store_load_ends(self) -> list[float]:
         """Return the time until each current or planned load from the weight store ends."""
-        ends = [
-            self._remaining_load_seconds(server) if server.operation else DEFAULT_LOAD_SECONDS
-            for server in self._inputs.servers
-            if server.loads_from_store_now
-        ]
+        ends = self._inputs.store_load_ends()
         planned = [order for order in self._draft.orders if order.from_store]
         ends += [
             self._ordered_load_ready_in(order.instance, order.target.model) for order in planned
--- /dev/null
+++ b/loomwind/placement/requested_loads.py
@@ -0,0 +1,51 @@
+"""The loads that requests need, from the leader's view of demand. Pure."""
+
+import math
+from collections.abc import Iterable, Mapping
+
+from loomwind.placement.demand_view import PendingDemand
+from loomwind.placement.load_schedule import RequestedLoad
+from loomwind.placement.plan import PlanInput
+from loomwind.serving.views import ModelKey
+
+
+def requested_loads(
+    inputs: PlanInput, pending_demand: Iterable[PendingDemand]
+) -> list[RequestedLoad]:
+    """Return one load for each requested model."""
+    loads: dict[str, RequestedLoad] = {}
+    for pending in pending_demand:
+        name = pending.key.target.model
+        load = _requested_load(inputs, pending)
+        if load is not None:
+            loads[name] = loads[name].merge(load) if name in loads else load
+    return list(loads.values())
+
+
+def _requested_load(inputs: PlanInput, pending: PendingDemand) -> RequestedLoad | None:
+    name = pending.key.target.model
+    load_seconds = inputs.load_seconds(ModelKey(name))
+    if not load_seconds:
+        return None
+    missing_seconds = max(0.0, inputs.now - pending.since)
+    latest_start_in = pending.latest_start_in(load_seconds)
+    callers = float(pending.waiting + pending.expected_retries)
+    if not pending.has_callers:
+        latest_start_in = -math.inf
+        callers = inputs.rate(ModelKey(name)) * load_seconds
+    return RequestedLoad(
+        name, latest_start_in, load_seconds, callers, pending.priority, missing_seconds
+    )
+
+
+def overload_loads(inputs: PlanInput, overloaded: Mapping[str, float]) -> list[RequestedLoad]:
+    """Return a load for each model whose servers are full; its callers queue there already.
+
+    :param overloaded: the number of requests beyond the slots of each model's servers.
+    """
+    loads = []
+    for name in sorted(overloaded, key=lambda name: (-overloaded[name], name)):
+        load_seconds = inputs.load_seconds(ModelKey(name))
+        if load_seconds:
+            loads.append(RequestedLoad(name, math.inf, load_seconds, overloaded[name], 0.0, 0.0))
+    return loads
--- a/loomwind/placement/store_admission.py
+++ b/loomwind/placement/store_admission.py
@@ -1,38 +1,38 @@
 """Admission control for loads from the weight store, used by every order that needs one. Pure.
 
 The weight store serves only a few concurrent loads, and more models may be requested than it can
-deliver. Each slot therefore goes to the model that needs a copy for the most callers: a requested
-model that is neither loaded nor loading, or a model whose servers are all full. All other copies
-wait until these have been served.
+deliver. Each slot therefore goes to the next scheduled model that needs a copy: a requested model
+that is neither loaded nor loading, or a model whose servers are all full. All other copies wait
+until these have been served.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 
 class StoreAdmission:
-    """Allocates the load slots of one plan by priority.
+    """Allocates the load slots of one plan.
 
     :ivar slots: the number of loads that may still start.
     """
 
-    def __init__(self, slots: int, missing: Mapping[str, float]) -> None:
-        """Initialize the slots and order the models by callers, most first.
+    def __init__(self, slots: int, missing: Iterable[str]) -> None:
+        """Initialize the slots.
 
         :param slots: the number of loads that may still start.
-        :param missing: models that need a copy, with the number of callers each would serve.
+        :param missing: models that need a copy, in the order in which they should be loaded.
         """
         self.slots = slots
-        self._missing = dict.fromkeys(sorted(missing, key=lambda name: -missing[name]))
+        self._missing = dict.fromkeys(missing)
 
     def admits(self, name: str) -> bool:
-        """Return whether a slot is left for a model after all models of higher priority."""
+        """Return whether a slot is left for a model after all models scheduled before it."""
         if name not in self._missing:
             return self.slots > len(self._missing)
         position = list(self._missing).index(name)
         return self.slots > position
 
     def models_needing_copy(self) -> tuple[str, ...]:
-        """Return the models that need a copy, highest priority first."""
+        """Return the models that need a copy, in the order in which they should be loaded."""
         return tuple(self._missing)
 
     def discard(self, name: str) -> None:
