--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 import fire
 
 from bench import (
+    callers,
     compare,
     configuration,
     detection,
@@ -37,6 +38,7 @@
         "sizes": sizes.run,
         "pool": pool.run,
         "compare": compare.compare,
+        "callers": callers.callers,
         "losses": losses.losses,
         "store_calls": store_calls.store_calls,
         "troubles": troubles.troubles,
