--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -114,6 +114,6 @@
 
 @then("a stream counts as silent at a peer at least {later_ms:d} ms later than at a server")
 def step_peer_later(context: Any, later_ms: int) -> None:
-    at_server_ms = event_silence_ms(ROUTE, 1, is_peer=False)
-    at_peer_ms = event_silence_ms(ROUTE, 1, is_peer=True)
+    at_server_ms = event_silence_ms(ROUTE, 15_000.0, 1, is_peer=False)
+    at_peer_ms = event_silence_ms(ROUTE, 15_000.0, 1, is_peer=True)
     assert at_server_ms and at_peer_ms and at_peer_ms >= at_server_ms + later_ms
--- a/features/steps/once_only_steps.py
+++ b/features/steps/once_only_steps.py
@@ -58,9 +58,9 @@
 
 @then("it waits for its server however long that is silent")
 def step_waits(context: Any) -> None:
-    assert start_silence_ms(context.route) is None
+    assert start_silence_ms(context.route, 1000.0) is None
     for events, is_peer in itertools.product((0, 1, 20), (False, True)):
-        assert event_silence_ms(context.route, events, is_peer) is None, (events, is_peer)
+        assert event_silence_ms(context.route, 1000.0, events, is_peer) is None, (events, is_peer)
 
 
 @then("it is not sent to another server beside the one that has it")
--- a/loomwind/serving/inactivity.py
+++ b/loomwind/serving/inactivity.py
@@ -10,33 +10,37 @@
 LONGEST_PAUSE_MS = 1300.0
 # A peer moves the streams that it relays by itself first, with what that takes.
 PEER_SILENCE_MS = LONGEST_PAUSE_MS + 400.0
-TIMEOUT_PER_OBJECTIVE = 2.0
-MIN_TIMEOUT_MS = 250.0
+# Of the time that a caller stays, the first server gets half, and another one the rest.
+START_FRACTION = 0.5
 # So many requests at once may be moved to a server that has fewer in progress.
 MIN_MOVES_AT_ONCE = 2
 
 
-def start_silence_ms(route: RouteRule) -> float | None:
+def start_silence_ms(route: RouteRule, timeout_ms: float) -> float | None:
     """Return how long a server may take to begin a response until it counts as silent.
 
+    :param timeout_ms: how long the caller waits for the whole response, from its request on.
     :returns: None when the request cannot be repeated, and has to wait for this server.
     """
     if not route.repeatable:
         return None
-    timeout_ms = TIMEOUT_PER_OBJECTIVE * route.objective_seconds * MS_PER_SECOND
+    stays_ms = min(route.event_timeout_seconds * MS_PER_SECOND, timeout_ms)
     if route.kind is RequestKind.STREAMING:
-        return max(timeout_ms, LONGEST_PAUSE_MS)
-    return max(timeout_ms, MIN_TIMEOUT_MS)
+        return max(START_FRACTION * stays_ms, LONGEST_PAUSE_MS)
+    return START_FRACTION * stays_ms
 
 
-def event_silence_ms(route: RouteRule, events: int, is_peer: bool) -> float | None:
+def event_silence_ms(
+    route: RouteRule, timeout_ms: float, events: int, is_peer: bool
+) -> float | None:
     """Return how long a stream may bring no data until its server counts as silent.
 
+    :param timeout_ms: how long the caller waits for the whole response, from its request on.
     :param events: the number of events so far, of all attempts.
     :param is_peer: whether a peer relays the stream.
     """
     if not route.repeatable or not events:
-        return start_silence_ms(route)
+        return start_silence_ms(route, timeout_ms)
     return PEER_SILENCE_MS if is_peer else LONGEST_PAUSE_MS
 
 
--- a/loomwind/serving/request_lifecycle.py
+++ b/loomwind/serving/request_lifecycle.py
@@ -78,6 +78,7 @@
         timeout = route.timeout_seconds
         if caller.remaining_seconds is not None:
             timeout = min(timeout, caller.remaining_seconds)
+        self._timeout_ms = timeout * MS_PER_SECOND
         self._caller_deadline = self._arrived_at + timeout
         deadline = handler.planned_stop.limit(self._caller_deadline)
         self._request = OutgoingRequest(request, caller, route, deadline)
@@ -416,7 +417,8 @@
             self._progress.server = entry.instance
             await attempt.connect()
             attempt.send(self._attempts.record_begun(attempt))
-        answer = await self._hand_over.answer(attempt, start_silence_ms(self._route))
+        silence_ms = start_silence_ms(self._route, self._timeout_ms)
+        answer = await self._hand_over.answer(attempt, silence_ms)
         if answer.body is not None:
             await self._send_full_response(entry, answer, answer.body)
             return
@@ -432,10 +434,13 @@
         :raises Moved: the server was silent, and another one has taken the stream over.
         """
         self._attempts.record_progress()
-        timeout_ms = event_silence_ms(
-            self._route, self._stream.events, self._attempts.is_at_peer(entry)
+        silence_ms = event_silence_ms(
+            self._route,
+            self._timeout_ms,
+            self._stream.events,
+            self._attempts.is_at_peer(entry),
         )
-        return await self._hand_over.read(entry, read, timeout_ms)
+        return await self._hand_over.read(entry, read, silence_ms)
 
     async def _send_full_response(self, entry: ServerEntry, answer: Answer, body: bytes) -> None:
         failure = self._attempts.check(answer, entry)
