--- a/features/load_schedule.feature
+++ b/features/load_schedule.feature
@@ -45,3 +45,10 @@
     When 2 callers wait for c, and 1 caller of d is refused, returns, and waits
     And 1 load from the weight store may begin
     Then the plan makes room for c first
+
+  Scenario: callers that cannot be served any more do not hold up those that can
+    Given model servers one and two of 200 GB
+    And one holds nothing, two holds nothing
+    And both servers load other models for 4.0 s more
+    When callers of c and d stay for 2.0 s, and callers of e and f for 9.0 s
+    Then e and f are expected within 9.0 s, c and d after that
--- a/features/steps/load_schedule_steps.py
+++ b/features/steps/load_schedule_steps.py
@@ -10,11 +10,12 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
-from features.steps.planner_steps import SERVICE, plan
+from features.steps.planner_steps import FENCE, SERVICE, STORE_LOAD_S, plan, plan_input
 from loomwind.messages.serving import PoolDemand
 from loomwind.placement.load_schedule import RequestedLoad, schedule_loads
+from loomwind.placement.planner import Planner
 from loomwind.serving.demand import TargetDemand
-from loomwind.serving.views import ModelKey
+from loomwind.serving.views import ModelKey, Order, OrderAnswer, OrderKind
 
 EXAMPLES_SEED = 20261205
 NEVER = float("-inf")
@@ -143,3 +144,29 @@
 def step_room_for_c(context: Any) -> None:
     loaded = [order.evicts_for or order.target.model for order in plan(context) if order]
     assert loaded == ["c"], loaded
+
+
+@given("both servers load other models for {seconds:f} s more")
+def step_busy(context: Any, seconds: float) -> None:
+    context.now = 20.0
+    for tracker, model in zip(context.trackers.values(), "gh", strict=True):
+        order = Order(OrderKind.LOAD, ModelKey(model), tracker.entry.instance, "daemon", FENCE, 0)
+        tracker.record_answer(order, OrderAnswer.ACCEPTED, context.now - STORE_LOAD_S + seconds)
+
+
+@when("callers of c and d stay for {short:f} s, and callers of e and f for {long:f} s")
+def step_short_and_long(context: Any, short: float, long: float) -> None:
+    demand = tuple(
+        TargetDemand(SERVICE, ModelKey(name), 1, 1.0, 1, stays, 0, None, stays)
+        for name, stays in (("c", short), ("d", short), ("e", long), ("f", long))
+    )
+    context.demand.add_report(PoolDemand("daemon-1", demand, ()), context.now)
+
+
+@then("e and f are expected within {seconds:f} s, c and d after that")
+def step_expected_within(context: Any, seconds: float) -> None:
+    planner = Planner(plan_input(context))
+    planner.plan()
+    expected = {each.key.target.model: each.ready_in_ms / 1000 for each in planner.expectations()}
+    assert max(expected["e"], expected["f"]) < seconds, expected
+    assert min(expected["c"], expected["d"]) > seconds, expected
--- a/loomwind/placement/load_schedule.py
+++ b/loomwind/placement/load_schedule.py
@@ -1,7 +1,7 @@
 """The order of loads that models without a copy need. Pure; times are in seconds from now."""
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -16,6 +16,7 @@
         those that should come during its load.
     :ivar priority: the best one among them; 0 is the most urgent.
     :ivar missing_seconds: for how long it has been requested without being loaded.
+    :ivar from_store: whether no server has a cached copy.
     """
 
     name: str
@@ -24,6 +25,7 @@
     callers: float
     priority: float
     missing_seconds: float
+    from_store: bool = True
 
     @property
     def start_order(self) -> tuple[float, float, float, str]:
@@ -61,15 +63,20 @@
 def schedule_loads(loads: Sequence[RequestedLoad], free_in: Sequence[float]) -> list[RequestedLoad]:
     """Return loads in the order in which they should start.
 
-    In order of their latest start, the loads that start in time are those of the Moore-Hodgson
-    algorithm: whenever one would start too late, the one of the lowest weight gives way. Those that
-    have given way come last, highest weight first, as do those that no caller can wait for.
+    Those from cached copies come first, as they are short and leave the store to the others. The
+    others follow by the Moore-Hodgson algorithm: in order of their latest start, and whenever one
+    would start too late, the one of the lowest weight gives way. Those that have given way come
+    last, highest weight first, as do those that no caller can wait for.
 
     :param free_in: when each place for a concurrent load is free.
     """
+    ordered = sorted(loads, key=lambda load: load.start_order)
+    cached = [load for load in ordered if not load.from_store]
     in_time: list[RequestedLoad] = []
     too_late: list[RequestedLoad] = []
-    for load in sorted(loads, key=lambda load: load.start_order):
+    for load in ordered:
+        if not load.from_store:
+            continue
         if load.latest_start_in < 0:
             too_late.append(load)
             continue
@@ -78,7 +85,25 @@
             removed = min(in_time, key=lambda load: load.removal_order)
             in_time.remove(removed)
             too_late.append(removed)
-    return in_time + sorted(too_late, key=lambda load: load.removal_order, reverse=True)
+    too_late.sort(key=lambda load: load.removal_order, reverse=True)
+    return cached + in_time + too_late
+
+
+def combine_places(server_free_in: Iterable[float], store_free_in: Iterable[float]) -> list[float]:
+    """Return when each place for a load is free, as it takes a server and a place at the store."""
+    pairs = zip(sorted(server_free_in), sorted(store_free_in), strict=False)
+    return [max(pair) for pair in pairs]
+
+
+def queue_ends(load_seconds: Iterable[float], free_in: Sequence[float]) -> list[float]:
+    """Return when each of a queue of loads ends, if it begins at the next free place."""
+    places = list(free_in) or [0.0]
+    heapq.heapify(places)
+    ends = []
+    for seconds in load_seconds:
+        ends.append(places[0] + seconds)
+        heapq.heapreplace(places, ends[-1])
+    return ends
 
 
 def insert_by_weight(scheduled: list[RequestedLoad], load: RequestedLoad) -> None:
@@ -89,10 +114,8 @@
 
 def _start_in_time(loads: Sequence[RequestedLoad], free_in: Sequence[float]) -> bool:
     """Return whether all loads start in time, one after the other at the next free place."""
-    places = list(free_in) or [0.0]
-    heapq.heapify(places)
-    for load in loads:
-        if places[0] > load.latest_start_in:
-            return False
-        heapq.heapreplace(places, places[0] + load.load_seconds)
-    return True
+    ends = queue_ends((load.load_seconds for load in loads), free_in)
+    return all(
+        end - load.load_seconds <= load.latest_start_in
+        for load, end in zip(loads, ends, strict=True)
+    )
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -7,7 +7,12 @@
 
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.index import PlacementIndex
-from loomwind.placement.load_schedule import RequestedLoad, insert_by_weight, schedule_loads
+from loomwind.placement.load_schedule import (
+    RequestedLoad,
+    combine_places,
+    insert_by_weight,
+    schedule_loads,
+)
 from loomwind.placement.server_tracker import ADAPTER_LOAD_SECONDS, ServerTracker
 from loomwind.placement.store_admission import StoreAdmission
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
@@ -130,6 +135,16 @@
             if server.loads_from_store_now
         ]
 
+    def load_places(self, slots: int) -> list[float]:
+        """Return when each place for a load is free: it takes a server and a place at the store.
+
+        :param slots: the number of loads from the weight store that may start now.
+        """
+        servers = self.known_servers()
+        server_free_in = [0.0 if s.idle else self.remaining_load_seconds(s) for s in servers]
+        store_free_in = [0.0] * min(slots, len(servers)) + self.store_load_ends()
+        return combine_places(server_free_in, store_free_in)
+
     def holders(self, name: str) -> list[ServerTracker]:
         """Return the servers that hold a model."""
         return self.index.holders[name]
@@ -169,8 +184,7 @@
         }
         missing |= {load.name: load for load in missing_at_version}
         slots = inputs.store_loads_left if inputs.store_load_allowed else 0
-        free_in = [0.0] * min(slots, len(missing)) + inputs.store_load_ends()
-        scheduled = schedule_loads(list(missing.values()), free_in)
+        scheduled = schedule_loads(list(missing.values()), inputs.load_places(slots))
         for load in overloaded:
             if not inputs.index.loading[load.name] and not self.has_reserved_memory(load.name):
                 insert_by_weight(scheduled, load)
@@ -194,6 +208,11 @@
             self._admission.acquire_slot()
         self._add(order)
 
+    @property
+    def store_slots(self) -> int:
+        """Return how many more loads from the weight store may start."""
+        return self._admission.slots
+
     def can_load_from_store(self, name: str) -> bool:
         """Return whether the plan may load a model from the weight store."""
         return self._admission.admits(name)
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -6,7 +6,7 @@
 :mod:`loomwind.placement.model_planner` and :mod:`loomwind.placement.adapter_planner`.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from loomwind.clock import MS_PER_SECOND
 from loomwind.placement.adapter_planner import AdapterPlanner
@@ -35,7 +35,6 @@
             if pending.key.service == inputs.service
         ]
         self._inputs = inputs
-        self._pending_demand = sorted(pending_demand, key=self._planning_order)
         self._overloaded = excess_callers(inputs, inputs.index.running_models())
         self._draft = DraftPlan(
             inputs,
@@ -43,6 +42,9 @@
             overload_loads(inputs, self._overloaded),
             requested_loads(inputs, _missing_at_version(inputs, pending_demand)),
         )
+        positions = {name: i for i, name in enumerate(self._draft.models_needing_copy())}
+        pending_demand = sorted(pending_demand, key=lambda each: self._order(each, positions))
+        self._pending_demand = pending_demand
         self.version_demand = version_demand(inputs, pending_demand)
         copies = version_copies(inputs, self.version_demand)
         cost_model = CostModel(inputs, pending_demand, self._draft, copies)
@@ -95,16 +97,21 @@
             return self._draft.is_available(target)
         return self._draft.is_available_at(target, software_version)
 
-    def _planning_order(self, pending: PendingDemand) -> tuple[bool, float, float, float, str]:
-        """Sort key: callers first, then by latest start, priority, age, and target."""
-        latest_start_in = pending.latest_start_in(self._inputs.load_seconds(pending.key.target))
-        target = str(pending.key.target)
+    def _order(
+        self, pending: PendingDemand, positions: Mapping[str, int]
+    ) -> tuple[int, bool, float, float, float, str]:
+        """Sort key: in the order of scheduled loads, after the targets that need none.
+
+        Those are adapters of loaded models, by latest start, priority, age, and target.
+        """
+        target = pending.key.target
         return (
+            positions.get(target.model, -1),
             not pending.has_callers,
-            latest_start_in,
+            pending.latest_start_in(self._inputs.load_seconds(target)),
             pending.priority,
             pending.since,
-            target,
+            str(target),
         )
 
     def _can_wait(self, pending: PendingDemand) -> bool:
--- a/loomwind/placement/readiness.py
+++ b/loomwind/placement/readiness.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from loomwind.placement.load_schedule import combine_places, queue_ends
 from loomwind.placement.plan import DEFAULT_LOAD_SECONDS, DraftPlan, PlanInput, PlannedOrder
 from loomwind.serving.views import ModelKey, OrderKind
 
@@ -20,8 +21,7 @@
     def __init__(self, inputs: PlanInput, draft: DraftPlan, queued: Sequence[str]) -> None:
         self._inputs = inputs
         self._draft = draft
-        self._queue_positions = {name: position for position, name in enumerate(queued)}
-        self._store_load_ends = sorted(self._estimate_store_load_ends())
+        self._queue_ends = self._estimate_queue_ends(queued)
 
     def ready_in(self, target: ModelKey, software_version: str | None = None) -> float | None:
         """Return the time until a target is ready, or None if it is unknown.
@@ -60,8 +60,8 @@
         reserved_ready_in = self._draft.reserved_load_ready_in(name)
         if reserved_ready_in is not None:
             times.append(reserved_ready_in + ORDER_LATENCY_SECONDS)
-        if name in self._queue_positions:
-            times.append(self._queued_load_ready_in(name))
+        if name in self._queue_ends:
+            times.append(self._queue_ends[name])
         return min(times, default=None)
 
     def _orders_for(self, name: str) -> list[PlannedOrder]:
@@ -75,29 +75,25 @@
 
     # The queue for the weight store.
 
-    def _estimate_store_load_ends(self) -> list[float]:
-        """Return the time until each current or planned load from the weight store ends."""
-        ends = self._inputs.store_load_ends()
+    def _estimate_queue_ends(self, queued: Sequence[str]) -> dict[str, float]:
+        """Return the time until each queued load is done, after the loads before it."""
+        ordered = {order.instance: order for order in self._draft.orders}
+        server_free_in = [
+            self._ordered_load_ready_in(instance, ordered[instance].target.model)
+            if (instance := server.entry.instance) in ordered
+            else self._draft.busy_seconds(server)
+            for server in self._inputs.known_servers()
+        ]
         planned = [order for order in self._draft.orders if order.from_store]
-        ends += [
+        store_free_in = self._inputs.store_load_ends() + [
             self._ordered_load_ready_in(order.instance, order.target.model) for order in planned
         ]
-        return ends
-
-    def _queued_load_ready_in(self, name: str) -> float:
-        """Return the time until a queued load is done, after the loads queued before it."""
-        position = self._queue_positions[name]
-        load_seconds = self._store_load_seconds(name)
-        concurrency = max(1, len(self._store_load_ends))
-        starts_in = (
-            self._store_load_ends[position % concurrency] if self._store_load_ends else load_seconds
-        )
-        return (
-            starts_in
-            + (position // concurrency) * load_seconds
-            + load_seconds
-            + ORDER_LATENCY_SECONDS
-        )
+        free_slots = max(0, self._draft.store_slots)
+        store_free_in += [0.0] * min(free_slots, len(server_free_in))
+        places = combine_places(server_free_in, store_free_in)
+        seconds = [self._store_load_seconds(name) for name in queued]
+        ends = queue_ends(seconds, places or [DEFAULT_LOAD_SECONDS])
+        return {name: end + ORDER_LATENCY_SECONDS for name, end in zip(queued, ends, strict=True)}
 
     def _store_load_seconds(self, name: str) -> float:
         model = self._inputs.model(name)
--- a/loomwind/placement/requested_loads.py
+++ b/loomwind/placement/requested_loads.py
@@ -34,7 +34,13 @@
         latest_start_in = -math.inf
         callers = inputs.rate(ModelKey(name)) * load_seconds
     return RequestedLoad(
-        name, latest_start_in, load_seconds, callers, pending.priority, missing_seconds
+        name,
+        latest_start_in,
+        load_seconds,
+        callers,
+        pending.priority,
+        missing_seconds,
+        from_store=not inputs.index.cached_copies[name],
     )
 
 
