--- a/features/load_schedule.feature
+++ b/features/load_schedule.feature
@@ -52,3 +52,11 @@
     And both servers load other models for 4.0 s more
     When callers of c and d stay for 2.0 s, and callers of e and f for 9.0 s
     Then e and f are expected within 9.0 s, c and d after that
+
+  Scenario: a second copy of a busy model is loaded from a cached copy before a load that can wait
+    Given model servers one, two and three of 100 GB
+    And one holds a, two holds nothing
+    And three holds nothing, and has copies of a and c on its disk
+    When a is requested 2 times per second at 20.0 s
+    And a caller of c stays for 20.0 s at 20.0 s
+    Then the plan loads a at three, as a further copy
--- a/features/steps/load_schedule_steps.py
+++ b/features/steps/load_schedule_steps.py
@@ -10,12 +10,30 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
-from features.steps.planner_steps import FENCE, SERVICE, STORE_LOAD_S, plan, plan_input
+from features.steps.planner_steps import (
+    FENCE,
+    SERVICE,
+    STORE_LOAD_S,
+    plan,
+    plan_input,
+    profile,
+    report,
+)
 from loomwind.messages.serving import PoolDemand
+from loomwind.placement.demand_view import DemandView
 from loomwind.placement.load_schedule import RequestedLoad, schedule_loads
+from loomwind.placement.plan import OrderPurpose
 from loomwind.placement.planner import Planner
+from loomwind.placement.server_tracker import ServerTracker
 from loomwind.serving.demand import TargetDemand
-from loomwind.serving.views import ModelKey, Order, OrderAnswer, OrderKind
+from loomwind.serving.views import (
+    ModelKey,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    ServerEntry,
+    ServerState,
+)
 
 EXAMPLES_SEED = 20261205
 NEVER = float("-inf")
@@ -170,3 +188,48 @@
     expected = {each.key.target.model: each.ready_in_ms / 1000 for each in planner.expectations()}
     assert max(expected["e"], expected["f"]) < seconds, expected
     assert min(expected["c"], expected["d"]) > seconds, expected
+
+
+@given("three holds nothing, and has copies of a and c on its disk")
+def step_cached(context: Any) -> None:
+    context.trackers["three"].record_report(report([], {"a", "c"}), 9.0)
+
+
+@when("a caller of c stays for {stays:f} s at {now:f} s")
+def step_caller_of_c(context: Any, stays: float, now: float) -> None:
+    context.now = now
+    requested = TargetDemand(SERVICE, ModelKey("c"), 1, 1.0, 1, stays, 0, None, stays)
+    context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), now)
+
+
+@then("the plan loads a at three, as a further copy")
+def step_further_copy(context: Any) -> None:
+    loads = [(order.target.model, order.instance, order.purpose) for order in plan(context)]
+    assert ("a", "three", OrderPurpose.FURTHER_COPY) in loads, loads
+
+
+@given("a server with room for one model")
+def step_one_place(context: Any) -> None:
+    entry = ServerEntry("one", SERVICE, "a:1", "zone-a", 8, ServerState.READY)
+    context.trackers = {"one": ServerTracker(entry, profile(50))}
+    context.trackers["one"].record_report(report([], set()), 9.0)
+    context.demand, context.now = DemandView(), 20.0
+
+
+@when(
+    "callers of c keep coming, the first of whom leaves in {first:f} s and the last in {last:f} s"
+)
+def step_keep_coming(context: Any, first: float, last: float) -> None:
+    requested = TargetDemand(SERVICE, ModelKey("c"), 5, 5.0, 1, first, 0, None, last)
+    context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), context.now)
+
+
+@when("callers of d stay for {stays:f} s")
+def step_callers_of_d(context: Any, stays: float) -> None:
+    requested = TargetDemand(SERVICE, ModelKey("d"), 1, 1.0, 1, stays, 0, None, stays)
+    context.demand.add_report(PoolDemand("daemon-2", (requested,), ()), context.now)
+
+
+@then("c is loaded first")
+def step_c_first(context: Any) -> None:
+    assert [order.target.model for order in plan(context)] == ["c"], plan(context)
--- a/loomwind/placement/model_planner.py
+++ b/loomwind/placement/model_planner.py
@@ -145,11 +145,13 @@
             max_evicted_value = copy.streams * MAX_EVICTED_VALUE_RATIO**copy.copies
             self._plan_copy(name, max_evicted_value, self._inputs.of_version(version).servers)
 
-    def plan_second_copies(self) -> None:
+    def plan_second_copies(self, cached_only: bool = False) -> None:
         """Plan second copies of frequently requested models, since a server may fail.
 
         During a release, copies at servers that are about to leave do not count, and those at
         the others load in turn.
+
+        :param cached_only: load them from cached copies only, not from the weight store.
         """
         staying = staying_servers(self._inputs)
         is_release = len(staying) < len(self._inputs.servers)
@@ -161,7 +163,8 @@
                 continue
             copies = index.holders[name] + index.loading[name]
             if copies and sum(server in staying for server in copies) < MIN_COPIES:
-                self._plan_copy(name, MAX_EVICTED_VALUE_RATIO * rate, staying)
+                servers = [s for s in staying if not (cached_only and s.loads_from_store(name))]
+                self._plan_copy(name, MAX_EVICTED_VALUE_RATIO * rate, servers)
 
     def _frequently_requested(self) -> list[tuple[str, float]]:
         """Return the models to keep two copies of, with their request rates, highest first."""
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -21,6 +21,9 @@
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.views import ModelKey
 
+# One server is left for the loads of callers that can wait.
+MIN_FREE_SERVERS_FOR_COPIES = 2
+
 
 class Planner:
     """Computes the orders of one step.
@@ -55,12 +58,14 @@
         """Return the orders, at most one per server."""
         self._models.load_into_reserved_memory()
         self._models.plan_overload_copies(self._overloaded)
-        for pending in self._pending_demand:
-            if pending.has_callers:
-                self._plan_pending(pending)
+        urgent = [pending for pending in self._pending_demand if self._is_urgent(pending)]
+        for pending in urgent:
+            self._plan_pending(pending)
         self._models.plan_version_copies()
+        if len(self._draft.free_servers()) >= MIN_FREE_SERVERS_FOR_COPIES:
+            self._models.plan_second_copies(cached_only=True)
         for pending in self._pending_demand:
-            if not pending.has_callers:
+            if pending not in urgent:
                 self._plan_pending(pending)
         self._models.retry_queued()
         self._models.plan_second_copies()
@@ -114,6 +119,12 @@
             str(target),
         )
 
+    def _is_urgent(self, pending: PendingDemand) -> bool:
+        """Return whether callers can be served, but not if another load goes first."""
+        load_seconds = self._inputs.load_seconds(pending.key.target)
+        latest_start_in = pending.latest_start_in(load_seconds)
+        return pending.has_callers and 0 <= latest_start_in < load_seconds
+
     def _can_wait(self, pending: PendingDemand) -> bool:
         """Return whether its callers stay long enough for another load before this one."""
         load_seconds = self._inputs.load_seconds(pending.key.target)
