--- a/features/load_schedule.feature
+++ b/features/load_schedule.feature
@@ -60,3 +60,9 @@
     When a is requested 2 times per second at 20.0 s
     And a caller of c stays for 20.0 s at 20.0 s
     Then the plan loads a at three, as a further copy
+
+  Scenario: a model whose callers come all the time is loaded although the last ones could wait
+    Given a server with room for one model
+    When callers of c keep coming, the first of whom leaves in 1.0 s and the last in 9.0 s
+    And callers of d stay for 5.0 s
+    Then c is loaded first
--- a/loomwind/placement/demand_view.py
+++ b/loomwind/placement/demand_view.py
@@ -48,11 +48,12 @@
     def latest_start_in(self, load_seconds: float) -> float:
         """Return the time until which a load has to start for its callers.
 
-        Those that cannot be served any more are left out while others can: they are refused.
+        While some are too late already and others are not, it has to start now: requests keep
+        coming, and each moment another caller runs out of time.
         """
-        if self.first_leaves_in_seconds >= load_seconds:
-            return self.first_leaves_in_seconds - load_seconds
-        return self.last_leaves_in_seconds - load_seconds
+        if self.last_leaves_in_seconds < load_seconds:
+            return self.last_leaves_in_seconds - load_seconds
+        return max(0.0, self.first_leaves_in_seconds - load_seconds)
 
 
 @attrs.frozen
--- a/loomwind/placement/load_schedule.py
+++ b/loomwind/placement/load_schedule.py
@@ -63,30 +63,29 @@
 def schedule_loads(loads: Sequence[RequestedLoad], free_in: Sequence[float]) -> list[RequestedLoad]:
     """Return loads in the order in which they should start.
 
-    Those from cached copies come first, as they are short and leave the store to the others. The
-    others follow by the Moore-Hodgson algorithm: in order of their latest start, and whenever one
-    would start too late, the one of the lowest weight gives way. Those that have given way come
-    last, highest weight first, as do those that no caller can wait for.
+    They are ordered by the Moore-Hodgson algorithm: by their latest start, and whenever one from
+    the store would start too late, the one of the lowest weight gives way. Those that have given
+    way come last, highest weight first, as do those that no caller can wait for.
 
     :param free_in: when each place for a concurrent load is free.
     """
-    ordered = sorted(loads, key=lambda load: load.start_order)
-    cached = [load for load in ordered if not load.from_store]
+    cached: list[RequestedLoad] = []
     in_time: list[RequestedLoad] = []
     too_late: list[RequestedLoad] = []
-    for load in ordered:
-        if not load.from_store:
-            continue
+    for load in sorted(loads, key=lambda load: load.start_order):
         if load.latest_start_in < 0:
             too_late.append(load)
             continue
+        if not load.from_store:
+            cached.append(load)
+            continue
         in_time.append(load)
         if not _start_in_time(in_time, free_in):
             removed = min(in_time, key=lambda load: load.removal_order)
             in_time.remove(removed)
             too_late.append(removed)
     too_late.sort(key=lambda load: load.removal_order, reverse=True)
-    return cached + in_time + too_late
+    return sorted(cached + in_time, key=lambda load: load.start_order) + too_late
 
 
 def combine_places(server_free_in: Iterable[float], store_free_in: Iterable[float]) -> list[float]:
