--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -18,6 +18,8 @@
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
 
 ORDER_LATENCY_SECONDS = 0.2
+# Until a server accepts an order, and until the daemons learn that it is done.
+NOTICE_SECONDS = 0.15
 DEFAULT_BUSY_SECONDS = 0.5
 # The rest of a load that another leader ordered.
 DEFAULT_LOAD_SECONDS = 3.0
@@ -124,8 +126,8 @@
         if operation is None or operation.kind is not OrderKind.LOAD:
             order = server.in_flight
             load_seconds = server.load_seconds(order.target.model) if order else 0.0
-            return ORDER_LATENCY_SECONDS + load_seconds
-        return max(0.0, operation.done_at - self.now) + ORDER_LATENCY_SECONDS
+            return NOTICE_SECONDS + load_seconds
+        return max(0.0, operation.done_at - self.now) + NOTICE_SECONDS
 
     def store_load_ends(self) -> list[float]:
         """Return the time until each current load from the weight store ends."""
--- a/loomwind/placement/readiness.py
+++ b/loomwind/placement/readiness.py
@@ -3,11 +3,15 @@
 from collections.abc import Sequence
 
 from loomwind.placement.load_schedule import combine_places, queue_ends
-from loomwind.placement.plan import DEFAULT_LOAD_SECONDS, DraftPlan, PlanInput, PlannedOrder
+from loomwind.placement.plan import (
+    DEFAULT_LOAD_SECONDS,
+    NOTICE_SECONDS,
+    DraftPlan,
+    PlanInput,
+    PlannedOrder,
+)
 from loomwind.serving.views import ModelKey, OrderKind
 
-# Until a server accepts an order, and until the daemons learn that it is done.
-ORDER_LATENCY_SECONDS = 0.15
 UNLOAD_SECONDS = 0.25
 ADAPTER_LOAD_SECONDS = 0.1
 
@@ -59,7 +63,7 @@
         ]
         reserved_ready_in = self._draft.reserved_load_ready_in(name)
         if reserved_ready_in is not None:
-            times.append(reserved_ready_in + ORDER_LATENCY_SECONDS)
+            times.append(reserved_ready_in + NOTICE_SECONDS)
         if name in self._queue_ends:
             times.append(self._queue_ends[name])
         return min(times, default=None)
@@ -71,7 +75,7 @@
     def _ordered_load_ready_in(self, instance: str, name: str) -> float:
         server = self._inputs.index.server(instance)
         unload_seconds = UNLOAD_SECONDS if server.free_mb() <= 0 else 0.0
-        return server.load_seconds(name) + unload_seconds + ORDER_LATENCY_SECONDS
+        return server.load_seconds(name) + unload_seconds + NOTICE_SECONDS
 
     # The queue for the weight store.
 
@@ -93,7 +97,7 @@
         places = combine_places(server_free_in, store_free_in)
         seconds = [self._store_load_seconds(name) for name in queued]
         ends = queue_ends(seconds, places or [DEFAULT_LOAD_SECONDS])
-        return {name: end + ORDER_LATENCY_SECONDS for name, end in zip(queued, ends, strict=True)}
+        return {name: end + NOTICE_SECONDS for name, end in zip(queued, ends, strict=True)}
 
     def _store_load_seconds(self, name: str) -> float:
         model = self._inputs.model(name)
