--- a/features/load_schedule.feature
+++ b/features/load_schedule.feature
@@ -66,3 +66,9 @@
     When callers of c keep coming, the first of whom leaves in 1.0 s and the last in 9.0 s
     And callers of d stay for 5.0 s
     Then c is loaded first
+
+  Scenario: callers of an adapter keep their turn although their model was asked for in vain before
+    Given a server with room for one model
+    When c was asked for in vain 4 times, and 2 callers of an adapter of c stay for 5.0 s
+    And callers of d stay for 7.0 s
+    Then c is loaded first
--- a/features/steps/load_schedule_steps.py
+++ b/features/steps/load_schedule_steps.py
@@ -233,3 +233,9 @@
 @then("c is loaded first")
 def step_c_first(context: Any) -> None:
     assert [order.target.model for order in plan(context)] == ["c"], plan(context)
+
+
+@when("c was asked for in vain 4 times, and 2 callers of an adapter of c stay for {stays:f} s")
+def step_adapter_caller(context: Any, stays: float) -> None:
+    requested = TargetDemand(SERVICE, ModelKey("c", "a1"), 2, 6.0, 1, stays, 0, None, stays)
+    context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), context.now)
--- a/loomwind/placement/load_schedule.py
+++ b/loomwind/placement/load_schedule.py
@@ -50,10 +50,14 @@
         return (self.weight, -self.priority, self.name)
 
     def merge(self, other: "RequestedLoad") -> "RequestedLoad":
-        """Return one load for two kinds of requests for the same model."""
+        """Return one load for two groups of callers of the same model.
+
+        If one group is too late already and the other is not, it has to start now.
+        """
+        first, last = sorted((self.latest_start_in, other.latest_start_in))
         return attrs.evolve(
             self,
-            latest_start_in=min(self.latest_start_in, other.latest_start_in),
+            latest_start_in=last if last < 0 else max(0.0, first),
             callers=self.callers + other.callers,
             priority=min(self.priority, other.priority),
             missing_seconds=max(self.missing_seconds, other.missing_seconds),
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -58,15 +58,17 @@
         """Return the orders, at most one per server."""
         self._models.load_into_reserved_memory()
         self._models.plan_overload_copies(self._overloaded)
-        urgent = [pending for pending in self._pending_demand if self._is_urgent(pending)]
-        for pending in urgent:
-            self._plan_pending(pending)
+        deferrable = []
+        for pending in self._pending_demand:
+            if self._is_urgent(pending):
+                self._plan_pending(pending)
+            else:
+                deferrable.append(pending)
         self._models.plan_version_copies()
         if len(self._draft.free_servers()) >= MIN_FREE_SERVERS_FOR_COPIES:
             self._models.plan_second_copies(cached_only=True)
-        for pending in self._pending_demand:
-            if pending not in urgent:
-                self._plan_pending(pending)
+        for pending in deferrable:
+            self._plan_pending(pending)
         self._models.retry_queued()
         self._models.plan_second_copies()
         self._adapters.prefetch_all()
--- a/loomwind/placement/requested_loads.py
+++ b/loomwind/placement/requested_loads.py
@@ -12,10 +12,12 @@
 def requested_loads(
     inputs: PlanInput, pending_demand: Iterable[PendingDemand]
 ) -> list[RequestedLoad]:
-    """Return one load for each requested model."""
+    """Return one load for each requested model, for its callers if it has any."""
     loads: dict[str, RequestedLoad] = {}
-    for pending in pending_demand:
+    for pending in sorted(pending_demand, key=lambda pending: not pending.has_callers):
         name = pending.key.target.model
+        if name in loads and not pending.has_callers:
+            continue
         load = _requested_load(inputs, pending)
         if load is not None:
             loads[name] = loads[name].merge(load) if name in loads else load
