--- a/features/load_schedule.feature
+++ b/features/load_schedule.feature
@@ -72,3 +72,9 @@
     When c was asked for in vain 4 times, and 2 callers of an adapter of c stay for 5.0 s
     And callers of d stay for 7.0 s
     Then c is loaded first
+
+  Scenario: a busy model whose callers cannot wait for a load is loaded before one with a single caller
+    Given a server with room for one model
+    When c is requested 2 times a second by callers that leave too soon for a load
+    And callers of d stay for 7.0 s
+    Then c is loaded first
--- a/features/steps/load_schedule_steps.py
+++ b/features/steps/load_schedule_steps.py
@@ -25,7 +25,7 @@
 from loomwind.placement.plan import OrderPurpose
 from loomwind.placement.planner import Planner
 from loomwind.placement.server_tracker import ServerTracker
-from loomwind.serving.demand import TargetDemand
+from loomwind.serving.demand import DECAY_PER_SECOND, TargetDemand
 from loomwind.serving.views import (
     ModelKey,
     Order,
@@ -239,3 +239,9 @@
 def step_adapter_caller(context: Any, stays: float) -> None:
     requested = TargetDemand(SERVICE, ModelKey("c", "a1"), 2, 6.0, 1, stays, 0, None, stays)
     context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), context.now)
+
+
+@when("c is requested {rate:d} times a second by callers that leave too soon for a load")
+def step_impatient(context: Any, rate: int) -> None:
+    requested = TargetDemand(SERVICE, ModelKey("c"), 0, rate / DECAY_PER_SECOND)
+    context.demand.add_report(PoolDemand("daemon-1", (requested,), ()), context.now)
--- a/loomwind/placement/load_schedule.py
+++ b/loomwind/placement/load_schedule.py
@@ -12,8 +12,8 @@
 
     :ivar latest_start_in: until when the load has to start for its callers; negative if that is
         past, or if there are none.
-    :ivar callers: callers that wait for it or were told when to come back; while there are none,
-        those that should come during its load.
+    :ivar callers: callers that wait for it or were told when to come back, and those that should
+        come during its load.
     :ivar priority: the best one among them; 0 is the most urgent.
     :ivar missing_seconds: for how long it has been requested without being loaded.
     :ivar from_store: whether no server has a cached copy.
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -16,7 +16,7 @@
 from loomwind.placement.overload import excess_callers
 from loomwind.placement.plan import DraftPlan, PlanInput, PlannedOrder
 from loomwind.placement.readiness import ReadinessEstimator
-from loomwind.placement.requested_loads import overload_loads, requested_loads
+from loomwind.placement.requested_loads import latest_start_in, overload_loads, requested_loads
 from loomwind.placement.version_demand import version_copies, version_demand
 from loomwind.serving.expectations import ExpectedTarget
 from loomwind.serving.views import ModelKey
@@ -115,7 +115,7 @@
         return (
             positions.get(target.model, -1),
             not pending.has_callers,
-            pending.latest_start_in(self._inputs.load_seconds(target)),
+            latest_start_in(self._inputs, pending),
             pending.priority,
             pending.since,
             str(target),
@@ -124,13 +124,12 @@
     def _is_urgent(self, pending: PendingDemand) -> bool:
         """Return whether callers can be served, but not if another load goes first."""
         load_seconds = self._inputs.load_seconds(pending.key.target)
-        latest_start_in = pending.latest_start_in(load_seconds)
-        return pending.has_callers and 0 <= latest_start_in < load_seconds
+        return 0 <= latest_start_in(self._inputs, pending) < load_seconds
 
     def _can_wait(self, pending: PendingDemand) -> bool:
         """Return whether its callers stay long enough for another load before this one."""
         load_seconds = self._inputs.load_seconds(pending.key.target)
-        return pending.latest_start_in(load_seconds) >= load_seconds
+        return latest_start_in(self._inputs, pending) >= load_seconds
 
 
 def _missing_at_version(
--- a/loomwind/placement/requested_loads.py
+++ b/loomwind/placement/requested_loads.py
@@ -24,22 +24,30 @@
     return list(loads.values())
 
 
+def latest_start_in(inputs: PlanInput, pending: PendingDemand) -> float:
+    """Return the time until which a load has to start for its callers; negative if that is past.
+
+    It is now while callers keep coming that cannot wait so long: each moment another one is
+    refused. It is minus infinity if none waits and none is expected during the load.
+    """
+    load_seconds = inputs.load_seconds(pending.key.target)
+    latest = pending.latest_start_in(load_seconds) if pending.has_callers else -math.inf
+    expected = inputs.rate(ModelKey(pending.key.target.model)) * load_seconds
+    return 0.0 if latest < 0 and expected >= 1 else latest
+
+
 def _requested_load(inputs: PlanInput, pending: PendingDemand) -> RequestedLoad | None:
     name = pending.key.target.model
     load_seconds = inputs.load_seconds(ModelKey(name))
     if not load_seconds:
         return None
     missing_seconds = max(0.0, inputs.now - pending.since)
-    latest_start_in = pending.latest_start_in(load_seconds)
-    callers = float(pending.waiting + pending.expected_retries)
-    if not pending.has_callers:
-        latest_start_in = -math.inf
-        callers = inputs.rate(ModelKey(name)) * load_seconds
+    expected = inputs.rate(ModelKey(name)) * load_seconds
     return RequestedLoad(
         name,
-        latest_start_in,
+        latest_start_in(inputs, pending),
         load_seconds,
-        callers,
+        pending.waiting + pending.expected_retries + expected,
         pending.priority,
         missing_seconds,
         from_store=not inputs.index.cached_copies[name],
