--- a/features/steps/load_schedule_steps.py
+++ b/features/steps/load_schedule_steps.py
@@ -6,7 +6,6 @@
 
 from attrs import evolve
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
@@ -19,6 +18,7 @@
     profile,
     report,
 )
+from features.support.properties import examples
 from loomwind.messages.serving import PoolDemand
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.load_schedule import RequestedLoad, schedule_loads
@@ -35,7 +35,6 @@
     ServerState,
 )
 
-EXAMPLES_SEED = 20261205
 NEVER = float("-inf")
 
 
@@ -113,15 +112,7 @@
 def step_schedule(context: Any, load: int, count: int) -> None:
     context.worse = []
 
-    @seed(EXAMPLES_SEED)
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @examples(count)
     @hypothesis_given(LEAVE_TIMES)
     def run(leave_times: list[float]) -> None:
         loads = [
--- a/features/steps/model_wait_steps.py
+++ b/features/steps/model_wait_steps.py
@@ -5,11 +5,11 @@
 
 from attrs import define, field, frozen
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
 from features.steps.planner_steps import SERVICE, profile, report
+from features.support.properties import examples
 from features.support.virtual_time import VirtualTimeLoop
 from loomwind.messages.serving import PoolDemand
 from loomwind.placement.demand_view import DemandView
@@ -34,7 +34,6 @@
 MS = 1000.0
 KEY = DemandKey("tutor", ModelKey("m1"))
 TIMEOUT_SECONDS = 15.0
-EXAMPLES_SEED = 20261205
 
 
 @define
@@ -157,15 +156,7 @@
 def step_same_time_left(context: Any, count: int) -> None:
     context.different = []
 
-    @seed(EXAMPLES_SEED)
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @examples(count)
     @hypothesis_given(CALLERS)
     def run(case: CallerCase) -> None:
         first, second = (_outcome(context.runner, case, factor) for factor in case.timeouts)
--- a/features/steps/placement_order_steps.py
+++ b/features/steps/placement_order_steps.py
@@ -5,9 +5,7 @@
 
 from attrs import frozen
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as hypothesis_given
-from hypothesis import seed as hypothesis_seed
 from hypothesis import strategies as st
 
 from features.steps.planner_steps import (
@@ -18,6 +16,7 @@
     plan,
     report,
 )
+from features.support.properties import examples
 from loomwind.messages.serving import PoolDemand
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.plan import PlanInput, PlannedOrder
@@ -34,7 +33,6 @@
     ServerState,
 )
 
-EXAMPLES_SEED = 20261205
 MODELS = 12
 MODELS_PER_SERVER = 3
 MAX_SERVERS = 4
@@ -160,15 +158,7 @@
 def step_plan_again(context: Any, count: int) -> None:
     context.different = []
 
-    @hypothesis_seed(EXAMPLES_SEED)
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @examples(count)
     @hypothesis_given(FLEETS)
     def run(fleet: FleetCase) -> None:
         first, second = planned_step(fleet, range(MODELS)), planned_step(fleet, fleet.listed)
