--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     store_calls,
     troubles,
     variants,
+    weight_store,
 )
 
 if __name__ == "__main__":
@@ -43,6 +44,7 @@
         "store_calls": store_calls.store_calls,
         "troubles": troubles.troubles,
         "variants": variants.variants,
+        "weight_store": weight_store.weight_store,
     }
     if sys.argv[1:2] and sys.argv[1].startswith("--site"):
         sys.argv.insert(1, "site")
