Take a busy server for what its revision says, not for a load from the store

Cause: a server that is busy with something that the leader does not know counts as a load from the store. Nearly all were unloads: the leader takes an unload for done after 0.1 s when nobody is known to use the model, orders the load, gets a conflict, and forgets with the report what the server was doing. The same was forgotten for an order without an answer, for one whose answer came after a report that shows it, and by a new leader, to whom only loads were announced.

Change: a server accepts one order at a time and counts them, so its revision tells which one it executes. The tracker keeps the order that led to a revision, and leaders announce unloads as well as loads.

--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -170,8 +170,13 @@
                 listed[entry.instance] = entry
                 tracker = self._trackers.get(entry.instance)
                 if tracker is None:
-                    announced_load = self._residency.announced_load(entry.instance)
-                    tracker = ServerTracker(entry, service.engine, announced_load, self._now())
+                    tracker = ServerTracker(
+                        entry,
+                        service.engine,
+                        self._residency.announced_load(entry.instance),
+                        self._now(),
+                        self._residency.announced_unload(entry.instance),
+                    )
                     self._inherit_orders(tracker)
                     self._trackers[entry.instance] = tracker
                 tracker.entry = entry
@@ -252,6 +257,7 @@
                 tracker.report.revision,
                 tracker.report.held,
                 tracker.loading,
+                tracker.unloading,
             )
             for tracker in trackers
             if tracker.report is not None
--- a/loomwind/placement/server_operation.py
+++ b/loomwind/placement/server_operation.py
@@ -17,6 +17,8 @@
     :param expected_seconds: expected duration according to the model's profile.
     :param from_store: whether the weights are loaded from the weight store.
     :param overdue: whether a report has shown that it takes longer than expected.
+    :param revision: the server's revision while it executes this order, which is one more than
+        the order expects: it accepts no other one meanwhile.
     """
 
     kind: OrderKind
@@ -26,6 +28,7 @@
     expected_seconds: float = 0.0
     from_store: bool = False
     overdue: bool = False
+    revision: int = 0
 
     def in_progress(self) -> LoadInProgress:
         """Return the measurement for a load that has not finished."""
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -16,7 +16,7 @@
 from loomwind.placement.server_state import has_copy, load_seconds, used_mb
 from loomwind.placement.store_concurrency import FinishedLoad, LoadInProgress
 from loomwind.placement.unanswered_orders import UnansweredOrders
-from loomwind.serving.residency import AnnouncedLoad, holds
+from loomwind.serving.residency import AnnouncedLoad, AnnouncedUnload, holds
 from loomwind.serving.views import (
     EngineProfile,
     ModelKey,
@@ -64,11 +64,13 @@
         profile: EngineProfile,
         announced_load: AnnouncedLoad | None = None,
         tracked_since: float = -math.inf,
+        announced_unload: AnnouncedUnload | None = None,
     ) -> None:
         """Start tracking a server.
 
         :param announced_load: a load that an earlier leader ordered and announced.
         :param tracked_since: the current loop time.
+        :param announced_unload: the last unload that an earlier leader ordered and announced.
         """
         self.tracked_since = tracked_since
         self.entry = entry
@@ -82,7 +84,9 @@
         self.recheck_due = False
         self.staged = 0
         self._announced_load = announced_load
+        self._announced_unload = announced_unload
         self._assumed_complete: Operation | None = None
+        self._accepted: Operation | None = None
         self._extra_grace = 0.0
         self._finished: FinishedLoad | None = None
         self._reserved_for = ""
@@ -110,12 +114,44 @@
         self._known_revision.record_report(report)
         if report.busy and now - self._completed_at < STALE_REPORT_SECONDS:
             return False
-        if known is None and report.busy and self.operation is None:
-            self.operation = self._resumed_operation(report, now)
+        if report.busy and self.operation is None and self._assumed_complete is None:
+            self.operation = self._running_operation(report, now)
         self._update_load(report, now)
         self.report = self._with_due_adapters(self._without_unloading(report), now)
         return known is None or known.held != self.report.held
 
+    def _running_operation(self, report: ServerReport, now: float) -> Operation | None:
+        """Return the order that a busy server executes, or None if it is not known.
+
+        Its revision tells which one: the last that it accepted, one that it did not answer, or one
+        of an earlier leader.
+        """
+        accepted = self._accepted
+        if accepted is not None and accepted.revision == report.revision:
+            return accepted
+        order = self.unanswered_orders.executed_at(report.revision)
+        if order is not None:
+            return self._operation(order, report, now)
+        unload = self._announced_unload
+        if unload is not None and unload.revision == report.revision:
+            target = ModelKey(unload.model)
+            return Operation(OrderKind.UNLOAD, target, now, now, revision=unload.revision)
+        return self._resumed_operation(report, now)
+
+    def _operation(self, order: Order, report: ServerReport, now: float) -> Operation:
+        """Return the execution of an order that begins now."""
+        loads, name = order.kind is OrderKind.LOAD, order.target.model
+        seconds = load_seconds(self.profile, report, name) if loads else 0.0
+        return Operation(
+            order.kind,
+            order.target,
+            now,
+            now + seconds,
+            seconds,
+            from_store=loads and not has_copy(report, name),
+            revision=order.expected_revision + 1,
+        )
+
     def _resumed_operation(self, report: ServerReport, now: float) -> Operation | None:
         """Return the load that an earlier leader ordered if it may still be running."""
         announced = self._announced_load
@@ -288,6 +324,10 @@
         if answer in (OrderAnswer.ACCEPTED, OrderAnswer.ALREADY):
             if report.revision == order.expected_revision:
                 self._apply_order(order, answer, now, in_use)
+            elif answer is OrderAnswer.ACCEPTED and not order.target.adapter:
+                self._accepted = self._operation(order, report, now)
+                if report.busy and self.operation is None:
+                    self.operation = self._running_operation(report, now)
         elif answer is not OrderAnswer.UNKNOWN:
             self.report = None
             self.read_at = -1e9
@@ -309,14 +349,8 @@
             if order.kind is OrderKind.LOAD:
                 self._adapters_ordered[order.target] = now
             return
-        loads = order.kind is OrderKind.LOAD
-        name = order.target.model
-        seconds = self.load_seconds(name) if loads else 0.0
-        from_store = loads and self.loads_from_store(name)
         self._assumed_complete = None
-        self.operation = Operation(
-            order.kind, order.target, now, now + seconds, seconds, from_store
-        )
+        self.operation = self._accepted = self._operation(order, report, now)
         held = report.held
         if order.kind is OrderKind.UNLOAD:
             held = tuple(model for model in held if model.name != order.target.model)
@@ -372,6 +406,17 @@
             return ""
         return operation.target.model
 
+    @property
+    def unloading(self) -> str:
+        """Return the model of an accepted unload that no later order follows, or an empty string.
+
+        Whether the server still executes it is not known before it reports that it is not busy.
+        """
+        accepted, report = self._accepted, self.report
+        if accepted is None or report is None or accepted.kind is not OrderKind.UNLOAD:
+            return ""
+        return accepted.target.model if accepted.revision == report.revision else ""
+
     def free_mb(self) -> float:
         """Return the unallocated accelerator memory in MB."""
         if self.report is None:
--- a/loomwind/placement/unanswered_orders.py
+++ b/loomwind/placement/unanswered_orders.py
@@ -37,6 +37,18 @@
         """Add an unanswered order to the current instance."""
         self._current.append(UnansweredOrder(order, now))
 
+    def executed_at(self, revision: int) -> Order | None:
+        """Return the order about model weights that a server at this revision may execute.
+
+        Of several, one that loads is returned: it uses more of what is limited.
+        """
+        orders = [
+            each.order
+            for each in self._current
+            if each.order.expected_revision + 1 == revision and not each.order.target.adapter
+        ]
+        return min(orders, key=lambda order: order.kind is not OrderKind.LOAD, default=None)
+
     def inherit(self, earlier: "UnansweredOrders") -> None:
         """Take over the unanswered orders of an earlier instance."""
         self._inherited = earlier._current + earlier._inherited
--- a/loomwind/serving/residency.py
+++ b/loomwind/serving/residency.py
@@ -35,12 +35,14 @@
 
     :param revision: the number of orders that the server has accepted.
     :param loading: the model that it is loading; empty for none.
+    :param unloading: the model that it was ordered to unload at this revision; empty for none.
     """
 
     instance: str
     revision: int
     held: tuple[HeldModel, ...]
     loading: str = ""
+    unloading: str = ""
 
 
 class LearnedConcurrencyLimit(Struct, frozen=True, array_like=True):
@@ -64,6 +66,16 @@
     since: float
 
 
+class AnnouncedUnload(Struct, frozen=True):
+    """An unload of a model's weights that a leader has announced.
+
+    :param revision: the server's revision since it accepted the order.
+    """
+
+    model: str
+    revision: int
+
+
 def holds(held: tuple[HeldModel, ...], target: ModelKey) -> bool:
     """Whether the held models include the target."""
     for model in held:
@@ -132,6 +144,13 @@
         holding = self._holdings.get(instance)
         return self._loads.get(instance) if holding is not None and holding.loading else None
 
+    def announced_unload(self, instance: str) -> AnnouncedUnload | None:
+        """Return the last order to a server if it is an unload, according to the leader."""
+        holding = self._holdings.get(instance)
+        if holding is None or not holding.unloading:
+            return None
+        return AnnouncedUnload(holding.unloading, holding.revision)
+
     def held_by(self, entry: ServerEntry, now: float) -> tuple[HeldModel, ...]:
         """Return what a server holds, according to the most recent source.
 
