Keep what a leader knows as long as its fencing token, not its lease

Cause: the controller discarded its state at each change of the right to act. The right to act ends with the lease; what is known holds until another daemon may have given orders, and that needs a write of the lease's row, which gives a new token.

Evidence: five scenarios of leader_change.feature; the three of a lease that is renewed and the one of a change between two steps fail before this change.

Change: the state belongs to the fencing token. Who leads again under the same one reads all servers again and repeats its estimates.

--- a/features/leader_change.feature
+++ b/features/leader_change.feature
@@ -19,3 +19,26 @@
     Given a leader that has learned a limit of 2 concurrent weight store loads
     When a new leader takes the limit over
     Then its limit is 2 and does not grow after 2 fast loads
+
+  Scenario Outline: a leader whose lease ends for a moment forgets what it knows, <event>
+    Given a leader that knows the demand of a daemon and a load that it has ordered
+    When its lease ends, and <event>
+    Then the leader has kept them, and reads the server again
+    And the leader has been elected 1 times
+
+    Examples:
+      | event                                                          |
+      | it is renewed                                                  |
+      | it is renewed by a write whose response was lost               |
+      | it is renewed before the next step                             |
+
+  Scenario Outline: a leader uses what it knew before another daemon led, <event>
+    Given a leader that knows the demand of a daemon and a load that it has ordered
+    When its lease ends, and <event>
+    Then the leader has discarded them
+    And the leader has been elected 2 times
+
+    Examples:
+      | event                                                          |
+      | another daemon takes it and releases it                        |
+      | another daemon takes it and releases it before the next step   |
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -82,6 +82,7 @@
         self._shortages = ShortageLog(metrics)
         self._leading = False
         self._leading_since = 0.0
+        self._known_under_fence: int | None = None
 
     def set_bounds(self, bounds: BoundSettings) -> None:
         """Use new bounds from the next change of leader on; paced services keep theirs."""
@@ -106,21 +107,37 @@
     def _update_leadership(self) -> bool:
         """Update the leadership state and return whether this daemon leads.
 
-        Every change discards the state about servers and demand, so a new leader rebuilds it.
+        What is known of servers and demand lasts as long as the fencing token: until another daemon
+        has written the lease row, nobody else may have given orders. A lease that ends and is
+        renewed takes away the right to act only.
         """
-        is_leading = self._election.is_leader()
-        if is_leading == self._leading:
-            return is_leading
+        is_leading, fence = self._election.is_leader(), self._election.lease.fence
+        if fence != self._known_under_fence:
+            self._forget()
+            self._known_under_fence = fence
+            self._leading_since = self._now()
+            if fence is not None:
+                self._metrics.elections.inc()
+        elif is_leading and not self._leading:
+            self._resume()
+        if self._leading and not is_leading:
+            self._shortages.record_unserved(())
         self._leading = is_leading
-        self._leading_since = self._now()
+        return is_leading
+
+    def _forget(self) -> None:
+        """Discard what is known of servers and demand; a leader rebuilds it from reports."""
         self._demand = DemandView()
         self._trackers.clear()
         self._paces.clear()
         self._notices.clear()
-        self._shortages.record_unserved(())
-        if is_leading:
-            self._metrics.elections.inc()
-        return is_leading
+
+    def _resume(self) -> None:
+        """Use what is known again, and read what may have changed in the meantime."""
+        self._notices.clear()
+        for tracker in self._trackers.values():
+            tracker.recheck_due = True
+        log_state("controller", "resumed", fence=self._known_under_fence)
 
     async def run(self) -> None:
         """Run the control loop; it only records demand while another daemon leads."""
--- a/specification/lease.py
+++ b/specification/lease.py
@@ -3,7 +3,8 @@
 Two daemons compete for one row. A daemon acquires the lease only after it has expired by its
 holder's own clock. A holder renews the lease with a write conditional on the row version that it
 wrote last, and keeps its fencing token. A renewal may finish after the lease has expired. A former
-holder may lead again by a renewal as long as no other daemon has written the row.
+holder may lead again by a renewal as long as no other daemon has written the row; it keeps its
+token, and so all that it knows of the servers.
 
 The leader sends load orders to one model server, whose memory holds one model. Orders may be
 delayed indefinitely. The server may restart, which resets its revision and fencing token.
@@ -34,6 +35,7 @@
     :param term: the row version at its last acquisition, 0 before the first.
     :param expects: the row version that its pending acquisition expects, -1 without one.
     :param wrote: the row version of its last write, 0 once it knows of a newer one.
+    :param other_wrote: history variable: another daemon has written the row since ``term``.
     """
 
     good: bool = False
@@ -41,6 +43,7 @@
     term: int = 0
     expects: int = -1
     wrote: int = 0
+    other_wrote: bool = False
 
 
 class Order(NamedTuple):
@@ -68,10 +71,12 @@
 
     :param older_after_newer: an older leader's order was executed after a newer leader's.
     :param other_life: an order was executed by an instance other than the intended one.
+    :param renewed_after_other: a daemon led on in a term after another one had written the row.
     """
 
     older_after_newer: bool = False
     other_life: bool = False
+    renewed_after_other: bool = False
 
 
 MUTATIONS = (
@@ -97,6 +102,12 @@
     return (*items[:index], item, *items[index + 1 :])
 
 
+def _wrote(daemons: tuple[Any, ...], d: int, writer: Daemon) -> tuple[Any, ...]:
+    """Return all daemons after one of them has written the row."""
+    others = tuple(daemon._replace(other_wrote=daemon.term > 0) for daemon in daemons)
+    return _put(others, d, writer)
+
+
 def transitions(state: State, disabled: frozenset[str]) -> Iterator[Step]:
     """Return the steps that are possible in a state."""
     for d in DAEMONS:
@@ -130,7 +141,7 @@
     if daemon.expects == version or "expected-row-version" in disabled:
         taken = version + 1
         fence = 1 if "rising-fence" in disabled else taken
-        leading = _put(daemons, d, Daemon(True, fence, taken, -1, taken))
+        leading = _wrote(daemons, d, Daemon(True, fence, taken, -1, taken))
         if taken <= MAX_VERSION:
             yield f"take({d})", ((taken, d), leading, orders, given, server, ghost)
     else:
@@ -147,9 +158,10 @@
     if daemon.wrote == version or "renew-own-row" in disabled:
         renewed = daemon._replace(good=True, wrote=version + 1)
         row = (version + 1, d)
-        yield f"renew({d})", (row, _put(daemons, d, renewed), orders, given, server, ghost)
+        seen = ghost._replace(renewed_after_other=ghost.renewed_after_other or daemon.other_wrote)
+        yield f"renew({d})", (row, _wrote(daemons, d, renewed), orders, given, server, seen)
         late = renewed._replace(good=False)
-        yield f"renew-late({d})", (row, _put(daemons, d, late), orders, given, server, ghost)
+        yield f"renew-late({d})", (row, _wrote(daemons, d, late), orders, given, server, seen)
     else:
         lost = _put(daemons, d, daemon._replace(good=False, wrote=0))
         yield f"renewal-conflict({d})", ((version, holder), lost, orders, given, server, ghost)
@@ -182,9 +194,9 @@
     held = tuple(sorted({*server.held, order.model}))
     term = max(server.term, order.term)
     done = Server(server.instance, server.revision + 1, order.fence, held, term)
-    seen = Ghost(
-        ghost.older_after_newer or order.term < server.term,
-        ghost.other_life or not same_instance,
+    seen = ghost._replace(
+        older_after_newer=ghost.older_after_newer or order.term < server.term,
+        other_life=ghost.other_life or not same_instance,
     )
     yield f"carry-out({order.model})", (row, daemons, rest, given, done, seen)
 
@@ -220,6 +232,12 @@
     return not ghost.other_life
 
 
+def _no_other_write_in_term(state: dict[str, Any]) -> bool:
+    """A leader that regains its lease in the same term has missed no other leader's orders."""
+    ghost: Ghost = state["ghost"]
+    return not ghost.renewed_after_other
+
+
 MODEL = Model(
     name="lease",
     fields=FIELDS,
@@ -231,6 +249,7 @@
         "memory is never overcommitted": _memory_fits,
         "no order of an earlier leader follows one of a later": _no_older_leader_after_newer,
         "an order reaches only the life that it was decided for": _orders_reach_own_instance,
+        "no other daemon writes the row within a term": _no_other_write_in_term,
     },
     mutations=MUTATIONS,
 )
