Lower the weight store's limit to the measured capacity, once for one congestion

Cause: overdue loads halved the limit once per load time, and loads that began before the last cut stayed overdue and halved it again.

Evidence: weight_store_capacity.feature.

Change: with n loads under way and a capacity of k each load proceeds at min(1, k / n), so a slow load measures k from the loads beside it, whatever the limit was meanwhile; a load that is still under way gives an upper bound.

--- /dev/null
+++ b/features/weight_store_capacity.feature
@@ -0,0 +1,43 @@
+Feature: The weight store is used at its capacity, which the leader learns from loads
+
+  Scenario Outline: the weight store is used below its capacity, <store>
+    Given a weight store that serves <store>
+    When a leader runs as many loads as its limit allows for 60 s
+    Then the store has done at least 0.9 of what it could
+
+    Examples:
+      | store                                    |
+      | 2 loads                                  |
+      | 3 loads                                  |
+      | 4 loads                                  |
+      | 6 loads                                  |
+      | 8 loads                                  |
+      | 8 loads, 3 after 30 s                    |
+      | 8 loads, 4 after 30 s                    |
+      | 4 loads, of which 0.2 are lost           |
+      | 4 loads, with a new leader each 10 s     |
+      | 12 loads                                 |
+      | 30 loads                                 |
+      | 3 loads, 8 after 30 s                    |
+      | 4 loads, 8 after 30 s                    |
+      | 4 loads, of which 0.3 are slow           |
+      | 8 loads, of which 0.3 are slow           |
+
+  Scenario Outline: one congestion lowers the limit again and again, from <limit> where <capacity> is true
+    Given a weight store that serves <capacity> loads
+    And an earlier leader has learned a limit of <limit>
+    When a leader runs as many loads as its limit allows for 60 s
+    Then the limit has never been below <capacity>
+    And it has been at most <most> in the last 20 s
+
+    Examples:
+      | limit | capacity | most |
+      | 10    | 4        | 5    |
+      | 13    | 4        | 5    |
+      | 16    | 3        | 4    |
+      | 20    | 8        | 9    |
+
+  Scenario: any load that shared the store measures its capacity
+    Given any course of the number of loads in progress, in 200 runs
+    Then each load that was slowed down measures the capacity within 0.05
+    And a load in progress gives an upper bound
--- /dev/null
+++ b/loomwind/placement/store_capacity.py
@@ -0,0 +1,78 @@
+"""How many concurrent loads the weight store serves at full speed, as measured by one load. Pure.
+
+The store is modelled as a queue with processor sharing: with ``n`` loads in progress and a capacity
+of ``k``, each load proceeds at the speed ``min(1, k / n)``. A load that is slowed down therefore
+measures ``k``, whatever the concurrency was meanwhile. Times are in milliseconds.
+"""
+
+import math
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator
+
+import attrs
+
+RETENTION_MS = 120_000.0
+
+
+@attrs.frozen
+class _Change:
+    """The number of loads in progress from a time on."""
+
+    at_ms: float
+    in_progress: int
+
+
+class LoadTimeline:
+    """The number of loads in progress over time.
+
+    Before the first record it counts as having been the same: a new leader finds loads in progress.
+    """
+
+    def __init__(self) -> None:
+        self._changes: list[_Change] = []
+
+    def record(self, in_progress: int, now_ms: float) -> None:
+        """Record the number of loads in progress from now on."""
+        if not self._changes:
+            self._changes.append(_Change(float("-inf"), in_progress))
+        elif in_progress != self._changes[-1].in_progress:
+            self._changes.append(_Change(now_ms, in_progress))
+        while len(self._changes) > 1 and self._changes[1].at_ms < now_ms - RETENTION_MS:
+            self._changes.pop(0)
+
+    def capacity(self, began_ms: float, until_ms: float, expected_ms: float) -> float:
+        """Return the capacity at which a load makes its whole progress in a span of time.
+
+        It is infinite if the span is no longer than the load takes at full speed. For a load that
+        is still in progress, the true capacity is lower.
+
+        :param expected_ms: the duration of the load at full speed.
+        """
+        durations: dict[int, float] = defaultdict(float)
+        for in_progress, duration_ms in self._spans(began_ms, until_ms):
+            durations[max(1, in_progress)] += duration_ms
+        shared_ms = sum(duration / count for count, duration in durations.items())
+        remaining_ms = expected_ms
+        for count, duration_ms in sorted(durations.items()):
+            if remaining_ms < count * shared_ms:
+                return max(0.0, remaining_ms) / shared_ms
+            remaining_ms -= duration_ms
+            shared_ms -= duration_ms / count
+        return math.inf
+
+    def mean(self, began_ms: float, until_ms: float) -> float:
+        """Return the mean number of loads in progress during a load, including itself."""
+        total = sum(n * duration for n, duration in self._spans(began_ms, until_ms))
+        return max(1.0, total / max(1.0, until_ms - began_ms))
+
+    def _spans(self, began_ms: float, until_ms: float) -> Iterator[tuple[int, float]]:
+        """Yield the loads in progress and the duration of each span between two changes."""
+        first = bisect_right(self._changes, began_ms, key=lambda change: change.at_ms) - 1
+        changes = self._changes[max(0, first) :]
+        for i, change in enumerate(changes):
+            start_ms = max(began_ms, change.at_ms)
+            end_ms = changes[i + 1].at_ms if i + 1 < len(changes) else math.inf
+            if start_ms >= until_ms:
+                return
+            yield change.in_progress, min(end_ms, until_ms) - start_ms
--- a/loomwind/placement/store_concurrency.py
+++ b/loomwind/placement/store_concurrency.py
@@ -2,16 +2,19 @@
 
 Above some concurrency, which is not configured, each load slows down in proportion: more loads add
 no throughput and keep servers busy longer. The limit is found as in TCP congestion control: it
-doubles per load time while no load is slow, and falls to the sustained concurrency when loads slow
-down. After PROBE_AFTER_MS without a slow load it grows by one per load time. Pure: the time is an
+doubles per load time while no load is slow, and falls to the capacity that slow loads measure. A
+load that began before the limit fell measures the same capacity, so that one congestion is answered
+once. After PROBE_AFTER_MS without a slow load it grows by one per load time. Pure: the time is an
 argument.
 """
 
+import math
 from collections import deque
 from collections.abc import Sequence
 
 import attrs
 
+from loomwind.placement.store_capacity import LoadTimeline
 from loomwind.serving.residency import LearnedConcurrencyLimit
 
 INITIAL_LIMIT = 4
@@ -24,7 +27,8 @@
 # this many slow loads in a row.
 CONSECUTIVE_SLOW_LOADS = 3
 PROBE_AFTER_MS = 20_000.0
-SAMPLE_RETENTION_MS = 120_000.0
+# Changes that are remembered; more than happen within the duration of a load.
+MAX_LIMIT_CHANGES = 256
 
 
 @attrs.frozen
@@ -63,23 +67,19 @@
 
 
 @attrs.frozen
-class _Sample:
-    """The integral of concurrency over time up to a moment, and the limit at that moment."""
+class _LoadMeasurement:
+    """The slowdown of one load and the capacity that it measured."""
 
-    at_ms: float
-    cumulative_load_ms: float
-    limit: float
+    slowdown: float
+    capacity: float
 
 
 @attrs.frozen
-class _LoadMeasurement:
-    """The slowdown of one load and the concurrency under which it ran.
+class _LimitChange:
+    """The limit from a time on."""
 
-    :ivar concurrency: mean number of loads in progress during this load, including itself.
-    """
-
-    slowdown: float
-    concurrency: float
+    at_ms: float
+    limit: float
 
 
 class StoreConcurrencyLimit:
@@ -92,10 +92,9 @@
         """
         self._limit = float(INITIAL_LIMIT if learned is None else learned.loads_at_once)
         was_slow = learned is not None and learned.was_slow
-        self._last_slow_ms: float | None = now_ms if was_slow else None
-        self._last_halved_ms = float("-inf")
-        self._in_progress = 0
-        self._samples = [_Sample(0.0, 0.0, self._limit)]
+        self._last_slow_ms = now_ms if was_slow else -math.inf
+        self._timeline = LoadTimeline()
+        self._limits = deque([_LimitChange(-math.inf, self._limit)])
         self._recent: deque[_LoadMeasurement] = deque(maxlen=CONSECUTIVE_SLOW_LOADS)
 
     @property
@@ -105,65 +104,60 @@
 
     def snapshot(self, service: str) -> LearnedConcurrencyLimit:
         """Return the state from which the next leader starts."""
-        return LearnedConcurrencyLimit(service, self.limit, self._last_slow_ms is not None)
+        return LearnedConcurrencyLimit(service, self.limit, self._last_slow_ms > -math.inf)
 
     def observe(self, in_progress: int, now_ms: float) -> None:
         """Record the number of loads in progress from now on."""
-        last = self._samples[-1]
-        cumulative_load_ms = last.cumulative_load_ms + self._in_progress * (now_ms - last.at_ms)
-        self._samples.append(_Sample(now_ms, cumulative_load_ms, self._limit))
-        self._in_progress = in_progress
-        while self._samples[1].at_ms < now_ms - SAMPLE_RETENTION_MS:
-            self._samples.pop(0)
-
-    def _mean_concurrency(self, load: FinishedLoad) -> float:
-        """Return the mean number of loads in progress during a load, including itself."""
-        samples = [s for s in self._samples if load.began_ms <= s.at_ms <= load.done_ms]
-        if len(samples) < 2:
-            return float(max(1, self._in_progress))
-        first, last = samples[0], samples[-1]
-        return max(
-            1.0,
-            (last.cumulative_load_ms - first.cumulative_load_ms)
-            / max(1.0, last.at_ms - first.at_ms),
-        )
+        self._timeline.record(in_progress, now_ms)
 
     def record_finished(self, load: FinishedLoad, now_ms: float) -> None:
         """Adjust the limit by a finished load."""
-        concurrency = self._mean_concurrency(load)
-        self._recent.append(_LoadMeasurement(load.slowdown, concurrency))
+        capacity = self._timeline.capacity(load.began_ms, load.done_ms, load.expected_ms)
+        self._recent.append(_LoadMeasurement(load.slowdown, capacity))
         slowdown = min(m.slowdown for m in self._recent)
         if len(self._recent) == CONSECUTIVE_SLOW_LOADS and slowdown > SLOW_LOAD_FACTOR:
-            sustained = max(m.concurrency / m.slowdown for m in self._recent)
-            self._limit = max(1.0, min(self._limit, sustained))
-            self._last_slow_ms = now_ms
+            self._reduce(max(m.capacity for m in self._recent), now_ms)
             self._recent.clear()
-        elif load.slowdown <= SLOW_LOAD_FACTOR and concurrency >= MIN_UTILIZATION * self._limit_at(
-            load.began_ms
-        ):
-            self._increase_limit(now_ms)
-
-    def _limit_at(self, at_ms: float) -> float:
-        """Return the limit that applied at a time."""
-        since = (sample.limit for sample in self._samples if sample.at_ms >= at_ms)
-        return next(since, self._limit)
+        elif load.slowdown <= SLOW_LOAD_FACTOR and self._was_used(load):
+            self._increase(now_ms)
+
+    def _was_used(self, load: FinishedLoad) -> bool:
+        """Whether about as many loads as the limit allowed ran beside a load."""
+        concurrency = self._timeline.mean(load.began_ms, load.done_ms)
+        limits = (
+            change.limit for change in reversed(self._limits) if change.at_ms <= load.began_ms
+        )
+        return concurrency >= MIN_UTILIZATION * next(limits, self._limits[0].limit)
 
     def check_overdue(self, loads: Sequence[LoadInProgress], now_ms: float) -> None:
-        """Halve the limit if several loads in progress are overdue.
+        """Lower the limit if several loads in progress are overdue.
 
-        When all loads are slow, none may finish for a long time. The limit is halved at most once
-        per expected load duration, since loads that started before it fell stay slow.
+        When all loads are slow, none may finish for a long time. Those in progress give an upper
+        bound of the capacity.
         """
         overdue = [load for load in loads if load.slowdown(now_ms) > OVERDUE_FACTOR]
         if len(overdue) < CONSECUTIVE_SLOW_LOADS:
             return
-        if now_ms - self._last_halved_ms < min(load.expected_ms for load in overdue):
-            return
-        self._limit = max(1.0, self._limit / 2)
-        self._last_halved_ms = self._last_slow_ms = now_ms
-
-    def _increase_limit(self, now_ms: float) -> None:
-        if self._last_slow_ms is None:
-            self._limit += 1.0
+        bounds = [
+            self._timeline.capacity(load.began_ms, now_ms, load.expected_ms) for load in overdue
+        ]
+        self._reduce(max(bounds), now_ms)
+
+    def _reduce(self, capacity: float, now_ms: float) -> None:
+        """Lower the limit to a measured capacity, if it is higher."""
+        self._last_slow_ms = now_ms
+        self._set_limit(max(1.0, min(self._limit, capacity)), now_ms)
+
+    def _increase(self, now_ms: float) -> None:
+        if self._last_slow_ms == -math.inf:
+            self._set_limit(self._limit + 1.0, now_ms)
         elif now_ms - self._last_slow_ms >= PROBE_AFTER_MS:
-            self._limit += 1.0 / self._limit
+            self._set_limit(self._limit + 1.0 / self._limit, now_ms)
+
+    def _set_limit(self, limit: float, now_ms: float) -> None:
+        if limit == self._limit:
+            return
+        self._limit = limit
+        self._limits.append(_LimitChange(now_ms, limit))
+        while len(self._limits) > MAX_LIMIT_CHANGES:
+            self._limits.popleft()
