Learn the weight store's capacity from the loads that ran beside a load at its start, too

Cause: loads that began beside few others ended at full speed while many ran at their end, and raised the limit.

Evidence: six scenarios of weight_store_capacity.feature fail before this change (a store that gives each load a share at its start: the limit fell below 4 and 8).

Change: of the two measurements the higher one counts, so that neither kind of store is taken for a smaller one, and a load raises the limit only if the limit was used at its start as well.

--- a/features/steps/weight_store_capacity_steps.py
+++ b/features/steps/weight_store_capacity_steps.py
@@ -9,8 +9,17 @@
 from hypothesis import strategies as st
 
 from features.support.properties import examples
-from features.support.simulated_store import STEP_MS, StoreRun, StoreScenario, run_store
+from features.support.simulated_store import (
+    LOAD_MS,
+    SERVICE,
+    STEP_MS,
+    StoreRun,
+    StoreScenario,
+    run_store,
+)
 from loomwind.placement.store_capacity import LoadTimeline
+from loomwind.placement.store_concurrency import FinishedLoad, StoreConcurrencyLimit
+from loomwind.serving.residency import LearnedConcurrencyLimit
 
 SEED = 1
 SPAN_MS = 1000.0
@@ -43,6 +52,30 @@
     context.store_scenario = evolve(context.store_scenario, leader_changes_ms=changes)
 
 
+@given("a weight store that serves {capacity:d} loads, each with a fixed share")
+def step_fixed_shares(context: Any, capacity: int) -> None:
+    step_constant(context, capacity)
+    context.store_scenario = evolve(context.store_scenario, fixed_shares=True)
+
+
+@given("a leader with a limit of {limit:d} that has begun {count:d} loads")
+def step_few_loads(context: Any, limit: int, count: int) -> None:
+    context.store_limit = StoreConcurrencyLimit(LearnedConcurrencyLimit(SERVICE, limit, False))
+    context.store_limit.observe(count, 0.0)
+
+
+@when("{more:d} more loads begin {later:f} s later, and the first {count:d} end at full speed")
+def step_more_loads(context: Any, more: int, later: float, count: int) -> None:
+    context.store_limit.observe(count + more, 1000 * later)
+    for _ in range(count):
+        context.store_limit.record_finished(FinishedLoad(0.0, LOAD_MS, LOAD_MS), LOAD_MS)
+
+
+@then("the limit is still {limit:d}")
+def step_limit(context: Any, limit: int) -> None:
+    assert context.store_limit.limit == limit, context.store_limit.limit
+
+
 @given("an earlier leader has learned a limit of {limit:d}")
 def step_learned(context: Any, limit: int) -> None:
     context.store_scenario = evolve(context.store_scenario, start_limit=limit)
@@ -72,7 +105,7 @@
 
 @given("any course of the number of loads in progress, in {count:d} runs")
 def step_courses(context: Any, count: int) -> None:
-    context.wrong, context.too_low = [], []
+    context.wrong, context.too_low, context.below = [], [], []
 
     @examples(count)
     @hypothesis_given(CHANGES, st.integers(1, 12))
@@ -82,11 +115,15 @@
             timeline.record(in_progress, i * SPAN_MS)
         end_ms = len(counts) * SPAN_MS
         progress_ms = sum(SPAN_MS * min(1.0, capacity / n) for n in counts)
-        measured = timeline.capacity(0.0, end_ms, progress_ms)
+        measured = timeline.shared_capacity(0.0, end_ms, progress_ms)
         if max(counts) > capacity and not math.isclose(measured, capacity, rel_tol=0.05):
             context.wrong.append((counts, capacity, measured))
         if timeline.capacity(0.0, end_ms, 1.1 * progress_ms) < capacity:
             context.too_low.append((counts, capacity))
+        fixed_progress_ms = end_ms * min(1.0, capacity / counts[0])
+        for expected_ms in (progress_ms, fixed_progress_ms):
+            if timeline.capacity(0.0, end_ms, expected_ms) < min(capacity, max(counts)) - 0.05:
+                context.below.append((counts, capacity, expected_ms))
 
     run()
 
@@ -99,3 +136,8 @@
 @then("a load in progress gives an upper bound")
 def step_upper_bound(context: Any) -> None:
     assert not context.too_low, context.too_low[0]
+
+
+@then("no load measures less, also where each keeps the share that it gets at its start")
+def step_not_below(context: Any) -> None:
+    assert not context.below, context.below[0]
--- a/features/support/simulated_store.py
+++ b/features/support/simulated_store.py
@@ -27,6 +27,7 @@
     :ivar lost_share: the share of loads whose servers end midway.
     :ivar leader_changes_ms: when another leader takes over.
     :ivar start_limit: the limit that an earlier leader has learned; 0 for none.
+    :ivar fixed_shares: whether each load keeps the share of the capacity that it gets at its start.
     """
 
     capacity: Callable[[float], float]
@@ -34,6 +35,7 @@
     lost_share: float = 0.0
     leader_changes_ms: tuple[float, ...] = ()
     start_limit: int = 0
+    fixed_shares: bool = False
 
 
 @attrs.define
@@ -42,6 +44,7 @@
     remaining_ms: float
     speed: float
     lost_at_ms: float
+    share: float
 
 
 @attrs.define
@@ -72,11 +75,12 @@
         if now_ms in scenario.leader_changes_ms:
             limit = StoreConcurrencyLimit(limit.snapshot(SERVICE), now_ms)
         while len(loads) < limit.limit:
-            loads.append(_begin(scenario, chance, now_ms))
+            loads.append(_begin(scenario, chance, now_ms, len(loads) + 1))
         limit.observe(len(loads), now_ms)
         capacity = scenario.capacity(now_ms)
         for load in list(loads):
-            progress_ms = STEP_MS * min(1.0, capacity / len(loads)) * load.speed
+            share = load.share if scenario.fixed_shares else min(1.0, capacity / len(loads))
+            progress_ms = STEP_MS * share * load.speed
             load.remaining_ms -= progress_ms
             run.progress += progress_ms / LOAD_MS
             if load.remaining_ms <= 0:
@@ -96,8 +100,11 @@
     return run
 
 
-def _begin(scenario: StoreScenario, chance: random.Random, now_ms: float) -> _Load:
+def _begin(
+    scenario: StoreScenario, chance: random.Random, now_ms: float, in_progress: int
+) -> _Load:
     is_slow = chance.random() < scenario.slow_share
     is_lost = chance.random() < scenario.lost_share
     lost_at_ms = now_ms + chance.random() * LOAD_MS if is_lost else float("inf")
-    return _Load(now_ms, LOAD_MS, 2 / 3 if is_slow else 1.0, lost_at_ms)
+    share = min(1.0, scenario.capacity(now_ms) / in_progress)
+    return _Load(now_ms, LOAD_MS, 2 / 3 if is_slow else 1.0, lost_at_ms, share)
--- a/loomwind/placement/store_capacity.py
+++ b/loomwind/placement/store_capacity.py
@@ -1,8 +1,9 @@
 """How many concurrent loads the weight store serves at full speed, as measured by one load. Pure.
 
-The store is modelled as a queue with processor sharing: with ``n`` loads in progress and a capacity
-of ``k``, each load proceeds at the speed ``min(1, k / n)``. A load that is slowed down therefore
-measures ``k``, whatever the concurrency was meanwhile. Times are in milliseconds.
+With ``n`` loads in progress and a capacity of ``k``, each has the speed ``min(1, k / n)``.
+A store may divide its capacity anew whenever a load begins or ends, or give each load a share when
+it begins; which one it does is not known, so the higher of both measurements counts. Times are in
+milliseconds.
 """
 
 import math
@@ -49,6 +50,15 @@
 
         :param expected_ms: the duration of the load at full speed.
         """
+        slowdown = (until_ms - began_ms) / max(1.0, expected_ms)
+        if slowdown <= 1.0:
+            return math.inf
+        return max(
+            self.at(began_ms) / slowdown, self.shared_capacity(began_ms, until_ms, expected_ms)
+        )
+
+    def shared_capacity(self, began_ms: float, until_ms: float, expected_ms: float) -> float:
+        """Return the capacity if the store divides it among the loads in progress at any time."""
         durations: dict[int, float] = defaultdict(float)
         for in_progress, duration_ms in self._spans(began_ms, until_ms):
             durations[max(1, in_progress)] += duration_ms
@@ -61,6 +71,11 @@
             shared_ms -= duration_ms / count
         return math.inf
 
+    def at(self, time_ms: float) -> int:
+        """Return the number of loads in progress at a time, at least 1."""
+        known = bisect_right(self._changes, time_ms, key=lambda change: change.at_ms) - 1
+        return max(1, self._changes[known].in_progress) if self._changes else 1
+
     def mean(self, began_ms: float, until_ms: float) -> float:
         """Return the mean number of loads in progress during a load, including itself."""
         total = sum(n * duration for n, duration in self._spans(began_ms, until_ms))
--- a/loomwind/placement/store_concurrency.py
+++ b/loomwind/placement/store_concurrency.py
@@ -20,8 +20,8 @@
 INITIAL_LIMIT = 4
 SLOW_LOAD_FACTOR = 1.15
 OVERDUE_FACTOR = 1.3
-# A load raises the limit only if its mean concurrency was at least this fraction of the limit at
-# its start; a less used limit gives no evidence for a higher one.
+# A load raises the limit only if the concurrency, its mean and that at its start, was at least this
+# fraction of the limit at its start; a less used limit gives no evidence for a higher one.
 MIN_UTILIZATION = 0.75
 # A load is also slow on a server that runs many requests, so the store counts as slow only after
 # this many slow loads in a row.
@@ -122,8 +122,10 @@
             self._increase(now_ms)
 
     def _was_used(self, load: FinishedLoad) -> bool:
-        """Whether about as many loads as the limit allowed ran beside a load."""
-        concurrency = self._timeline.mean(load.began_ms, load.done_ms)
+        """Whether about as many loads as the limit allowed ran beside a load, from its start on."""
+        concurrency = min(
+            self._timeline.at(load.began_ms), self._timeline.mean(load.began_ms, load.done_ms)
+        )
         limits = (
             change.limit for change in reversed(self._limits) if change.at_ms <= load.began_ms
         )
