--- a/features/steps/weight_store_slot_steps.py
+++ b/features/steps/weight_store_slot_steps.py
@@ -80,6 +80,16 @@
     context.trackers[name] = tracker
 
 
+@when("the memory is reserved for {model} at {now:f} s at {name:w}")
+def step_reserve(context: Any, model: str, now: float, name: str) -> None:
+    context.trackers[name].reserve_memory(model, now)
+
+
+@then("the memory of {name:w} is reserved for {model} at {now:f} s")
+def step_reserved(context: Any, name: str, model: str, now: float) -> None:
+    assert context.trackers[name].memory_reserved_for(now) == model
+
+
 @then("no load from the weight store is in progress at {now:f} s")
 def step_no_load(context: Any, now: float) -> None:
     assert not _loading(context, now), _loading(context, now)
