Learn nothing from loads that began before this leader observed the store

Cause: loads that the earlier leader had announced were overdue, and the number of loads beside them was known only from the first reports on, so they seemed to have been slow alone. Servers that were announced and not read yet did not count.

Evidence: the new scenario of weight_store_capacity.feature gives 1 before this change.

Change: a load is measured only if the number of loads was observed since it began; announced loads count as in progress until their servers are read.

--- a/features/steps/weight_store_capacity_steps.py
+++ b/features/steps/weight_store_capacity_steps.py
@@ -18,7 +18,7 @@
     run_store,
 )
 from loomwind.placement.store_capacity import LoadTimeline
-from loomwind.placement.store_concurrency import FinishedLoad, StoreConcurrencyLimit
+from loomwind.placement.store_concurrency import FinishedLoad, LoadInProgress, StoreConcurrencyLimit
 from loomwind.serving.residency import LearnedConcurrencyLimit
 
 SEED = 1
@@ -71,6 +71,25 @@
         context.store_limit.record_finished(FinishedLoad(0.0, LOAD_MS, LOAD_MS), LOAD_MS)
 
 
+@given(
+    "a leader that takes over a limit of {limit:d} at {start:f} s, "
+    "and knows {few:d} load then and {count:d} from {later:f} s on"
+)
+def step_takes_over(
+    context: Any, limit: int, start: float, few: int, count: int, later: float
+) -> None:
+    learned = LearnedConcurrencyLimit(SERVICE, limit, True)
+    context.store_limit = StoreConcurrencyLimit(learned, 1000 * start)
+    context.store_limit.observe(few, 1000 * start)
+    context.store_limit.observe(count, 1000 * later)
+
+
+@when("the {count:d} loads, which began at {began:f} s, are overdue until {until:f} s")
+def step_overdue(context: Any, count: int, began: float, until: float) -> None:
+    loads = [LoadInProgress(1000 * began, LOAD_MS)] * count
+    context.store_limit.check_overdue(loads, 1000 * until)
+
+
 @then("the limit is still {limit:d}")
 def step_limit(context: Any, limit: int) -> None:
     assert context.store_limit.limit == limit, context.store_limit.limit
--- a/features/weight_store_capacity.feature
+++ b/features/weight_store_capacity.feature
@@ -57,6 +57,11 @@
     When 4 more loads begin 0.5 s later, and the first 3 end at full speed
     Then the limit is still 6
 
+  Scenario: a new leader lowers the limit by loads of which it did not know
+    Given a leader that takes over a limit of 4 at 8.0 s, and knows 1 load then and 4 from 8.2 s on
+    When the 4 loads, which began at 1.0 s, are overdue until 13.0 s
+    Then the limit is still 4
+
   Scenario: any load that shared the store measures its capacity
     Given any course of the number of loads in progress, in 200 runs
     Then each load that was slowed down measures the capacity within 0.05
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -223,13 +223,22 @@
 
         Until this leader has read the server, the previous leader's announcement is used.
         """
-        if self.report is None and self.operation is None and self.in_flight is None:
+        if self._is_unknown:
             return self._announced_load_may_run(now)
         reserved = self.memory_reserved_for(now)
         return self.loads_from_store_now or (
             reserved is not None and self.loads_from_store(reserved)
         )
 
+    def may_load_from_store(self, now: float) -> bool:
+        """Whether a weight store load is in progress, or was announced by the previous leader."""
+        return self._announced_load_may_run(now) if self._is_unknown else self.loads_from_store_now
+
+    @property
+    def _is_unknown(self) -> bool:
+        """Whether this leader has neither read the server nor sent it an order."""
+        return self.report is None and self.operation is None and self.in_flight is None
+
     def complete_due_load(self, now: float, running: int) -> bool:
         """Assume that a load is complete once its expected time is over; returns whether it was.
 
--- a/loomwind/placement/store_capacity.py
+++ b/loomwind/placement/store_capacity.py
@@ -25,23 +25,22 @@
 
 
 class LoadTimeline:
-    """The number of loads in progress over time.
-
-    Before the first record it counts as having been the same: a new leader finds loads in progress.
-    """
+    """The number of loads in progress over time, from the first record on."""
 
     def __init__(self) -> None:
         self._changes: list[_Change] = []
 
     def record(self, in_progress: int, now_ms: float) -> None:
         """Record the number of loads in progress from now on."""
-        if not self._changes:
-            self._changes.append(_Change(float("-inf"), in_progress))
-        elif in_progress != self._changes[-1].in_progress:
+        if not self._changes or in_progress != self._changes[-1].in_progress:
             self._changes.append(_Change(now_ms, in_progress))
         while len(self._changes) > 1 and self._changes[1].at_ms < now_ms - RETENTION_MS:
             self._changes.pop(0)
 
+    def covers(self, time_ms: float) -> bool:
+        """Return whether a time is not before the first record."""
+        return bool(self._changes) and self._changes[0].at_ms <= time_ms
+
     def capacity(self, began_ms: float, until_ms: float, expected_ms: float) -> float:
         """Return the capacity at which a load makes its whole progress in a span of time.
 
@@ -74,7 +73,7 @@
     def at(self, time_ms: float) -> int:
         """Return the number of loads in progress at a time, at least 1."""
         known = bisect_right(self._changes, time_ms, key=lambda change: change.at_ms) - 1
-        return max(1, self._changes[known].in_progress) if self._changes else 1
+        return max(1, self._changes[known].in_progress) if known >= 0 else 1
 
     def mean(self, began_ms: float, until_ms: float) -> float:
         """Return the mean number of loads in progress during a load, including itself."""
--- a/loomwind/placement/store_concurrency.py
+++ b/loomwind/placement/store_concurrency.py
@@ -111,7 +111,12 @@
         self._timeline.record(in_progress, now_ms)
 
     def record_finished(self, load: FinishedLoad, now_ms: float) -> None:
-        """Adjust the limit by a finished load."""
+        """Adjust the limit by a finished load.
+
+        One that began before the first observation tells nothing: it may have had others beside it.
+        """
+        if not self._timeline.covers(load.began_ms):
+            return
         capacity = self._timeline.capacity(load.began_ms, load.done_ms, load.expected_ms)
         self._recent.append(_LoadMeasurement(load.slowdown, capacity))
         slowdown = min(m.slowdown for m in self._recent)
@@ -137,7 +142,11 @@
         When all loads are slow, none may finish for a long time. Those in progress give an upper
         bound of the capacity.
         """
-        overdue = [load for load in loads if load.slowdown(now_ms) > OVERDUE_FACTOR]
+        overdue = [
+            load
+            for load in loads
+            if load.slowdown(now_ms) > OVERDUE_FACTOR and self._timeline.covers(load.began_ms)
+        ]
         if len(overdue) < CONSECUTIVE_SLOW_LOADS:
             return
         bounds = [
--- a/loomwind/placement/store_pace.py
+++ b/loomwind/placement/store_pace.py
@@ -25,7 +25,7 @@
     def observe(self, servers: Sequence[ServerTracker], now: float) -> None:
         """Count the loads in progress, and learn from those that take longer than expected."""
         self._in_progress = sum(server.uses_store(now) for server in servers)
-        in_progress = sum(server.loads_from_store_now for server in servers)
+        in_progress = sum(server.may_load_from_store(now) for server in servers)
         self._concurrency.observe(in_progress, now * MS_PER_SECOND)
         before = self._concurrency.limit
         loads = [load for server in servers if (load := server.store_load) is not None]
