Let the weight store's limit follow twice the loads that ran at full speed together

Of loads that begin one after the other few see the limit used, so it grew by one or two in a load time instead of doubling.

Change: while no load was slow, the limit is twice the loads that ran beside a fast one from its start on; afterwards one more than that.

--- a/loomwind/placement/store_concurrency.py
+++ b/loomwind/placement/store_concurrency.py
@@ -1,11 +1,11 @@
 """Adaptive limit on concurrent loads from the weight store.
 
 Above some concurrency, which is not configured, each load slows down in proportion: more loads add
-no throughput and keep servers busy longer. The limit is found as in TCP congestion control: it
-doubles per load time while no load is slow, and falls to the capacity that slow loads measure. A
+no throughput and keep servers busy longer. While no load is slow, the limit stays ahead of the
+concurrency by GROWTH_FACTOR; when loads slow down it falls to the capacity that they measure. A
 load that began before the limit fell measures the same capacity, so that one congestion is answered
-once. After PROBE_AFTER_MS without a slow load it grows by one per load time. Pure: the time is an
-argument.
+once. After PROBE_AFTER_MS without a slow load the limit grows by one per load time. Pure: the time
+is an argument.
 """
 
 import math
@@ -20,15 +20,12 @@
 INITIAL_LIMIT = 4
 SLOW_LOAD_FACTOR = 1.15
 OVERDUE_FACTOR = 1.3
-# A load raises the limit only if the concurrency, its mean and that at its start, was at least this
-# fraction of the limit at its start; a less used limit gives no evidence for a higher one.
-MIN_UTILIZATION = 0.75
+# By this factor the limit exceeds the concurrency that was shown to be no congestion.
+GROWTH_FACTOR = 2.0
 # A load is also slow on a server that runs many requests, so the store counts as slow only after
 # this many slow loads in a row.
 CONSECUTIVE_SLOW_LOADS = 3
 PROBE_AFTER_MS = 20_000.0
-# Changes that are remembered; more than happen within the duration of a load.
-MAX_LIMIT_CHANGES = 256
 
 
 @attrs.frozen
@@ -74,14 +71,6 @@
     capacity: float
 
 
-@attrs.frozen
-class _LimitChange:
-    """The limit from a time on."""
-
-    at_ms: float
-    limit: float
-
-
 class StoreConcurrencyLimit:
     """Limit on concurrent loads that adapts to the slowdown of loads."""
 
@@ -94,7 +83,6 @@
         was_slow = learned is not None and learned.was_slow
         self._last_slow_ms = now_ms if was_slow else -math.inf
         self._timeline = LoadTimeline()
-        self._limits = deque([_LimitChange(-math.inf, self._limit)])
         self._recent: deque[_LoadMeasurement] = deque(maxlen=CONSECUTIVE_SLOW_LOADS)
 
     @property
@@ -123,18 +111,8 @@
         if len(self._recent) == CONSECUTIVE_SLOW_LOADS and slowdown > SLOW_LOAD_FACTOR:
             self._reduce(max(m.capacity for m in self._recent), now_ms)
             self._recent.clear()
-        elif load.slowdown <= SLOW_LOAD_FACTOR and self._was_used(load):
-            self._increase(now_ms)
-
-    def _was_used(self, load: FinishedLoad) -> bool:
-        """Whether about as many loads as the limit allowed ran beside a load, from its start on."""
-        concurrency = min(
-            self._timeline.at(load.began_ms), self._timeline.mean(load.began_ms, load.done_ms)
-        )
-        limits = (
-            change.limit for change in reversed(self._limits) if change.at_ms <= load.began_ms
-        )
-        return concurrency >= MIN_UTILIZATION * next(limits, self._limits[0].limit)
+        elif load.slowdown <= SLOW_LOAD_FACTOR:
+            self._increase(load, now_ms)
 
     def check_overdue(self, loads: Sequence[LoadInProgress], now_ms: float) -> None:
         """Lower the limit if several loads in progress are overdue.
@@ -157,18 +135,14 @@
     def _reduce(self, capacity: float, now_ms: float) -> None:
         """Lower the limit to a measured capacity, if it is higher."""
         self._last_slow_ms = now_ms
-        self._set_limit(max(1.0, min(self._limit, capacity)), now_ms)
+        self._limit = max(1.0, min(self._limit, capacity))
 
-    def _increase(self, now_ms: float) -> None:
+    def _increase(self, load: FinishedLoad, now_ms: float) -> None:
+        """Raise the limit beyond the loads that ran beside a fast one from its start on."""
+        concurrency = min(
+            self._timeline.at(load.began_ms), self._timeline.mean(load.began_ms, load.done_ms)
+        )
         if self._last_slow_ms == -math.inf:
-            self._set_limit(self._limit + 1.0, now_ms)
+            self._limit = max(self._limit, GROWTH_FACTOR * concurrency)
         elif now_ms - self._last_slow_ms >= PROBE_AFTER_MS:
-            self._set_limit(self._limit + 1.0 / self._limit, now_ms)
-
-    def _set_limit(self, limit: float, now_ms: float) -> None:
-        if limit == self._limit:
-            return
-        self._limit = limit
-        self._limits.append(_LimitChange(now_ms, limit))
-        while len(self._limits) > MAX_LIMIT_CHANGES:
-            self._limits.popleft()
+            self._limit = max(self._limit, concurrency + 1.0)
