Plan a model anew when the unload that makes room for it waits for its runs

Cause: the reservation of the memory lasted as long as the unload, held a place at the weight store meanwhile, and kept the model from being planned at any other server; the estimate was the load and 0.25 s, however long the unload had lasted.

Evidence: two scenarios of weight_store_slots.feature fail before this change.

Change: a reservation lasts 1 s, whatever the server does. After that the model is planned anew: at the same server, which is expected to take as long again as it has taken, or at another one.

--- a/features/weight_store_slots.feature
+++ b/features/weight_store_slots.feature
@@ -9,14 +9,23 @@
     Then no load from the weight store is in progress at 10.3 s
     And one is known to unload a
 
-  Scenario: memory that an unload frees is given to another model while the unload waits for its runs
+  Scenario: a model waits for an unload that waits for its runs although another server can load it
     Given model servers one and two of 100 GB
-    And one holds a and b, two holds c and d
-    When one is ordered to unload a at 10.0 s, and nobody uses it
+    And one holds a and b, two holds nothing
+    When one is ordered to unload a at 10.0 s, and somebody uses it
     And the memory is reserved for e at 10.0 s at one
-    And one refuses an order to load e at 10.2 s, since another order is under way
-    And a report of one at 10.3 s shows that it is busy, at revision 1
-    Then the memory of one is reserved for e at 14.0 s
+    And a caller of e waits at 12.0 s
+    Then no load from the weight store is in progress at 12.0 s
+    And the plan loads e at 1 server, as wanted
+
+  Scenario: callers are told the same time again and again while an unload waits for its runs
+    Given model servers one and two of 100 GB
+    And one holds a and b, two holds nothing
+    And two has a copy of d on its disk and loads g until 30.0 s
+    When one is ordered to unload a at 10.0 s, and somebody uses it
+    And the memory is reserved for e at 10.0 s at one
+    And a caller of e waits at 16.0 s
+    Then e is not expected before 22.0 s
 
   Scenario: a load that was not answered takes no place, or an unload that was not answered takes one
     Given model servers one and two of 100 GB
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -124,6 +124,9 @@
         """Return the time until a server's load is done and known; a new load's time before it."""
         operation = server.operation
         if operation is None or operation.kind is not OrderKind.LOAD:
+            unload_seconds = server.unload_remaining_seconds(self.now)
+            if unload_seconds:
+                return NOTICE_SECONDS + unload_seconds
             order = server.in_flight
             load_seconds = server.load_seconds(order.target.model) if order else 0.0
             return NOTICE_SECONDS + load_seconds
@@ -292,7 +295,8 @@
             return reserved
         operation = server.operation
         if operation is None or operation.kind is not OrderKind.LOAD:
-            return reserved + DEFAULT_BUSY_SECONDS
+            unload_seconds = server.unload_remaining_seconds(self._inputs.now)
+            return reserved + max(DEFAULT_BUSY_SECONDS, unload_seconds)
         return reserved + max(0.0, operation.done_at - self._inputs.now) + ORDER_LATENCY_SECONDS
 
     def is_available(self, target: ModelKey) -> bool:
--- a/loomwind/placement/readiness.py
+++ b/loomwind/placement/readiness.py
@@ -10,9 +10,9 @@
     PlanInput,
     PlannedOrder,
 )
+from loomwind.placement.server_tracker import UNLOAD_SECONDS
 from loomwind.serving.views import ModelKey, OrderKind
 
-UNLOAD_SECONDS = 0.25
 ADAPTER_LOAD_SECONDS = 0.1
 
 
@@ -57,7 +57,8 @@
             if order.instance in instances
         ]
         times += [
-            server.load_seconds(name) + UNLOAD_SECONDS
+            server.load_seconds(name)
+            + max(UNLOAD_SECONDS, server.unload_remaining_seconds(inputs.now))
             for server in inputs.servers
             if server.memory_reserved_for(inputs.now) == name
         ]
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -30,6 +30,7 @@
 UNANSWERED_PAUSE_SECONDS = 0.15
 MEMORY_RESERVATION_SECONDS = 1.0
 UNLOAD_GRACE_SECONDS = 0.1
+UNLOAD_SECONDS = 0.25
 LOAD_GRACE_SECONDS = 0.06
 ADAPTER_LOAD_SECONDS = 0.1
 LOAD_GRACE_SECONDS_PER_REQUEST = 0.015
@@ -298,14 +299,25 @@
         self._reserved_for, self._reserved_at = name, now
 
     def memory_reserved_for(self, now: float) -> str | None:
-        """Return the model for which memory is reserved, or None."""
+        """Return the model for which memory is reserved, or None.
+
+        An unload may wait for requests that run, for an unknown time. The model is then planned
+        anew, here or at another server.
+        """
         if not self._reserved_for or self.holds(ModelKey(self._reserved_for)):
             return None
-        operation = self.operation
-        if operation is not None and operation.kind is OrderKind.UNLOAD:
-            return self._reserved_for
         return self._reserved_for if now - self._reserved_at <= MEMORY_RESERVATION_SECONDS else None
 
+    def unload_remaining_seconds(self, now: float) -> float:
+        """Return how long the unload in progress should still take; 0 if there is none.
+
+        As long as it has lasted already, since it waits for requests that run.
+        """
+        operation = self.operation
+        if operation is None or operation.kind is not OrderKind.UNLOAD:
+            return 0.0
+        return max(UNLOAD_SECONDS, now - operation.began)
+
     def _announced_load_may_run(self, now: float) -> bool:
         """Whether a load announced by an earlier leader may still be in progress."""
         announced = self._announced_load
