Keep the place of loads that callers were told to return for

Later callers with less time went first, step by step, until those that had been told a time were too late.

Cause: the schedule of loads was made anew in each step from whoever waited then. A time that was told reserved nothing.

Change: a load that is scheduled to start in time for its callers is promised to them, and gives way to later callers only as far as it still starts in time. Who comes later gets what is left, and hears at once where nothing is. A model whose callers cannot all be served is scheduled for those of them that can wait, and a further copy of a busy model passes over no promised load that would be late by it. Without any server nothing starts in time; it counted as a place that is free now. A counter and a line tell of promises that were not kept.

--- a/loomwind/metrics.py
+++ b/loomwind/metrics.py
@@ -197,6 +197,10 @@
             "Loads that this daemon began from the weight store, by what they are for",
             ["purpose"],
         )
+        self.load_promises_broken = self._counter(
+            "loomwind_load_promises_broken",
+            "Loads that callers were told to return for and that did not start in time",
+        )
         self.models_unserved = self._gauge(
             "loomwind_models_unserved",
             "Models asked for more than once since any server last held them, as the leader knows",
--- a/loomwind/placement/controller.py
+++ b/loomwind/placement/controller.py
@@ -11,6 +11,7 @@
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import DemandView
 from loomwind.placement.expectation_notices import ExpectationNotices
+from loomwind.placement.load_promises import LoadPromises
 from loomwind.placement.load_rate_limiter import LoadRateLimiter
 from loomwind.placement.plan import PlanInput, PlannedOrder
 from loomwind.placement.planner import Planner
@@ -75,6 +76,7 @@
         self._paces: dict[str, StorePace] = {}
         self._reported: set[str] = set()
         self._notices: dict[str, ExpectationNotices] = {}
+        self._promises: dict[str, LoadPromises] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._wake = exchange.inbox.arrived
@@ -131,6 +133,7 @@
         self._trackers.clear()
         self._paces.clear()
         self._notices.clear()
+        self._promises.clear()
 
     def _resume(self) -> None:
         """Use what is known again, and read what may have changed in the meantime."""
@@ -294,6 +297,7 @@
             if tracker.entry.service == service and not tracker.failed_reads
         ]
         pace.observe(servers, now)
+        promises = self._promises.setdefault(service, LoadPromises())
         plan_input = PlanInput(
             service,
             servers,
@@ -303,12 +307,19 @@
             pace.allows(now),
             self._staging_allowed(now),
             pace.free_loads,
+            promises.start_in(now),
         )
         planner = Planner(plan_input)
         orders = planner.plan()
-        loading = (server for server in servers if server.loads_from_store_now)
+        broken = promises.update(planner.scheduled_loads(), now)
+        self._shortages.record_broken_promises(service, broken)
         self._shortages.record_store_use(
-            service, loading, pace.limit, planner.models_needing_copy(), now * MS_PER_SECOND
+            service,
+            servers,
+            pace.limit,
+            planner.models_needing_copy(),
+            len(promises.start_in(now)),
+            now * MS_PER_SECOND,
         )
         self._shortages.record_versions(service, planner.version_demand, now * MS_PER_SECOND)
         self._demand.reset_unserved(service, plan_input.index.holders)
--- a/loomwind/placement/plan.py
+++ b/loomwind/placement/plan.py
@@ -1,7 +1,7 @@
 """The inputs of a plan, and the plan under construction with its orders and reservations."""
 
 import enum
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import attrs
 
@@ -13,7 +13,11 @@
     insert_by_weight,
     schedule_loads,
 )
-from loomwind.placement.server_tracker import ADAPTER_LOAD_SECONDS, ServerTracker
+from loomwind.placement.server_tracker import (
+    ADAPTER_LOAD_SECONDS,
+    UNLOAD_SECONDS,
+    ServerTracker,
+)
 from loomwind.placement.store_admission import StoreAdmission
 from loomwind.serving.views import ModelKey, ModelProfile, OrderKind
 
@@ -72,6 +76,7 @@
     :ivar store_load_allowed: whether the rate limit of the weight store allows one more load.
     :ivar staging_allowed: whether models may be loaded before they are requested.
     :ivar store_loads_left: how many more concurrent loads the weight store may serve.
+    :ivar promised_start_in: until when loads have to start that callers were promised, by model.
     """
 
     service: str
@@ -82,6 +87,7 @@
     store_load_allowed: bool
     staging_allowed: bool = False
     store_loads_left: int = UNLIMITED_STORE_LOADS
+    promised_start_in: Mapping[str, float] = attrs.field(factory=dict)
     index: PlacementIndex = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -133,22 +139,27 @@
         return max(0.0, operation.done_at - self.now) + NOTICE_SECONDS
 
     def store_load_ends(self) -> list[float]:
-        """Return the time until each current load from the weight store ends."""
+        """Return the time until each current load from the weight store ends.
+
+        Those count as well for which memory is being freed.
+        """
         return [
-            self.remaining_load_seconds(server) if server.operation else DEFAULT_LOAD_SECONDS
-            for server in self.servers
-            if server.loads_from_store_now
+            self._store_load_end(server) for server in self.servers if server.uses_store(self.now)
         ]
 
-    def load_places(self, slots: int) -> list[float]:
-        """Return when each place for a load is free: it takes a server and a place at the store.
+    def _store_load_end(self, server: ServerTracker) -> float:
+        reserved = server.memory_reserved_for(self.now)
+        if reserved is not None and not server.loads_from_store_now:
+            unload_seconds = server.unload_remaining_seconds(self.now)
+            return max(UNLOAD_SECONDS, unload_seconds) + server.load_seconds(reserved)
+        return self.remaining_load_seconds(server) if server.operation else DEFAULT_LOAD_SECONDS
 
-        :param slots: the number of loads from the weight store that may start now.
-        """
+    def load_places(self) -> list[float]:
+        """Return when each place for a load is free: it takes a server and a place at the store."""
         servers = self.known_servers()
         server_free_in = [0.0 if s.idle else self.remaining_load_seconds(s) for s in servers]
-        store_free_in = [0.0] * min(slots, len(servers)) + self.store_load_ends()
-        return combine_places(server_free_in, store_free_in)
+        free_places = min(self.store_loads_left, len(servers))
+        return combine_places(server_free_in, [0.0] * free_places + self.store_load_ends())
 
     def holders(self, name: str) -> list[ServerTracker]:
         """Return the servers that hold a model."""
@@ -161,7 +172,10 @@
 
 
 class DraftPlan:
-    """The orders of one step, at most one per server, and reservations of busy servers."""
+    """The orders of one step, at most one per server, and reservations of busy servers.
+
+    :ivar scheduled: the loads of requested models, in the order in which they should start.
+    """
 
     def __init__(
         self,
@@ -189,10 +203,12 @@
         }
         missing |= {load.name: load for load in missing_at_version}
         slots = inputs.store_loads_left if inputs.store_load_allowed else 0
-        scheduled = schedule_loads(list(missing.values()), inputs.load_places(slots))
+        places = inputs.load_places()
+        self.scheduled = schedule_loads(list(missing.values()), places)
+        scheduled = list(self.scheduled)
         for load in overloaded:
             if not inputs.index.loading[load.name] and not self.has_reserved_memory(load.name):
-                insert_by_weight(scheduled, load)
+                insert_by_weight(scheduled, load, places)
         self._admission = StoreAdmission(slots, [load.name for load in scheduled])
 
     def load(self, server: ServerTracker, target: ModelKey, purpose: OrderPurpose) -> None:
--- a/loomwind/placement/planner.py
+++ b/loomwind/placement/planner.py
@@ -12,6 +12,7 @@
 from loomwind.placement.adapter_planner import AdapterPlanner
 from loomwind.placement.cost_model import CostModel
 from loomwind.placement.demand_view import PendingDemand
+from loomwind.placement.load_schedule import RequestedLoad
 from loomwind.placement.model_planner import ModelPlanner
 from loomwind.placement.overload import excess_callers
 from loomwind.placement.plan import DraftPlan, PlanInput, PlannedOrder
@@ -76,6 +77,10 @@
             self._models.plan_staging()
         return self._draft.orders
 
+    def scheduled_loads(self) -> Sequence[RequestedLoad]:
+        """Return the loads of requested models, in the order in which they should start."""
+        return self._draft.scheduled
+
     def models_needing_copy(self) -> tuple[str, ...]:
         """Return the models that need a copy, in the order in which they should be loaded."""
         return self._draft.models_needing_copy()
--- a/loomwind/placement/requested_loads.py
+++ b/loomwind/placement/requested_loads.py
@@ -51,6 +51,11 @@
         pending.priority,
         missing_seconds,
         from_store=not inputs.index.cached_copies[name],
+        last_start_in=(
+            pending.last_leaves_in_seconds - load_seconds if pending.has_callers else -math.inf
+        ),
+        has_callers=pending.has_callers,
+        promised_start_in=inputs.promised_start_in.get(name),
     )
 
 
--- a/loomwind/placement/shortage_log.py
+++ b/loomwind/placement/shortage_log.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from loomwind.clock import MS_PER_SECOND
 from loomwind.logs import log_state
 from loomwind.metrics import Metrics
 from loomwind.placement.demand_view import UnservedModel
@@ -35,21 +36,28 @@
     def record_store_use(
         self,
         service: str,
-        loading: Iterable[ServerTracker],
+        servers: Iterable[ServerTracker],
         limit: int,
         queued: Sequence[str],
+        promised: int,
         now_ms: float,
     ) -> None:
         """Log the use of the weight store while models wait for it.
 
-        :param loading: the servers that load from it.
+        :param servers: the service's servers.
         :param limit: the limit on concurrent loads.
         :param queued: the models that lack a copy, in the order in which they are loaded.
+        :param promised: the number of loads that callers were promised.
         """
         if not queued or now_ms - self._store_logged_at_ms < STORE_LOG_INTERVAL_MS:
             return
         self._store_logged_at_ms = now_ms
-        loads = [f"{server.entry.instance} {server.loading or 'unknown'}" for server in loading]
+        now = now_ms / MS_PER_SECOND
+        using = [server for server in servers if server.uses_store(now)]
+        loads = [_describe_use(server, now) for server in using if server.loads_from_store_now]
+        freeing = [
+            _describe_use(server, now) for server in using if not server.loads_from_store_now
+        ]
         log_state(
             "weight-store",
             "used",
@@ -58,8 +66,16 @@
             queued=len(queued),
             next=list(queued[:MAX_MODELS_LOGGED]),
             loading=loads,
+            freeing=freeing,
+            promised=promised,
         )
 
+    def record_broken_promises(self, service: str, names: Sequence[str]) -> None:
+        """Record loads that callers were told to return for and that did not start in time."""
+        if names:
+            self._metrics.load_promises_broken.inc(len(names))
+            log_state("weight-store", "promise-broken", service=service, models=list(names))
+
     def record_versions(self, service: str, demand: Sequence[VersionDemand], now_ms: float) -> None:
         """Log the running streams and copies by model while several software versions serve.
 
@@ -75,3 +91,11 @@
             for each in demand[: 2 * MAX_MODELS_LOGGED]
         ]
         log_state("placement", "versions", service=service, total=len(demand), models=models)
+
+
+def _describe_use(server: ServerTracker, now: float) -> str:
+    """Return a server and what it loads or frees memory for; ``unknown`` if nothing is known."""
+    order = server.in_flight
+    ordered = "" if order is None else order.target.model
+    name = server.loading or ordered or server.memory_reserved_for(now) or "unknown"
+    return f"{server.entry.instance} {name}"
