Do not take an ended load for the one that an older report shows

A server's last accepted order was kept after its end, so a delayed report that still shows it busy brought the load back, and its second end measured a slow store (7.8 s for a load of 4 s in the new scenario of weight_store_slots.feature, which fails before this change). The order is dropped with the first report of its end.

--- a/features/steps/weight_store_slot_steps.py
+++ b/features/steps/weight_store_slot_steps.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 from behave import then, when
 
 from features.steps.planner_steps import FENCE, SERVICE, plan_input, profile, report
@@ -45,6 +46,21 @@
     tracker.record_report(_busy(tracker, revision), now)
 
 
+@when("a report of {name:w} at {now:f} s shows that it is done, at revision {revision:d}")
+def step_idle(context: Any, name: str, now: float, revision: int) -> None:
+    tracker: ServerTracker = context.trackers[name]
+    tracker.complete_due_load(now, 0)
+    tracker.record_report(msgspec.structs.replace(_busy(tracker, revision), busy=False), now)
+    finished = tracker.pop_finished_load()
+    context.finished = [*getattr(context, "finished", []), *([finished] if finished else [])]
+
+
+@then("one load of {seconds:d} s has ended")
+def step_one_ended(context: Any, seconds: int) -> None:
+    durations = [load.done_ms - load.began_ms for load in context.finished]
+    assert durations == [1000.0 * seconds], durations
+
+
 @when("{name:w} leaves an order to unload {model} unanswered at {now:f} s, at revision 0")
 def step_unanswered(context: Any, name: str, model: str, now: float) -> None:
     tracker: ServerTracker = context.trackers[name]
--- a/features/weight_store_slots.feature
+++ b/features/weight_store_slots.feature
@@ -50,6 +50,15 @@
     And another leader learns of it, and reads at 10.3 s that one is busy
     Then no load from the weight store is in progress at 10.3 s
 
+  Scenario: a load that has ended is taken for a slow one when an older report comes after its end
+    Given model servers one and two of 100 GB
+    And one holds a and b, two holds nothing
+    When two begins to load e from the weight store at 10.0 s
+    And a report of two at 14.3 s shows that it is done, at revision 1
+    And a report of two at 16.0 s shows that it is busy, at revision 1
+    And a report of two at 18.0 s shows that it is done, at revision 1
+    Then one load of 4 s has ended
+
   Scenario: a server that executes an order of which nothing is known may load from the weight store
     Given model servers one and two of 100 GB
     And one holds a and b, two holds c and d
--- a/loomwind/placement/server_tracker.py
+++ b/loomwind/placement/server_tracker.py
@@ -178,6 +178,7 @@
                 recheck_at = now + OVERDUE_RECHECK_SECONDS
                 self.operation = replace(load, done_at=recheck_at, overdue=True)
             return
+        self._accepted = None
         done = self.operation or assumed
         if done is not None and done.from_store:
             self._finished = done.finished(now, on_time=assumed is not None)
