--- a/features/leader_change.feature
+++ b/features/leader_change.feature
@@ -42,3 +42,10 @@
       | event                                                          |
       | another daemon takes it and releases it                        |
       | another daemon takes it and releases it before the next step   |
+
+  Scenario: callers are told by a new leader that they cannot be served before it has read the servers
+    Given model servers one, two, three, four, five and six of 100 GB
+    And one holds nothing
+    And one has a copy of a on its disk and loads g until 26.0 s
+    When callers of b, c, d, e, f and h wait at 22.0 s and stay for 16.0 s
+    Then no caller is told a time of more than 16.0 s
--- a/features/steps/leader_change_steps.py
+++ b/features/steps/leader_change_steps.py
@@ -4,14 +4,16 @@
 
 from behave import given, then, when
 
-from features.steps.planner_steps import SERVICE, plan, profile, report
+from features.steps.planner_steps import SERVICE, plan, plan_input, profile, report
 from loomwind.clock import MS_PER_SECOND
+from loomwind.messages.serving import PoolDemand
 from loomwind.placement.plan import PlanInput
 from loomwind.placement.planner import Planner
 from loomwind.placement.server_tracker import ServerTracker
 from loomwind.placement.store_concurrency import FinishedLoad, StoreConcurrencyLimit
+from loomwind.serving.demand import TargetDemand
 from loomwind.serving.residency import Residency, ServerHolding
-from loomwind.serving.views import ServerEntry, ServerReport, ServerState
+from loomwind.serving.views import ModelKey, ServerEntry, ServerReport, ServerState
 
 TOLERANCE_SECONDS = 0.5
 LOAD_MS = 6000.0
@@ -56,6 +58,28 @@
     assert abs(context.now + ready_in / MS_PER_SECOND - at) < TOLERANCE_SECONDS, ready_in
 
 
+@when("callers of {models} wait at {now:f} s and stay for {stays:f} s")
+def step_callers(context: Any, models: str, now: float, stays: float) -> None:
+    context.now = now
+    names = models.replace(" and ", ", ").split(", ")
+    waiting = tuple(
+        TargetDemand(SERVICE, ModelKey(name), 1, 1.0, 1, stays, 0, None, stays) for name in names
+    )
+    context.demand.add_report(PoolDemand("daemon-1", waiting, ()), now)
+
+
+@then("no caller is told a time of more than {seconds:f} s")
+def step_told(context: Any, seconds: float) -> None:
+    planner = Planner(plan_input(context))
+    planner.plan()
+    late = {
+        each.key.target.model: each.ready_in_ms
+        for each in planner.expectations()
+        if each.ready_in_ms > seconds * MS_PER_SECOND
+    }
+    assert not late, late
+
+
 @given("a leader that has learned a limit of {limit:d} concurrent weight store loads")
 def step_learned(context: Any, limit: int) -> None:
     store_limit = StoreConcurrencyLimit()
