--- a/review/common-2/service.py
+++ b/review/common-2/service.py
@@ -236,6 +236,10 @@
                 f"server {port} fell at {fell_s:.3f}: rejected {len(rejected)} in a second, "
                 f"{in_touch} from machines in touch; {'counts' if counts else 'does not count'}"
             )
+        rejected_ids = {request_id for _, request_id, _ in state["rejected"]}
+        for at_s, request_id, _ in state["seen"]:
+            end = "was rejected" if request_id in rejected_ids else "ran"
+            site.note(f"{request_id} reached server {port} at {at_s:.3f} and {end}")
         site.note(f"server {port} rejected {len(state['rejected'])} in all")
     return counted
 
